--- /dev/null
+++ b/source/controller/controller_server.cpp
@@ -0,0 +1,331 @@
+#include "controller/controller_server.hpp"
+
+#include "config/merge_files.hpp"
+#include "controller/controller_settings_file.hpp"
+#include "controller/operator_api.hpp"
+#include "controller/platform_client.hpp"
+#include "controller/worker_client.hpp"
+#include "kernel/controller/controller_kernel.hpp"
+#include "kernel/registry.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+#include "transport/io_thread.hpp"
+#include "transport/kernel_thread.hpp"
+#include "transport/metrics.hpp"
+#include "transport/peer_links.hpp"
+#include "transport/signals.hpp"
+
+#include <chrono>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+using kernel_loop =
+    kernel_thread<controller_kernel, controller_event, controller_action>;
+
+controller_event make_tick()
+{
+    return tick{std::chrono::time_point_cast<std::chrono::seconds>(
+        std::chrono::system_clock::now())};
+}
+
+/// The adapters around the kernel: operators, peers, platform and workers on
+/// one I/O thread, the decisions on another one.
+class controller_program
+{
+public:
+    explicit controller_program(controller_program_settings settings)
+        : settings_(std::move(settings)), io_(settings_.ring_capacity_),
+          http_(io_.context(), http_client_limits{}),
+          platform_(http_, settings_.platform_), workers_(http_)
+    {
+    }
+
+    int run()
+    {
+        http_handler handler;
+        handler.request_ =
+            [this](std::uint64_t, http_request request, http_responder respond)
+        { on_request(std::move(request), std::move(respond)); };
+        operators_ = std::make_unique<http_server>(
+            io_.context(), settings_.operators_, handler);
+        std::string const address = operators_->listen(settings_.listen_);
+        start_links(address);
+        start_kernel();
+        io_.start();
+        kernel_->start();
+        announce(address);
+        write_log(log_level::info, "started",
+                  {{"address", address},
+                   {"node", settings_.kernel_.self_.node_.text()}});
+        wait_for_stop_signal();
+        return stop();
+    }
+
+private:
+    void start_links(std::string const& address)
+    {
+        hello self;
+        self.node_ = settings_.kernel_.self_;
+        self.role_ = node_role::controller;
+        self.data_centre_ = settings_.kernel_.data_centre_;
+        self.address_ = address;
+        settings_.kernel_.address_ = address;
+        peer_link_handler handler;
+        handler.joined_ = [this](hello const& peer) {
+            submit(peer_message{peer.node_, message{peer}});
+        };
+        handler.message_ = [this](incarnation const& from, message what) {
+            submit(peer_message{from, std::move(what)});
+        };
+        handler.lost_ = [this](node_id const& node)
+        { submit(peer_lost{node}); };
+        handler.refused_ = [this](reason why) { metrics_.count(why); };
+        links_ = std::make_unique<peer_links>(io_.context(), self, handler);
+        std::string const bound = links_->listen(settings_.links_);
+        write_log(log_level::info, "links", {{"address", bound}});
+    }
+
+    void start_kernel()
+    {
+        auto duties = settings_.duties_;
+        if (duties.empty())
+        {
+            duties = registry<controller_duty>::instance().names();
+        }
+        kernel_ = std::make_unique<kernel_loop>(
+            std::make_unique<controller_kernel>(settings_.kernel_, &merge_files,
+                                                duties),
+            settings_.tick_, &make_tick,
+            [this](controller_action&& action)
+            {
+                io_.run([this, held = std::make_shared<controller_action>(
+                                   std::move(action))] { perform(*held); });
+            });
+        input_ = &kernel_->add_input(settings_.ring_capacity_);
+        io_.run_from_outside(
+            [this]
+            {
+                for (auto const& peer : settings_.peers_)
+                {
+                    links_->connect(peer);
+                }
+            });
+    }
+
+    int stop()
+    {
+        write_log(log_level::info, "stopping");
+        std::promise<void> closed;
+        io_.run_from_outside(
+            [&]
+            {
+                links_->stop();
+                operators_->stop([&] { closed.set_value(); });
+            });
+        closed.get_future().wait_for(std::chrono::seconds{10});
+        kernel_->stop();
+        io_.stop();
+        write_log(log_level::info, "stopped");
+        return exit_fine;
+    }
+
+    bool submit(controller_event event)
+    {
+        bool const taken = input_->submit(std::move(event));
+        if (!taken)
+        {
+            metrics_.count(reason::ring_full);
+        }
+        return taken;
+    }
+
+    void on_request(http_request request, http_responder respond)
+    {
+        auto const parts = request.parts();
+        if (parts.size() == 1 && parts[0] == "healthz")
+        {
+            respond(make_response(200, "text/plain", "ok\n"));
+        }
+        else if (parts.size() == 1 && parts[0] == "metrics")
+        {
+            respond(make_response(200, "text/plain; version=0.0.4",
+                                  metrics_.write()));
+        }
+        else if (request.method_ == "POST" &&
+                 request.path_ == "/v1/config/changes")
+        {
+            take_change(request, std::move(respond));
+        }
+        else if (request.method_ == "GET")
+        {
+            ask(std::move(request), std::move(respond));
+        }
+        else
+        {
+            respond(make_response(404, "text/plain", "no such resource\n"));
+        }
+    }
+
+    void take_change(http_request const& request, http_responder respond)
+    {
+        auto parsed = parse_change(request);
+        if (auto const* wrong = std::get_if<std::string>(&parsed))
+        {
+            respond(make_response(400, "text/plain", *wrong + "\n"));
+            return;
+        }
+        auto const ticket = next_ticket_++;
+        changes_[ticket] = std::move(respond);
+        operator_change change{ticket,
+                               std::get<config_change>(std::move(parsed))};
+        if (!submit(std::move(change)))
+        {
+            changes_[ticket](make_response(503, "text/plain", "overloaded\n"));
+            changes_.erase(ticket);
+        }
+    }
+
+    void ask(http_request request, http_responder respond)
+    {
+        bool const asked = input_->ask(
+            [this, request, respond](controller_kernel const& kernel)
+            {
+                http_response response =
+                    request.path_ == "/readyz"
+                        ? make_response(
+                              kernel.ready() ? 200 : 503, "text/plain",
+                              kernel.ready() ? "ready\n" : "not ready\n")
+                        : answer_operator(request, kernel);
+                io_.run([respond, response] { respond(response); });
+            });
+        if (!asked)
+        {
+            metrics_.count(reason::ring_full);
+            respond(make_response(503, "text/plain", "overloaded\n"));
+        }
+    }
+
+    void perform(controller_action& action)
+    {
+        std::visit([this](auto& what) { act(what); }, action);
+    }
+
+    void act(log_read& what)
+    {
+        platform_.read(what, [this](log_read_result result)
+                       { submit(std::move(result)); });
+    }
+
+    void act(log_append& what)
+    {
+        platform_.append(what,
+                         [this](log_append_result result) { submit(result); });
+    }
+
+    void act(list_vms&)
+    {
+        platform_.list(
+            [this](std::optional<vm_list> list)
+            {
+                if (list)
+                {
+                    submit(std::move(*list));
+                }
+            });
+    }
+
+    void act(probe_vm& what)
+    {
+        workers_.probe(what, [this](probe_result result)
+                       { submit(std::move(result)); });
+    }
+
+    void act(call_platform& what)
+    {
+        platform_.reboot(what.vm_, what.token_,
+                         [this](platform_call_result result)
+                         { submit(std::move(result)); });
+    }
+
+    void act(call_task& what)
+    {
+        workers_.call(what, [this](task_call_result result)
+                      { submit(std::move(result)); });
+    }
+
+    void act(send_message& what)
+    {
+        links_->send(what.to_, what.message_);
+    }
+
+    void act(relay_read& what)
+    {
+        platform_.read(
+            what.read_,
+            [this, peer = what.peer_,
+             ticket = what.ticket_](log_read_result result) {
+                submit(relay_read_done{peer, ticket, std::move(result)});
+            });
+    }
+
+    void act(relay_append& what)
+    {
+        platform_.append(what.append_,
+                         [this, peer = what.peer_,
+                          ticket = what.ticket_](log_append_result result) {
+                             submit(relay_append_done{peer, ticket, result});
+                         });
+    }
+
+    void act(operator_reply& what)
+    {
+        auto const found = changes_.find(what.ticket_);
+        if (found != changes_.end())
+        {
+            auto const respond = std::move(found->second);
+            changes_.erase(found);
+            respond(describe_outcome(what));
+        }
+    }
+
+    void act(count_reason& what)
+    {
+        metrics_.count(what.why_);
+    }
+
+    controller_program_settings settings_;
+    metrics metrics_;
+    io_thread io_;
+    http_client http_;
+    platform_client platform_;
+    worker_client workers_;
+    std::unique_ptr<http_server> operators_;
+    std::unique_ptr<peer_links> links_;
+    std::unique_ptr<kernel_loop> kernel_;
+    kernel_loop::input* input_ = nullptr;
+    std::map<std::uint64_t, http_responder> changes_;
+    std::uint64_t next_ticket_ = 1;
+};
+
+} // namespace
+
+int run_controller(server_arguments const& arguments)
+{
+    auto const settings = load_controller_settings(arguments);
+    start_log("cuminfold-controller", settings.log_.format_,
+              settings.log_.level_);
+    controller_program program(settings);
+    return program.run();
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/controller/controller_settings_file.cpp
@@ -0,0 +1,59 @@
+#include "controller/controller_settings_file.hpp"
+
+#include "config/settings_file.hpp"
+
+#include <chrono>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+void read_controller(section_reader& in, controller_program_settings& settings)
+{
+    std::string name;
+    std::string data_centre;
+    read_log_settings(in, settings.log_);
+    in.require("name");
+    in.require("data_centre");
+    in.require("platform");
+    in.read("name", name);
+    in.read("data_centre", data_centre);
+    in.read("platform", settings.platform_);
+    in.read("listen", settings.listen_);
+    in.read("links", settings.links_);
+    in.read("peers", settings.peers_);
+    in.read("duties", settings.duties_);
+    in.read("ring_capacity", settings.ring_capacity_, 16, 1U << 20U);
+    in.read("tick", settings.tick_, std::chrono::milliseconds{1},
+            std::chrono::seconds{1});
+    in.read("claim_shards", settings.kernel_.claim_shards_, 1, 1024);
+    in.read("list_interval", settings.kernel_.list_interval_,
+            std::chrono::milliseconds{10});
+    in.read("probe_interval", settings.kernel_.probe_interval_,
+            std::chrono::milliseconds{10});
+    in.read("rank_step", settings.kernel_.rank_step_);
+    in.read("change_timeout", settings.kernel_.change_timeout_,
+            std::chrono::milliseconds{100});
+    settings.kernel_.self_ = incarnation{node_id{name}, draw_incarnation()};
+    settings.kernel_.seed_ = settings.kernel_.self_.number_;
+    settings.kernel_.data_centre_ = data_centre_name{data_centre};
+}
+
+} // namespace
+
+controller_program_settings
+load_controller_settings(server_arguments const& arguments)
+{
+    controller_program_settings settings;
+    read_settings(arguments.config_,
+                  [&](section_reader& in) { read_controller(in, settings); });
+    if (!arguments.listen_.empty())
+    {
+        settings.listen_ = arguments.listen_;
+    }
+    return settings;
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/gateway/gateway_settings_file.cpp
@@ -0,0 +1,64 @@
+#include "gateway/gateway_settings_file.hpp"
+
+#include "config/settings_file.hpp"
+
+#include <chrono>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+constexpr std::uint32_t largest_body = 64 * 1024 * 1024;
+
+void read_gateway(section_reader& in, gateway_program_settings& settings)
+{
+    std::string name;
+    std::string data_centre;
+    std::uint32_t body_limit =
+        static_cast<std::uint32_t>(settings.callers_.body_bytes_);
+    std::uint32_t worker_connections =
+        static_cast<std::uint32_t>(settings.workers_.connections_);
+    read_log_settings(in, settings.log_);
+    in.require("name");
+    in.require("data_centre");
+    in.require("controllers");
+    in.read("name", name);
+    in.read("data_centre", data_centre);
+    in.read("listen", settings.listen_);
+    in.read("controllers", settings.controllers_);
+    in.read("body_limit_bytes", body_limit, 1, largest_body);
+    in.read("worker_connections", worker_connections, 1, 1024);
+    in.read("ring_capacity", settings.ring_capacity_, 16, 1U << 20U);
+    in.read("tick", settings.tick_, std::chrono::milliseconds{1},
+            std::chrono::seconds{1});
+    in.read("stop_limit", settings.stop_limit_);
+    in.read("claim_shards", settings.kernel_.claim_shards_, 1, 1024);
+    in.read("routing", settings.kernel_.routing_);
+    in.read("admission", settings.kernel_.admission_);
+    in.read("retry", settings.kernel_.retry_);
+    in.read("queue_limit", settings.kernel_.queue_limit_, 1, 1U << 20U);
+    settings.callers_.body_bytes_ = body_limit;
+    settings.workers_.connections_ = worker_connections;
+    settings.kernel_.self_ = incarnation{node_id{name}, draw_incarnation()};
+    settings.kernel_.seed_ = settings.kernel_.self_.number_;
+    settings.kernel_.data_centre_ = data_centre_name{data_centre};
+}
+
+} // namespace
+
+gateway_program_settings
+load_gateway_settings(server_arguments const& arguments)
+{
+    gateway_program_settings settings;
+    read_settings(arguments.config_,
+                  [&](section_reader& in) { read_gateway(in, settings); });
+    if (!arguments.listen_.empty())
+    {
+        settings.listen_ = arguments.listen_;
+    }
+    return settings;
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/gateway/gateway_settings_file.hpp
@@ -0,0 +1,38 @@
+#ifndef CUMINFOLD_GATEWAY_GATEWAY_SETTINGS_FILE_HPP
+#define CUMINFOLD_GATEWAY_GATEWAY_SETTINGS_FILE_HPP
+
+#include "kernel/gateway/gateway_settings.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+#include "transport/program.hpp"
+
+#include <string>
+#include <vector>
+
+namespace cuminfold
+{
+
+/// All settings of the gateway program.
+struct gateway_program_settings
+{
+    log_settings log_;
+    gateway_settings kernel_;
+    std::string listen_ = "127.0.0.1:0";
+    /// Link addresses of controllers of the own data centre, `IP:PORT`.
+    std::vector<std::string> controllers_;
+    http_server_limits callers_;
+    http_client_limits workers_;
+    std::uint32_t ring_capacity_ = 8192;
+    duration tick_ = std::chrono::milliseconds{5};
+    /// Time that a stop waits for what is in flight.
+    duration stop_limit_ = std::chrono::seconds{60};
+};
+
+/// Reads the settings file.
+/// @throws settings_error
+gateway_program_settings
+load_gateway_settings(server_arguments const& arguments);
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/kernel/controller/controller_settings.hpp
@@ -0,0 +1,39 @@
+#ifndef CUMINFOLD_KERNEL_CONTROLLER_CONTROLLER_SETTINGS_HPP
+#define CUMINFOLD_KERNEL_CONTROLLER_CONTROLLER_SETTINGS_HPP
+
+#include "kernel/identifier.hpp"
+#include "kernel/log/log_tail.hpp"
+#include "kernel/log/log_writer.hpp"
+#include "kernel/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cuminfold
+{
+
+/// What a controller's kernel is told at its start.
+struct controller_settings
+{
+    incarnation self_;
+    data_centre_name data_centre_;
+    std::string address_;
+    /// Streams `claims-0` to `claims-<n-1>`.
+    std::uint32_t claim_shards_ = 4;
+    log_tail_options tail_;
+    log_writer_options writer_;
+    duration list_interval_ = std::chrono::seconds{1};
+    duration probe_interval_ = std::chrono::seconds{1};
+    /// A controller of rank r waits r of these before it proposes.
+    duration rank_step_ = std::chrono::milliseconds{500};
+    /// An operator's change that is not read back by then is of unknown fate.
+    duration change_timeout_ = std::chrono::seconds{10};
+    /// Seed of the kernel's random engine.
+    std::uint64_t seed_ = 1;
+};
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/kernel/fleet/budget.hpp
@@ -0,0 +1,37 @@
+#ifndef CUMINFOLD_KERNEL_FLEET_BUDGET_HPP
+#define CUMINFOLD_KERNEL_FLEET_BUDGET_HPP
+
+#include "kernel/fleet/vm_table.hpp"
+#include "kernel/intended_state.hpp"
+#include "kernel/reason.hpp"
+
+#include <cstdint>
+#include <optional>
+
+namespace cuminfold
+{
+
+/// Judges whether a pool can spare one more VM.
+///
+/// A VM may be taken if the pool's available VMs, without it, still meet the
+/// need after the loss that the failure reserve stands for.
+
+/// VMs that the reserve stands for, once `leaving` (may be null) is gone.
+std::uint32_t reserve_of(pool_usage const& usage, reserve_kind kind,
+                         vm_entry const* leaving);
+
+/// Why the pool cannot spare the VM now; empty: it can. A pool without a
+/// budget can spare any.
+std::optional<reason> refuse_to_spare(vm_table const& vms,
+                                      intended_state const& intended,
+                                      vm_entry const& leaving);
+
+/// VMs that the pool lacks to let one of its VMs be drained while all others
+/// serve; 0: its budget can admit a drain.
+std::uint32_t spares_missing(vm_table const& vms,
+                             intended_state const& intended,
+                             pool_name const& pool);
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/kernel/gateway/gateway_settings.hpp
@@ -0,0 +1,41 @@
+#ifndef CUMINFOLD_KERNEL_GATEWAY_GATEWAY_SETTINGS_HPP
+#define CUMINFOLD_KERNEL_GATEWAY_GATEWAY_SETTINGS_HPP
+
+#include "kernel/identifier.hpp"
+#include "kernel/log/log_tail.hpp"
+#include "kernel/log/log_writer.hpp"
+#include "kernel/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace cuminfold
+{
+
+/// What a gateway's kernel is told at its start.
+struct gateway_settings
+{
+    incarnation self_;
+    data_centre_name data_centre_;
+    /// Where other gateways forward to, `IP:PORT`.
+    std::string address_;
+    std::uint32_t claim_shards_ = 4;
+    log_tail_options tail_;
+    log_writer_options writer_;
+    /// Registered names of the strategies.
+    std::string routing_ = "round_robin";
+    std::string admission_ = "bounded_queue";
+    std::string retry_ = "budgeted";
+    /// Requests of one service that wait at most.
+    std::uint32_t queue_limit_ = 256;
+    /// Gateways of the data centre that share the workers' slots; 0: count the
+    /// registered ones.
+    std::uint32_t gateways_ = 0;
+    /// Seed of the kernel's random engine.
+    std::uint64_t seed_ = 1;
+};
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/kernel/time.hpp
@@ -0,0 +1,22 @@
+#ifndef CUMINFOLD_KERNEL_TIME_HPP
+#define CUMINFOLD_KERNEL_TIME_HPP
+
+#include <chrono>
+
+namespace cuminfold
+{
+
+/// The kernel's resolution of time.
+using duration = std::chrono::microseconds;
+
+/// A point on the process's own monotonic clock. It means nothing to another
+/// process: what crosses a process boundary is a `duration`.
+using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
+
+/// A point of calendar time, used for maintenance windows only.
+using wall_time =
+    std::chrono::time_point<std::chrono::system_clock, std::chrono::seconds>;
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/load/main.cpp
@@ -0,0 +1,93 @@
+#include "config/duration_text.hpp"
+#include "config/settings_file.hpp"
+#include "load/load_run.hpp"
+#include "transport/program.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <exception>
+#include <iostream>
+
+namespace
+{
+
+namespace po = boost::program_options;
+using namespace cuminfold;
+
+load_settings load_from(std::string const& path)
+{
+    load_settings settings;
+    settings.length_ = std::chrono::seconds{5};
+    settings.deadline_ = std::chrono::milliseconds{500};
+    std::uint32_t rate = 100;
+    std::uint32_t seed = 1;
+    read_settings(path,
+                  [&](section_reader& in)
+                  {
+                      in.require("targets");
+                      in.require("services");
+                      in.read("targets", settings.targets_);
+                      in.read("services", settings.services_);
+                      in.read("rate", rate, 1, 200'000);
+                      in.read("length", settings.length_,
+                              std::chrono::milliseconds{1},
+                              std::chrono::hours{1});
+                      in.read("deadline", settings.deadline_,
+                              std::chrono::milliseconds{1});
+                      in.read("non_idempotent_percent",
+                              settings.non_idempotent_percent_, 0, 100);
+                      in.read("seed", seed);
+                  });
+    settings.rate_ = rate;
+    settings.seed_ = seed;
+    return settings;
+}
+
+int run(int argc, char const* const* argv)
+{
+    po::options_description options("Options");
+    options.add_options()("help,h", "print this text and exit")(
+        "version,v", "print the version and exit")(
+        "config,c", po::value<std::string>(), "settings file (YAML)");
+    po::variables_map given;
+    po::store(po::parse_command_line(argc, argv, options), given);
+    if (given.count("help") != 0)
+    {
+        std::cout << "Usage: cuminfold-load --config FILE\n\n"
+                     "Sends seeded open-loop load and prints a JSON report.\n\n"
+                  << options;
+        return exit_fine;
+    }
+    if (given.count("version") != 0)
+    {
+        std::cout << "cuminfold-load 0.1.0\n";
+        return exit_fine;
+    }
+    if (given.count("config") == 0)
+    {
+        throw usage_error("--config FILE is missing");
+    }
+    load_settings const settings = load_from(given["config"].as<std::string>());
+    load_report const report = run_load(settings);
+    std::cout << describe_report(settings, report) << "\n";
+    return report.wrong_ == 0 ? exit_fine : exit_failed;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try
+    {
+        return run(argc, argv);
+    }
+    catch (settings_error const& error)
+    {
+        std::cerr << error.what() << "\n";
+    }
+    catch (std::exception const& error)
+    {
+        std::cerr << "cuminfold-load: " << error.what() << "; see --help\n";
+    }
+    return exit_usage;
+}
--- /dev/null
+++ b/source/transport/http_client.cpp
@@ -0,0 +1,376 @@
+#include "transport/http_client.hpp"
+
+#include "transport/endpoint_text.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <cctype>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace cuminfold
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+using clock = std::chrono::steady_clock;
+
+/// A connection that carries no request.
+struct idle_connection
+{
+    std::shared_ptr<beast::tcp_stream> stream_;
+    clock::time_point since_;
+};
+
+/// True if the other side has neither closed nor sent anything.
+bool still_clean(beast::tcp_stream& stream)
+{
+    char byte = 0;
+    beast::error_code error;
+    stream.socket().non_blocking(true, error);
+    stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                            error);
+    return error == asio::error::would_block;
+}
+
+std::string to_lower(std::string text)
+{
+    for (auto& c : text)
+    {
+        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    }
+    return text;
+}
+
+} // namespace
+
+class http_client::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(asio::io_context& context, http_client_limits limits)
+        : context_(context), limits_(limits)
+    {
+    }
+
+    std::uint64_t start(http_call call, callback done)
+    {
+        auto const number = next_number_++;
+        auto const open = std::make_shared<open_call>();
+        open->number_ = number;
+        open->call_ = std::move(call);
+        open->done_ = std::move(done);
+        open->deadline_ = clock::now() + open->call_.timeout_;
+        calls_[number] = open;
+        begin(open);
+        return number;
+    }
+
+    void cancel(std::uint64_t number)
+    {
+        auto const found = calls_.find(number);
+        if (found == calls_.end())
+        {
+            return;
+        }
+        auto const open = found->second;
+        open->done_ = nullptr;
+        calls_.erase(found);
+        drop(open);
+    }
+
+    void forget(std::string const& address)
+    {
+        idle_.erase(address);
+    }
+
+    void stop()
+    {
+        auto const calls = std::exchange(calls_, {});
+        for (auto const& item : calls)
+        {
+            item.second->done_ = nullptr;
+            drop(item.second);
+        }
+        idle_.clear();
+    }
+
+private:
+    struct open_call
+    {
+        std::uint64_t number_ = 0;
+        http_call call_;
+        callback done_;
+        clock::time_point deadline_;
+        std::shared_ptr<beast::tcp_stream> stream_;
+        beast::flat_buffer buffer_;
+        http::request<http::string_body> request_;
+        std::optional<http::response_parser<http::string_body>> parser_;
+        bool sent_ = false;
+    };
+    using open_ptr = std::shared_ptr<open_call>;
+
+    void begin(open_ptr const& open)
+    {
+        if (auto stream = take_idle(open->call_.address_))
+        {
+            open->stream_ = std::move(stream);
+            ++busy_[open->call_.address_];
+            write(open);
+            return;
+        }
+        if (busy_[open->call_.address_] >= limits_.connections_)
+        {
+            end_later(open, http_end::not_sent);
+            return;
+        }
+        connect(open);
+    }
+
+    std::shared_ptr<beast::tcp_stream> take_idle(std::string const& address)
+    {
+        auto& kept = idle_[address];
+        while (!kept.empty())
+        {
+            idle_connection last = std::move(kept.back());
+            kept.pop_back();
+            bool const young = clock::now() - last.since_ < limits_.idle_time_;
+            if (young && still_clean(*last.stream_))
+            {
+                return std::move(last.stream_);
+            }
+        }
+        return nullptr;
+    }
+
+    void connect(open_ptr const& open)
+    {
+        tcp::endpoint at;
+        try
+        {
+            at = parse_endpoint(open->call_.address_);
+        }
+        catch (std::invalid_argument const&)
+        {
+            end_later(open, http_end::not_sent);
+            return;
+        }
+        open->stream_ = std::make_shared<beast::tcp_stream>(context_);
+        ++busy_[open->call_.address_];
+        auto const limit = clock::now() + limits_.connect_time_;
+        open->stream_->expires_at(std::min(limit, open->deadline_));
+        open->stream_->async_connect(
+            at, [self = shared_from_this(), open,
+                 kept = open->stream_](beast::error_code error)
+            { self->on_connect(open, error); });
+    }
+
+    void on_connect(open_ptr const& open, beast::error_code error)
+    {
+        if (!open->done_)
+        {
+            return;
+        }
+        if (error)
+        {
+            end(open, http_end::not_sent);
+            return;
+        }
+        open->stream_->socket().set_option(tcp::no_delay(true), error);
+        write(open);
+    }
+
+    void write(open_ptr const& open)
+    {
+        if (clock::now() >= open->deadline_)
+        {
+            end_later(open, http_end::not_sent);
+            return;
+        }
+        auto& request = open->request_;
+        request.method_string(open->call_.method_);
+        request.target(open->call_.target_);
+        request.version(11);
+        request.set(http::field::host, open->call_.address_);
+        for (auto const& field : open->call_.fields_)
+        {
+            request.set(field.first, field.second);
+        }
+        request.body() = std::move(open->call_.body_);
+        request.prepare_payload();
+        open->sent_ = true;
+        open->stream_->expires_at(open->deadline_);
+        http::async_write(
+            *open->stream_, request,
+            [self = shared_from_this(), open,
+             kept = open->stream_](beast::error_code error, std::size_t)
+            { self->on_written(open, error); });
+    }
+
+    void on_written(open_ptr const& open, beast::error_code error)
+    {
+        if (!open->done_)
+        {
+            return;
+        }
+        if (error)
+        {
+            end(open, error == beast::error::timeout ? http_end::timeout
+                                                     : http_end::lost);
+            return;
+        }
+        open->parser_.emplace();
+        open->parser_->header_limit(
+            static_cast<std::uint32_t>(limits_.head_bytes_));
+        open->parser_->body_limit(limits_.body_bytes_);
+        http::async_read(
+            *open->stream_, open->buffer_, *open->parser_,
+            [self = shared_from_this(), open,
+             kept = open->stream_](beast::error_code error, std::size_t)
+            { self->on_read(open, error); });
+    }
+
+    void on_read(open_ptr const& open, beast::error_code error)
+    {
+        if (!open->done_)
+        {
+            return;
+        }
+        if (error)
+        {
+            end(open, end_of(error, *open->parser_));
+            return;
+        }
+        if (!open->parser_->get().has_content_length() &&
+            !open->parser_->chunked())
+        {
+            // A body that only the connection's end ends may be cut short.
+            end(open, http_end::truncated);
+            return;
+        }
+        finish(open);
+    }
+
+    static http_end
+    end_of(beast::error_code error,
+           http::response_parser<http::string_body> const& parser)
+    {
+        if (error == beast::error::timeout)
+        {
+            return http_end::timeout;
+        }
+        if (error == http::error::body_limit ||
+            error == http::error::header_limit)
+        {
+            return http_end::too_large;
+        }
+        return parser.got_some() ? http_end::truncated : http_end::lost;
+    }
+
+    void finish(open_ptr const& open)
+    {
+        auto message = open->parser_->release();
+        http_result result;
+        result.end_ = http_end::whole;
+        result.response_.status_ = message.result_int();
+        for (auto const& field : message)
+        {
+            result.response_
+                .fields_[to_lower(std::string(field.name_string()))] =
+                std::string(field.value());
+        }
+        result.response_.body_ = std::move(message.body());
+        bool const clean = message.keep_alive() && open->buffer_.size() == 0;
+        --busy_[open->call_.address_];
+        if (clean &&
+            idle_[open->call_.address_].size() + busy_[open->call_.address_] <
+                limits_.connections_)
+        {
+            open->stream_->expires_never();
+            idle_[open->call_.address_].push_back(
+                {std::move(open->stream_), clock::now()});
+        }
+        open->stream_.reset();
+        calls_.erase(open->number_);
+        std::exchange(open->done_, nullptr)(std::move(result));
+    }
+
+    void end(open_ptr const& open, http_end how)
+    {
+        calls_.erase(open->number_);
+        drop(open);
+        auto const done = std::exchange(open->done_, nullptr);
+        if (done)
+        {
+            http_result result;
+            result.end_ = how;
+            done(std::move(result));
+        }
+    }
+
+    void end_later(open_ptr const& open, http_end how)
+    {
+        asio::post(context_, [self = shared_from_this(), open, how]
+                   { self->end(open, how); });
+    }
+
+    void drop(open_ptr const& open)
+    {
+        if (open->stream_)
+        {
+            open->stream_->close();
+            --busy_[open->call_.address_];
+            // Handlers that are still to come keep the stream's memory.
+            open->stream_.reset();
+        }
+    }
+
+    asio::io_context& context_;
+    http_client_limits limits_;
+    std::uint64_t next_number_ = 1;
+    std::map<std::uint64_t, open_ptr> calls_;
+    std::map<std::string, std::size_t> busy_;
+    std::map<std::string, std::vector<idle_connection>> idle_;
+};
+
+http_client::http_client(asio::io_context& context, http_client_limits limits)
+    : impl_(std::make_shared<impl>(context, limits))
+{
+}
+
+http_client::~http_client()
+{
+    impl_->stop();
+}
+
+std::uint64_t http_client::start(http_call call, callback done)
+{
+    return impl_->start(std::move(call), std::move(done));
+}
+
+void http_client::cancel(std::uint64_t number)
+{
+    impl_->cancel(number);
+}
+
+void http_client::forget(std::string const& address)
+{
+    impl_->forget(address);
+}
+
+void http_client::stop()
+{
+    impl_->stop();
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/transport/http_client.hpp
@@ -0,0 +1,92 @@
+#ifndef CUMINFOLD_TRANSPORT_HTTP_CLIENT_HPP
+#define CUMINFOLD_TRANSPORT_HTTP_CLIENT_HPP
+
+#include "kernel/time.hpp"
+#include "transport/http_message.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cuminfold
+{
+
+/// Bounds of an HTTP client.
+struct http_client_limits
+{
+    std::size_t head_bytes_ = 16 * 1024;
+    std::size_t body_bytes_ = 8 * 1024 * 1024;
+    /// Connections to one address, busy and idle ones together.
+    std::size_t connections_ = 64;
+    duration connect_time_ = std::chrono::milliseconds{500};
+    duration idle_time_ = std::chrono::seconds{30};
+};
+
+/// A request to send.
+struct http_call
+{
+    std::string address_; ///< `IP:PORT`
+    std::string method_ = "POST";
+    std::string target_;
+    http_fields fields_;
+    std::string body_;
+    duration timeout_ = std::chrono::seconds{2};
+};
+
+/// How a call ended. After `not_sent` the other side has seen no byte of it.
+enum class http_end
+{
+    whole,
+    not_sent,
+    lost,
+    timeout,
+    truncated,
+    too_large
+};
+
+/// A call's end, and the response if it is whole.
+struct http_result
+{
+    http_end end_ = http_end::lost;
+    http_response response_;
+};
+
+/// HTTP/1.1 over TCP on one thread's context. All calls are made on that
+/// thread.
+///
+/// A connection carries one request at a time. It is kept only after a whole
+/// response; after anything else it is closed and never used again.
+class http_client
+{
+public:
+    using callback = std::function<void(http_result)>;
+
+    http_client(boost::asio::io_context& context, http_client_limits limits);
+    ~http_client();
+
+    /// Sends a call; `done` is called once, unless the call is cancelled.
+    /// @return the call's number
+    std::uint64_t start(http_call call, callback done);
+
+    /// Gives a call up and closes its connection.
+    void cancel(std::uint64_t number);
+
+    /// Closes the idle connections to an address.
+    void forget(std::string const& address);
+
+    /// Closes everything; open calls end without a callback.
+    void stop();
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace cuminfold
+
+#endif
