--- /dev/null
+++ b/source/kernel/fleet/fleet_drain_fold.cpp
@@ -0,0 +1,134 @@
+#include "kernel/fleet/fleet_state.hpp"
+
+#include "kernel/fleet/budget.hpp"
+
+#include <string>
+
+namespace cuminfold
+{
+
+void fleet_state::fold(drain_granted const& body, place const& at)
+{
+    vm_entry const* entry = expect(body.vm_, body.expected_);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    if (entry->phase_ != vm_phase::serving)
+    {
+        ignore(reason::record_stale);
+        return;
+    }
+    auto const refused = refuse_to_spare(data_.vms_, at.intended_, *entry);
+    if (refused)
+    {
+        ignore(*refused);
+        return;
+    }
+    data_.vms_.change(body.vm_,
+                      [&](vm_entry& vm)
+                      {
+                          vm.phase_ = vm_phase::granted;
+                          vm.wave_ = body.wave_;
+                      });
+    note(body.vm_, "drain granted for wave " + body.wave_.text());
+}
+
+void fleet_state::fold(drain_started const& body, place const&)
+{
+    vm_entry const* entry = expect(body.vm_, body.expected_);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    if (entry->phase_ != vm_phase::granted)
+    {
+        ignore(reason::record_stale);
+        return;
+    }
+    data_.vms_.change(body.vm_,
+                      [&](vm_entry& vm)
+                      {
+                          vm.phase_ = vm_phase::draining;
+                          vm.released_ = vm.generation_ + 1;
+                          vm.released_order_ = data_.order_;
+                          vm.acknowledged_.clear();
+                      });
+    note(body.vm_, "drain started");
+}
+
+void fleet_state::fold(drain_withdrawn const& body, place const&)
+{
+    vm_entry const* entry = expect(body.vm_, body.expected_);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    if (entry->phase_ != vm_phase::granted &&
+        entry->phase_ != vm_phase::draining)
+    {
+        ignore(reason::record_stale);
+        return;
+    }
+    data_.vms_.change(body.vm_,
+                      [&](vm_entry& vm)
+                      {
+                          vm.phase_ = vm_phase::serving;
+                          vm.wave_ = wave_name{};
+                          vm.acknowledged_.clear();
+                      });
+    note(body.vm_, "drain taken back: " + std::string(name_of(body.why_)));
+}
+
+void fleet_state::fold(reboot_decided const& body, place const& at)
+{
+    vm_entry const* entry = expect(body.vm_, body.expected_);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    if (entry->phase_ != vm_phase::draining || !entry->tasks_.empty() ||
+        !missing_acknowledgements(*entry).empty())
+    {
+        ignore(reason::acknowledgement_missing);
+        return;
+    }
+    data_.vms_.change(body.vm_,
+                      [&](vm_entry& vm)
+                      {
+                          vm.phase_ = vm_phase::rebooting;
+                          vm.reboot_ = at.record_.id_;
+                      });
+    note(body.vm_, "reboot decided");
+}
+
+void fleet_state::fold(vm_returned const& body, place const&)
+{
+    vm_entry const* entry = expect(body.vm_, body.expected_);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    if (entry->phase_ != vm_phase::rebooting)
+    {
+        ignore(reason::record_stale);
+        return;
+    }
+    data_.vms_.change(body.vm_,
+                      [&](vm_entry& vm)
+                      {
+                          vm.phase_ = vm_phase::serving;
+                          vm.maintained_.insert(vm.wave_);
+                          vm.wave_ = wave_name{};
+                          vm.down_ = false;
+                          vm.acknowledged_.clear();
+                      });
+    note(body.vm_, "returned");
+}
+
+void fleet_state::fold(wave_stopped const& body, place const&)
+{
+    data_.stopped_waves_.emplace(body.wave_, body.why_);
+}
+
+} // namespace cuminfold
