--- a/source/gateway/caller_api.cpp
+++ b/source/gateway/caller_api.cpp
@@ -69,6 +69,30 @@
     }
 }
 
+unsigned status_of_unknown(reason why)
+{
+    switch (why)
+    {
+    case reason::claim_taken:
+    case reason::claim_running:
+    case reason::claim_outcome_unknown:
+        return 409;
+    case reason::worker_timeout:
+        return 504;
+    default:
+        return 502;
+    }
+}
+
+void set_retry_after(http_response& response, duration after)
+{
+    if (after.count() > 0)
+    {
+        auto const seconds = std::chrono::ceil<std::chrono::seconds>(after);
+        response.fields_["retry-after"] = std::to_string(seconds.count());
+    }
+}
+
 http_response make_problem(unsigned status, reason why, char const* outcome,
                            std::string const& detail)
 {
@@ -208,20 +232,17 @@
     http_response response =
         make_problem(status_of(refusal.why()), refusal.why(), "not-run",
                      std::string(describe(refusal.why()).help_));
-    if (refusal.retry_after().count() > 0)
-    {
-        auto const seconds =
-            std::chrono::ceil<std::chrono::seconds>(refusal.retry_after());
-        response.fields_["retry-after"] = std::to_string(seconds.count());
-    }
+    set_retry_after(response, refusal.retry_after());
     return response;
 }
 
 http_response make_unknown_outcome(outcome_unknown const& outcome)
 {
-    unsigned const status = outcome.why() == reason::worker_timeout ? 504 : 502;
-    return make_problem(status, outcome.why(), "unknown",
-                        std::string(describe(outcome.why()).help_));
+    http_response response =
+        make_problem(status_of_unknown(outcome.why()), outcome.why(), "unknown",
+                     std::string(describe(outcome.why()).help_));
+    set_retry_after(response, outcome.retry_after());
+    return response;
 }
 
 http_response make_bad_request(std::string const& what)
--- a/source/kernel/gateway/gateway_kernel.cpp
+++ b/source/kernel/gateway/gateway_kernel.cpp
@@ -8,308 +8,148 @@
 namespace cuminfold
 {
 
-namespace
-{
-
-reason reason_of(dispatch_end end)
-{
-    switch (end)
-    {
-    case dispatch_end::timeout:
-        return reason::worker_timeout;
-    case dispatch_end::truncated:
-        return reason::reply_truncated;
-    case dispatch_end::mismatched:
-        return reason::reply_mismatched;
-    case dispatch_end::too_large:
-        return reason::reply_too_large;
-    case dispatch_end::not_started:
-    case dispatch_end::not_sent:
-        return reason::worker_refused;
-    default:
-        return reason::worker_lost;
-    }
-}
-
-} // namespace
-
 gateway_kernel::gateway_kernel(gateway_settings settings, config_merger merger)
-    : settings_(std::move(settings)), config_(std::move(merger)),
-      config_tail_(config_stream(), settings_.tail_),
-      fleet_tail_(fleet_stream(), settings_.tail_),
-      fleet_writer_(fleet_stream(), settings_.self_, settings_.writer_)
+    : settings_(std::move(settings)), log_(settings_, std::move(merger)),
+      registration_(settings_), claims_(settings_),
+      workers_(settings_.requests_), jobs_(settings_),
+      requests_(settings_, log_, registration_, claims_, workers_)
 {
 }
 
 std::vector<gateway_action> gateway_kernel::handle(time_point now,
                                                    gateway_event const& event)
 {
-    actions_.clear();
-    take(now, event);
-    register_self();
+    std::vector<gateway_action> actions;
+    gateway_context context{now, actions};
+    requests_.expire(context);
+    std::visit([&](auto const& what) { take(context, what); }, event);
+    requests_.serve_waiting(context);
+    jobs_.poll(context, log_);
+    registration_.poll(log_);
     acknowledge_releases();
-    poll_log(now);
-    if (stopping_ && requests_.empty())
-    {
-        actions_.emplace_back(gateway_stopped{});
-    }
-    return std::move(actions_);
+    continue_stop(context);
+    claims_.poll(context, log_);
+    log_.poll(context);
+    return actions;
 }
 
 bool gateway_kernel::ready() const noexcept
 {
-    return fleet_.gateways().live(settings_.self_);
+    return registration_.live(log_) && !stopping_;
 }
 
-void gateway_kernel::take(time_point now, gateway_event const& event)
+void gateway_kernel::take(gateway_context&, gateway_tick const&)
 {
-    if (std::holds_alternative<gateway_tick>(event))
-    {
-        expire(now);
-    }
-    else if (auto const* request = std::get_if<caller_request>(&event))
-    {
-        admit(now, *request);
-    }
-    else if (auto const* result = std::get_if<dispatch_result>(&event))
-    {
-        finish(now, *result);
-    }
-    else if (std::holds_alternative<gateway_stop>(event))
-    {
-        stopping_ = true;
-    }
-    else if (auto const* read = std::get_if<log_read_result>(&event))
-    {
-        take_log(now, *read);
-    }
-    else if (auto const* reply = std::get_if<log_append_result>(&event))
-    {
-        fleet_writer_.take(now, *reply);
-    }
+    // Everything that is due by time is done at every event.
 }
 
-void gateway_kernel::take_log(time_point now, log_read_result const& result)
+void gateway_kernel::take(gateway_context& context, caller_request const& event)
 {
-    if (result.stream_ == config_stream())
-    {
-        for (auto const& entry : config_tail_.take(now, result))
-        {
-            config_.apply(entry);
-        }
-    }
-    if (result.stream_ == fleet_stream())
-    {
-        for (auto& entry : fleet_tail_.take(now, result))
-        {
-            fleet_backlog_.push_back(std::move(entry));
-        }
-    }
-    fold_fleet();
+    requests_.submit(context, event);
 }
 
-void gateway_kernel::fold_fleet()
+void gateway_kernel::take(gateway_context& context, caller_gone const& event)
 {
-    while (!fleet_backlog_.empty() &&
-           fleet_.apply(fleet_backlog_.front(), config_))
-    {
-        fleet_writer_.read_back(fleet_backlog_.front());
-        fleet_backlog_.pop_front();
-    }
+    jobs_.gone(event.request_);
+    requests_.gone(context, event.request_);
 }
 
-void gateway_kernel::poll_log(time_point now)
+void gateway_kernel::take(gateway_context& context, caller_job const& event)
 {
-    for (auto* tail : {&config_tail_, &fleet_tail_})
-    {
-        if (auto read = tail->poll(now))
-        {
-            actions_.emplace_back(std::move(*read));
-        }
-    }
-    if (auto append = fleet_writer_.poll(now))
-    {
-        actions_.emplace_back(std::move(*append));
-    }
+    jobs_.submit(context, log_, event);
 }
 
-void gateway_kernel::register_self()
+void gateway_kernel::take(gateway_context& context,
+                          caller_job_cancel const& event)
 {
-    if (registration_ || !fleet_tail_.caught_up())
-    {
-        return;
-    }
-    registration_ = fleet_writer_.propose(
-        gateway_registered{settings_.data_centre_, settings_.address_});
+    jobs_.cancel(context, log_, event);
 }
 
-void gateway_kernel::acknowledge_releases()
+void gateway_kernel::take(gateway_context& context,
+                          dispatch_result const& event)
 {
-    for (auto const& item : fleet_.vms().all())
-    {
-        vm_entry const& vm = item.second;
-        bool const released =
-            vm.phase_ == vm_phase::releasing || vm.phase_ == vm_phase::draining;
-        if (!released || vm.data_centre_ != settings_.data_centre_ ||
-            in_flight(vm.vm_) != 0 || acknowledged_[vm.vm_] == vm.released_)
-        {
-            continue;
-        }
-        acknowledged_[vm.vm_] = vm.released_;
-        fleet_writer_.propose(vm_acknowledged{vm.vm_, vm.released_});
-    }
+    requests_.finish(context, event);
 }
 
-void gateway_kernel::admit(time_point now, caller_request const& request)
+void gateway_kernel::take(gateway_context&, gateway_stop const&)
 {
-    request_entry entry;
-    entry.request_ = request;
-    if (stopping_)
-    {
-        refuse(entry, reason::leaving);
-        return;
-    }
-    if (!ready())
-    {
-        refuse(entry, reason::not_ready);
-        return;
-    }
-    auto const& services = config_.current()->services_;
-    auto const service = services.find(request.service_);
-    if (service == services.end())
-    {
-        refuse(entry, reason::unknown_service);
-        return;
-    }
-    if (!request.idempotent_.value_or(service->second.idempotent_))
-    {
-        refuse(entry, reason::claim_log_unavailable);
-        return;
-    }
-    entry.deadline_ =
-        now + request.deadline_.value_or(service->second.deadline_);
-    vm_entry const* vm = choose(service->second);
-    if (vm == nullptr)
-    {
-        refuse(entry, reason::no_worker);
-        return;
-    }
-    auto const placed = requests_.emplace(request.request_, entry);
-    if (placed.second)
-    {
-        dispatch(now, placed.first->second, *vm);
-    }
+    stopping_ = true;
+    requests_.stop();
 }
 
-void gateway_kernel::dispatch(time_point now, request_entry& entry,
-                              vm_entry const& vm)
+void gateway_kernel::take(gateway_context& context,
+                          controller_message const& event)
 {
-    entry.dispatch_ = next_dispatch_++;
-    entry.vm_ = vm.vm_;
-    entry.progress_.dispatched();
-    ++in_flight_[vm.vm_];
-    dispatches_[entry.dispatch_] = entry.request_.request_;
-    actions_.emplace_back(
-        dispatch_to_worker{entry.dispatch_, entry.request_.request_, vm.vm_,
-                           vm.address_, entry.request_.service_,
-                           entry.deadline_ - now, entry.request_.urgent_});
+    if (auto const* hint = std::get_if<vm_hint>(&event.message_.body_))
+    {
+        workers_.hint(context.now_, hint->vm_, hint->leaving_);
+    }
 }
 
-void gateway_kernel::finish(time_point, dispatch_result const& result)
+void gateway_kernel::take(gateway_context& context,
+                          log_read_result const& event)
 {
-    auto const found = dispatches_.find(result.dispatch_);
-    if (found == dispatches_.end())
+    update_workers(log_.take(context.now_, event));
+    if (event.stream_ == fleet_stream())
     {
-        actions_.emplace_back(count_gateway_reason{reason::late_reply});
-        return;
+        requests_.count_gateways();
     }
-    auto const place = requests_.find(found->second);
-    request_entry& entry = place->second;
-    --in_flight_[entry.vm_];
-    bool const not_started = result.end_ == dispatch_end::not_started ||
-                             result.end_ == dispatch_end::not_sent;
-    if (not_started)
+    for (auto const& settlement : claims_.take(context.now_, event))
     {
-        entry.progress_.dispatch_not_started();
+        requests_.settle(context, settlement);
     }
-    else
-    {
-        entry.progress_.dispatch_may_have_run();
-    }
-    if (result.end_ == dispatch_end::answered ||
-        result.end_ == dispatch_end::worker_error)
-    {
-        actions_.emplace_back(
-            send_answer{entry.request_.request_, result.dispatch_});
-    }
-    else
-    {
-        end_unanswered(entry, reason_of(result.end_));
-    }
-    dispatches_.erase(found);
-    requests_.erase(place);
 }
 
-void gateway_kernel::expire(time_point now)
+void gateway_kernel::take(gateway_context& context,
+                          log_append_result const& event)
+{
+    log_.take(context.now_, event);
+    claims_.take(context.now_, event);
+}
+
+void gateway_kernel::update_workers(std::vector<vm_id> const& changed)
 {
-    for (auto place = requests_.begin(); place != requests_.end();)
+    for (auto const& vm : changed)
     {
-        request_entry& entry = place->second;
-        if (now < entry.deadline_)
+        vm_entry const* const entry = log_.fleet().vms().find(vm);
+        if (entry == nullptr)
         {
-            ++place;
-            continue;
+            workers_.remove(vm);
+            releases_.remove(vm);
+        }
+        else if (entry->data_centre_ == settings_.data_centre_)
+        {
+            workers_.update(*entry);
+            releases_.update(*entry);
         }
-        actions_.emplace_back(close_dispatch{entry.dispatch_});
-        entry.progress_.dispatch_may_have_run();
-        --in_flight_[entry.vm_];
-        dispatches_.erase(entry.dispatch_);
-        end_unanswered(entry, reason::worker_timeout);
-        place = requests_.erase(place);
     }
 }
 
-void gateway_kernel::refuse(request_entry const& entry, reason why)
-{
-    end_unanswered(entry, why);
-}
-
-void gateway_kernel::end_unanswered(request_entry const& entry, reason why)
+void gateway_kernel::acknowledge_releases()
 {
-    actions_.emplace_back(count_gateway_reason{why});
-    entry.progress_.conclude(
-        [&](not_started_proof proof)
-        {
-            actions_.emplace_back(
-                send_refusal{entry.request_.request_, not_run{proof, why}});
-        },
-        [&]
-        {
-            actions_.emplace_back(
-                send_unknown{entry.request_.request_, outcome_unknown{why}});
-        });
+    releases_.poll(log_.fleet_writer(),
+                   [this](vm_id const& vm)
+                   {
+                       worker_entry const* const worker = workers_.find(vm);
+                       return worker != nullptr && worker->in_flight_ != 0;
+                   });
 }
 
-vm_entry const* gateway_kernel::choose(service_spec const& service)
+void gateway_kernel::continue_stop(gateway_context& context)
 {
-    std::vector<vm_entry const*> able;
-    for (auto const& item : fleet_.vms().all())
+    bool const finished = requests_.open() == 0 && jobs_.idle();
+    if (!stopping_ || stopped_ || !finished)
     {
-        vm_entry const& vm = item.second;
-        if (vm.pool_ == service.pool_ && vm.takes_work() &&
-            vm.data_centre_ == settings_.data_centre_ &&
-            in_flight(vm.vm_) < vm.shape_.slots_)
-        {
-            able.push_back(&vm);
-        }
+        return;
+    }
+    registration_.leave(context.now_, log_);
+    bool const recorded =
+        claims_.settled() || registration_.wait_over(context.now_);
+    if (recorded && registration_.left(context.now_, log_))
+    {
+        stopped_ = true;
+        context.act(gateway_stopped{});
     }
-    return able.empty() ? nullptr : able[turn_++ % able.size()];
-}
-
-std::uint32_t gateway_kernel::in_flight(vm_id const& vm) const
-{
-    auto const found = in_flight_.find(vm);
-    return found == in_flight_.end() ? 0 : found->second;
 }
 
 } // namespace cuminfold
--- a/source/kernel/gateway/gateway_kernel.hpp
+++ b/source/kernel/gateway/gateway_kernel.hpp
@@ -3,18 +3,18 @@
 
 #include "kernel/config/config_state.hpp"
 #include "kernel/fleet/fleet_state.hpp"
+#include "kernel/gateway/claim_desk.hpp"
 #include "kernel/gateway/gateway_action.hpp"
+#include "kernel/gateway/gateway_context.hpp"
 #include "kernel/gateway/gateway_event.hpp"
+#include "kernel/gateway/gateway_log.hpp"
+#include "kernel/gateway/gateway_registration.hpp"
 #include "kernel/gateway/gateway_settings.hpp"
-#include "kernel/log/log_tail.hpp"
-#include "kernel/log/log_writer.hpp"
-#include "kernel/outcome.hpp"
+#include "kernel/gateway/job_desk.hpp"
+#include "kernel/gateway/release_acknowledger.hpp"
+#include "kernel/request/request_engine.hpp"
+#include "kernel/request/worker_table.hpp"
 
-#include <cstdint>
-#include <deque>
-#include <map>
-#include <optional>
-#include <random>
 #include <vector>
 
 namespace cuminfold
@@ -25,8 +25,13 @@
 class gateway_kernel
 {
 public:
+    /// @throws unknown_strategy if the settings name one that is not known.
     gateway_kernel(gateway_settings settings, config_merger merger);
 
+    // Its parts refer to each other.
+    gateway_kernel(gateway_kernel const&) = delete;
+    gateway_kernel& operator=(gateway_kernel const&) = delete;
+
     /// Takes one event and returns what is to be done about it.
     std::vector<gateway_action> handle(time_point now,
                                        gateway_event const& event);
@@ -36,54 +41,49 @@
 
     config_state const& config() const noexcept
     {
-        return config_;
+        return log_.config();
     }
     fleet_state const& fleet() const noexcept
     {
-        return fleet_;
+        return log_.fleet();
+    }
+    worker_table const& workers() const noexcept
+    {
+        return workers_;
     }
 
-private:
-    struct request_entry
+    /// Requests that have no answer yet.
+    std::size_t open_requests() const noexcept
     {
-        caller_request request_;
-        time_point deadline_;
-        request_progress progress_;
-        dispatch_number dispatch_ = 0;
-        vm_id vm_;
-    };
+        return requests_.open();
+    }
+
+private:
+    void take(gateway_context& context, gateway_tick const& event);
+    void take(gateway_context& context, caller_request const& event);
+    void take(gateway_context& context, caller_gone const& event);
+    void take(gateway_context& context, caller_job const& event);
+    void take(gateway_context& context, caller_job_cancel const& event);
+    void take(gateway_context& context, dispatch_result const& event);
+    void take(gateway_context& context, gateway_stop const& event);
+    void take(gateway_context& context, controller_message const& event);
+    void take(gateway_context& context, log_read_result const& event);
+    void take(gateway_context& context, log_append_result const& event);
 
-    void take(time_point now, gateway_event const& event);
-    void take_log(time_point now, log_read_result const& result);
-    void fold_fleet();
-    void poll_log(time_point now);
-    void register_self();
+    void update_workers(std::vector<vm_id> const& changed);
     void acknowledge_releases();
-    void admit(time_point now, caller_request const& request);
-    void dispatch(time_point now, request_entry& entry, vm_entry const& vm);
-    void finish(time_point now, dispatch_result const& result);
-    void expire(time_point now);
-    void refuse(request_entry const& entry, reason why);
-    void end_unanswered(request_entry const& entry, reason why);
-    vm_entry const* choose(service_spec const& service);
-    std::uint32_t in_flight(vm_id const& vm) const;
+    void continue_stop(gateway_context& context);
 
     gateway_settings settings_;
-    config_state config_;
-    fleet_state fleet_;
-    log_tail config_tail_;
-    log_tail fleet_tail_;
-    log_writer fleet_writer_;
-    std::deque<log_entry> fleet_backlog_;
-    std::optional<record_id> registration_;
-    std::map<request_id, request_entry> requests_;
-    std::map<dispatch_number, request_id> dispatches_;
-    std::map<vm_id, std::uint32_t> in_flight_;
-    std::map<vm_id, generation> acknowledged_;
-    dispatch_number next_dispatch_ = 1;
-    std::uint64_t turn_ = 0;
+    gateway_log log_;
+    gateway_registration registration_;
+    release_acknowledger releases_;
+    claim_desk claims_;
+    worker_table workers_;
+    job_desk jobs_;
+    request_engine requests_;
     bool stopping_ = false;
-    std::vector<gateway_action> actions_;
+    bool stopped_ = false;
 };
 
 } // namespace cuminfold
--- /dev/null
+++ b/source/kernel/gateway/gateway_log.cpp
@@ -0,0 +1,119 @@
+#include "kernel/gateway/gateway_log.hpp"
+
+#include "kernel/streams.hpp"
+
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+template <class Body, class = void>
+struct names_vm : std::false_type
+{
+};
+
+template <class Body>
+struct names_vm<Body, std::void_t<decltype(std::declval<Body>().vm_)>>
+    : std::true_type
+{
+};
+
+/// Adds the VMs that the entry's records name.
+void add_named(log_entry const& entry, std::vector<vm_id>& vms)
+{
+    for (auto const& item : entry.records_)
+    {
+        std::visit(
+            [&](auto const& body)
+            {
+                if constexpr (names_vm<decltype(body)>::value)
+                {
+                    vms.push_back(body.vm_);
+                }
+            },
+            item.body_);
+    }
+}
+
+} // namespace
+
+gateway_log::gateway_log(gateway_settings const& settings, config_merger merger)
+    : config_(std::move(merger)), config_tail_(config_stream(), settings.tail_),
+      fleet_tail_(fleet_stream(), settings.tail_),
+      fleet_writer_(fleet_stream(), settings.self_, settings.writer_)
+{
+}
+
+std::vector<vm_id> gateway_log::take(time_point now,
+                                     log_read_result const& result)
+{
+    std::vector<vm_id> changed;
+    if (result.status_ != log_read_status::unavailable)
+    {
+        heard_ = now;
+    }
+    if (result.stream_ == config_stream())
+    {
+        for (auto const& entry : config_tail_.take(now, result))
+        {
+            config_.apply(entry);
+        }
+    }
+    else if (result.stream_ == fleet_stream())
+    {
+        for (auto& entry : fleet_tail_.take(now, result))
+        {
+            fleet_backlog_.push_back(std::move(entry));
+        }
+    }
+    fold_fleet(changed);
+    return changed;
+}
+
+void gateway_log::take(time_point now, log_append_result const& result)
+{
+    fleet_writer_.take(now, result);
+}
+
+void gateway_log::fold_fleet(std::vector<vm_id>& changed)
+{
+    while (!fleet_backlog_.empty() &&
+           fleet_.apply(fleet_backlog_.front(), config_))
+    {
+        fleet_writer_.read_back(fleet_backlog_.front());
+        add_named(fleet_backlog_.front(), changed);
+        fleet_backlog_.pop_front();
+    }
+}
+
+void gateway_log::poll(gateway_context& context)
+{
+    if (!started_)
+    {
+        started_ = true;
+        heard_ = context.now_;
+    }
+    for (auto* tail : {&config_tail_, &fleet_tail_})
+    {
+        if (auto read = tail->poll(context.now_))
+        {
+            context.act(std::move(*read));
+        }
+    }
+    if (auto append = fleet_writer_.poll(context.now_))
+    {
+        context.act(std::move(*append));
+    }
+}
+
+bool gateway_log::lost_for(time_point now, duration time) const
+{
+    return started_ && now - heard_ >= time;
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/gateway/gateway_registration.cpp
@@ -0,0 +1,83 @@
+#include "kernel/gateway/gateway_registration.hpp"
+
+#include <algorithm>
+
+namespace cuminfold
+{
+
+void gateway_registration::poll(gateway_log& log)
+{
+    if (leaving_since_ || live(log) || !log.caught_up())
+    {
+        return;
+    }
+    if (proposed_)
+    {
+        auto const& registered = log.fleet().gateways().all();
+        bool const replaced = registered.count(settings_->self_.node_) != 0;
+        if (replaced || !log.fleet_writer().settled(*proposed_))
+        {
+            return;
+        }
+    }
+    proposed_ = log.fleet_writer().propose(
+        gateway_registered{settings_->data_centre_, settings_->address_});
+}
+
+void gateway_registration::leave(time_point now, gateway_log& log)
+{
+    if (leaving_since_)
+    {
+        return;
+    }
+    leaving_since_ = now;
+    if (!proposed_ || log.fleet_writer().withdraw(*proposed_))
+    {
+        proposed_.reset();
+        return;
+    }
+    log.fleet_writer().propose(gateway_left{settings_->self_, true});
+}
+
+bool gateway_registration::left(time_point now, gateway_log const& log) const
+{
+    if (!leaving_since_)
+    {
+        return false;
+    }
+    bool const registered =
+        proposed_.has_value() && (live(log) || !log.caught_up());
+    return !registered || wait_over(now);
+}
+
+bool gateway_registration::wait_over(time_point now) const
+{
+    return leaving_since_ &&
+           now - *leaving_since_ >= settings_->requests_.leave_wait_;
+}
+
+bool gateway_registration::live(gateway_log const& log) const
+{
+    return log.fleet().gateways().live(settings_->self_);
+}
+
+bool gateway_registration::may_dispatch(time_point now,
+                                        gateway_log const& log) const
+{
+    if (live(log))
+    {
+        return true;
+    }
+    if (leaving_since_ ||
+        !log.lost_for(now, settings_->requests_.log_lost_after_))
+    {
+        return false;
+    }
+    auto const& registered = log.fleet().gateways().all();
+    return std::none_of(
+        registered.begin(), registered.end(),
+        [&](auto const& item)
+        { return item.second.data_centre_ == settings_->data_centre_; });
+}
+
+} // namespace cuminfold
--- a/source/kernel/gateway/gateway_settings.hpp
+++ b/source/kernel/gateway/gateway_settings.hpp
@@ -4,6 +4,7 @@
 #include "kernel/identifier.hpp"
 #include "kernel/log/log_tail.hpp"
 #include "kernel/log/log_writer.hpp"
+#include "kernel/request/request_options.hpp"
 #include "kernel/time.hpp"
 
 #include <chrono>
@@ -24,14 +25,15 @@
     log_tail_options tail_;
     log_writer_options writer_;
     /// Registered names of the strategies.
-    std::string routing_ = "round_robin";
-    std::string admission_ = "bounded_queue";
+    std::string routing_ = "load_echo";
+    std::string admission_ = "deadline_aware";
     std::string retry_ = "budgeted";
     /// Requests of one service that wait at most.
     std::uint32_t queue_limit_ = 256;
     /// Gateways of the data centre that share the workers' slots; 0: count the
     /// registered ones.
     std::uint32_t gateways_ = 0;
+    request_options requests_;
     /// Seed of the kernel's random engine.
     std::uint64_t seed_ = 1;
 };
--- /dev/null
+++ b/source/kernel/gateway/job_desk.cpp
@@ -0,0 +1,98 @@
+#include "kernel/gateway/job_desk.hpp"
+
+namespace cuminfold
+{
+
+namespace
+{
+
+void refuse(gateway_context& context, request_id const& request, reason why,
+            duration retry_after)
+{
+    context.count(why);
+    request_progress const nothing;
+    nothing.conclude(
+        [&](not_started_proof proof) {
+            context.act(
+                send_refusal{request, not_run{proof, why, retry_after}});
+        },
+        [] {});
+}
+
+} // namespace
+
+void job_desk::submit(gateway_context& context, gateway_log& log,
+                      caller_job const& job)
+{
+    if (log.config().version() == no_offset)
+    {
+        refuse(context, job.request_, reason::not_ready,
+               settings_->requests_.retry_after_floor_);
+        return;
+    }
+    auto const& services = log.config().current()->services_;
+    if (services.count(job.job_request_.service_) == 0)
+    {
+        refuse(context, job.request_, reason::unknown_service, duration{0});
+        return;
+    }
+    auto const record = log.fleet_writer().propose(
+        job_submitted{job.job_, job.job_request_, settings_->data_centre_},
+        log.config().version());
+    waiting_[job.request_] =
+        waiting_job{job.job_, record, context.now_ + job.deadline_};
+}
+
+void job_desk::cancel(gateway_context& context, gateway_log& log,
+                      caller_job_cancel const& cancel)
+{
+    auto const record =
+        log.fleet_writer().propose(jobs_cancelled{{cancel.job_}});
+    waiting_[cancel.request_] =
+        waiting_job{cancel.job_, record, context.now_ + cancel.deadline_};
+}
+
+void job_desk::gone(request_id const& request)
+{
+    // What was proposed stays: the caller may ask for the job by its name.
+    waiting_.erase(request);
+}
+
+void job_desk::poll(gateway_context& context, gateway_log& log)
+{
+    for (auto place = waiting_.begin(); place != waiting_.end();)
+    {
+        waiting_job const& job = place->second;
+        bool const recorded = log.fleet_writer().settled(job.record_);
+        if (!recorded && context.now_ < job.deadline_)
+        {
+            ++place;
+            continue;
+        }
+        if (recorded)
+        {
+            context.act(send_job{place->first, job.job_});
+        }
+        else
+        {
+            expire(context, log, place->first, job);
+        }
+        place = waiting_.erase(place);
+    }
+}
+
+void job_desk::expire(gateway_context& context, gateway_log& log,
+                      request_id const& request, waiting_job const& job)
+{
+    duration const retry_after = settings_->requests_.retry_after_floor_;
+    if (log.fleet_writer().withdraw(job.record_))
+    {
+        refuse(context, request, reason::log_unavailable, retry_after);
+        return;
+    }
+    context.count(reason::append_unknown);
+    context.act(send_unknown{
+        request, outcome_unknown{reason::append_unknown, retry_after}});
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/gateway/release_acknowledger.cpp
@@ -0,0 +1,45 @@
+#include "kernel/gateway/release_acknowledger.hpp"
+
+namespace cuminfold
+{
+
+void release_acknowledger::update(vm_entry const& vm)
+{
+    bool const released =
+        vm.phase_ == vm_phase::releasing || vm.phase_ == vm_phase::draining;
+    auto const last = acknowledged_.find(vm.vm_);
+    bool const done =
+        last != acknowledged_.end() && last->second == vm.released_;
+    if (released && !done)
+    {
+        owed_[vm.vm_] = vm.released_;
+    }
+    else
+    {
+        owed_.erase(vm.vm_);
+    }
+}
+
+void release_acknowledger::remove(vm_id const& vm)
+{
+    owed_.erase(vm);
+    acknowledged_.erase(vm);
+}
+
+void release_acknowledger::poll(
+    log_writer& writer, std::function<bool(vm_id const&)> const& holds_requests)
+{
+    for (auto place = owed_.begin(); place != owed_.end();)
+    {
+        if (holds_requests(place->first))
+        {
+            ++place;
+            continue;
+        }
+        writer.propose(vm_acknowledged{place->first, place->second});
+        acknowledged_[place->first] = place->second;
+        place = owed_.erase(place);
+    }
+}
+
+} // namespace cuminfold
--- a/source/kernel/outcome.hpp
+++ b/source/kernel/outcome.hpp
@@ -105,15 +105,25 @@
 class outcome_unknown
 {
 public:
-    explicit outcome_unknown(reason why) : why_(why) {}
+    explicit outcome_unknown(reason why, duration retry_after = duration{0})
+        : why_(why), retry_after_(retry_after)
+    {
+    }
 
     reason why() const noexcept
     {
         return why_;
     }
 
+    /// When the outcome may be known; zero: nothing is known about that.
+    duration retry_after() const noexcept
+    {
+        return retry_after_;
+    }
+
 private:
     reason why_;
+    duration retry_after_;
 };
 
 } // namespace cuminfold
--- a/source/kernel/reason.cpp
+++ b/source/kernel/reason.cpp
@@ -44,6 +44,7 @@
     {reason::retry_worker_lost, rc::retry, "retry_worker_lost", "A worker's connection broke; another was tried."},
     {reason::retry_reply_broken, rc::retry, "retry_reply_broken", "A worker's reply was not whole; another was tried."},
     {reason::hedge_slow, rc::retry, "hedge_slow", "A worker was slow; a second one was asked besides."},
+    {reason::worker_ejected, rc::retry, "worker_ejected", "A worker failed far more than the others of its pool and gets no requests for a while. Look at that worker."},
     {reason::late_reply, rc::dropped_reply, "late_reply", "A reply came after its request had ended."},
     {reason::duplicate_reply, rc::dropped_reply, "duplicate_reply", "A second reply came for one dispatch."},
     {reason::job_infeasible, rc::job, "job_infeasible", "No worker of the pool is large enough for the job."},
--- a/source/kernel/reason.hpp
+++ b/source/kernel/reason.hpp
@@ -52,6 +52,7 @@
     retry_worker_lost,
     retry_reply_broken,
     hedge_slow,
+    worker_ejected,
     // Replies that are dropped.
     late_reply,
     duplicate_reply,
--- /dev/null
+++ b/source/kernel/request/request_engine.cpp
@@ -0,0 +1,502 @@
+#include "kernel/request/request_engine.hpp"
+
+#include "kernel/registry.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+claim_key make_key(caller_request const& request)
+{
+    return claim_key{request.service_.text() + "/" + request.key_};
+}
+
+} // namespace
+
+request_engine::request_engine(gateway_settings const& settings,
+                               gateway_log const& log,
+                               gateway_registration const& registration,
+                               claim_desk& claims, worker_table& workers)
+    : settings_(&settings), options_(&settings.requests_), log_(&log),
+      registration_(&registration), claims_(&claims), workers_(&workers),
+      routing_(
+          registry<routing_strategy>::instance().find(settings.routing_)()),
+      admission_(
+          registry<admission_strategy>::instance().find(settings.admission_)()),
+      retry_(registry<retry_strategy>::instance().find(settings.retry_)()),
+      random_(settings.seed_)
+{
+}
+
+void request_engine::submit(gateway_context& context,
+                            caller_request const& request)
+{
+    request_entry* const entry = add(context, request);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    if (auto const why = identify(context, *entry))
+    {
+        end_unanswered(context, *entry, *why);
+        return;
+    }
+    if (!find_workers(context, *entry) || !check_claim(context, *entry) ||
+        !check_quota(context, *entry) || !check_admission(context, *entry))
+    {
+        return;
+    }
+    quotas_.enter(request.team_);
+    entry->counted_in_team_ = true;
+    if (entry->idempotent_)
+    {
+        place(context, *entry, false);
+        return;
+    }
+    entry->phase_ = request_phase::claiming;
+    entry->claim_ = make_key(request);
+    claims_->open(context.now_, entry->claim_, request.body_digest_,
+                  request.request_);
+    set_timer(*entry,
+              entry->deadline_ - stats(request.service_).run_time_.p95());
+}
+
+request_entry* request_engine::add(gateway_context& context,
+                                   caller_request const& request)
+{
+    request_number const number = next_request_;
+    if (!numbers_.emplace(request.request_, number).second)
+    {
+        return nullptr;
+    }
+    ++next_request_;
+    request_entry& entry = requests_[number];
+    entry.number_ = number;
+    entry.request_ = request;
+    entry.arrived_ = context.now_;
+    return &entry;
+}
+
+std::optional<reason> request_engine::identify(gateway_context& context,
+                                               request_entry& entry)
+{
+    if (stopping_)
+    {
+        return reason::leaving;
+    }
+    if (log_->config().version() == no_offset)
+    {
+        return reason::not_ready;
+    }
+    caller_request const& request = entry.request_;
+    service_spec const* const service = find_service(request.service_);
+    if (service == nullptr)
+    {
+        return reason::unknown_service;
+    }
+    duration const left = request.deadline_.value_or(service->deadline_);
+    entry.pool_ = service->pool_;
+    entry.idempotent_ = request.idempotent_.value_or(service->idempotent_);
+    entry.deadline_ = context.now_ + left;
+    if (left <= duration{0})
+    {
+        return reason::deadline_passed;
+    }
+    if (!entry.idempotent_ && request.key_.empty())
+    {
+        return reason::key_required;
+    }
+    return std::nullopt;
+}
+
+bool request_engine::find_workers(gateway_context& context,
+                                  request_entry& entry)
+{
+    bool const may_forward = entry.request_.hops_ == 0;
+    time_point const now = context.now_;
+    if (!registration_->may_dispatch(now, *log_))
+    {
+        auto const* const gateway =
+            forwards_.choose(now, log_->fleet(), settings_->self_.node_,
+                             settings_->data_centre_, random_);
+        if (!may_forward || !forward(context, entry, gateway))
+        {
+            end_unanswered(context, entry, reason::not_ready);
+        }
+        return false;
+    }
+    if (workers_->able(now, entry.pool_))
+    {
+        return true;
+    }
+    auto const* const gateway = forwards_.choose_elsewhere(
+        now, log_->fleet(), settings_->data_centre_, entry.pool_, random_);
+    if (may_forward && forward(context, entry, gateway))
+    {
+        return false;
+    }
+    bool const elsewhere = gateway != nullptr && !may_forward;
+    end_unanswered(context, entry,
+                   elsewhere ? reason::hop_limit : reason::no_worker);
+    return false;
+}
+
+bool request_engine::check_claim(gateway_context& context, request_entry& entry)
+{
+    if (entry.idempotent_)
+    {
+        return true;
+    }
+    auto const verdict = claims_->judge(*log_, make_key(entry.request_),
+                                        entry.request_.body_digest_);
+    if (verdict == claim_verdict::free)
+    {
+        return true;
+    }
+    answer_repeat(context, entry, verdict);
+    return false;
+}
+
+void request_engine::answer_repeat(gateway_context& context,
+                                   request_entry& entry, claim_verdict verdict)
+{
+    // The keyed work may have run or be running: none of these answers may be
+    // taken for "not run", but for a key that belongs to another body.
+    request_id const& request = entry.request_.request_;
+    auto const unknown = [&](reason why, duration after)
+    {
+        context.count(why);
+        context.act(send_unknown{request, outcome_unknown{why, after}});
+        erase(entry);
+    };
+    switch (verdict)
+    {
+    case claim_verdict::kept:
+    {
+        claim_entry const* const claim =
+            claims_->find(make_key(entry.request_));
+        context.act(send_kept_answer{request, claim->status_,
+                                     claim->content_type_, claim->answer_});
+        erase(entry);
+        return;
+    }
+    case claim_verdict::taken:
+        unknown(reason::claim_taken, duration{0});
+        return;
+    case claim_verdict::unknown:
+        unknown(reason::claim_outcome_unknown, duration{0});
+        return;
+    case claim_verdict::running:
+        unknown(reason::claim_running,
+                retry_after(reason::claim_running, duration{0}));
+        return;
+    case claim_verdict::mismatch:
+        end_unanswered(context, entry, reason::claim_mismatch);
+        return;
+    default:
+        end_unanswered(context, entry, reason::claim_log_unavailable);
+        return;
+    }
+}
+
+bool request_engine::check_quota(gateway_context& context, request_entry& entry)
+{
+    auto const verdict = quotas_.judge(
+        *log_->config().current(), entry.request_.team_, gateways_everywhere_);
+    if (verdict == quota_verdict::refuse)
+    {
+        end_unanswered(context, entry, reason::quota_exceeded);
+        return false;
+    }
+    if (verdict == quota_verdict::borrow)
+    {
+        entry.class_ = queue_class::borrowing;
+    }
+    else if (entry.request_.urgent_)
+    {
+        entry.class_ = queue_class::urgent;
+    }
+    return true;
+}
+
+bool request_engine::check_admission(gateway_context& context,
+                                     request_entry& entry)
+{
+    admission_view const view = look(context, entry);
+    auto const refused = admission_->refuse(view);
+    if (!refused)
+    {
+        return true;
+    }
+    if (*refused == reason::queue_full && make_room(context, entry))
+    {
+        return true;
+    }
+    auto& service = stats(entry.request_.service_);
+    bool const idle = view.wait_ == duration{0};
+    if (*refused == reason::deadline_unreachable && idle &&
+        context.now_ - service.probed_at_ >= options_->probe_interval_)
+    {
+        // What was learned may be out of date; some requests test it.
+        service.probed_at_ = context.now_;
+        return true;
+    }
+    end_unanswered(context, entry, *refused, retry_after(*refused, view.wait_));
+    return false;
+}
+
+bool request_engine::make_room(gateway_context& context,
+                               request_entry const& entry)
+{
+    auto& queue = queues_[entry.pool_];
+    auto const found = requests_.find(queue.youngest_below(entry.class_));
+    if (found == requests_.end())
+    {
+        return false;
+    }
+    end_unanswered(context, found->second, reason::queue_full);
+    return true;
+}
+
+admission_view request_engine::look(gateway_context const& context,
+                                    request_entry const& entry)
+{
+    service_name const& service = entry.request_.service_;
+    request_queue const& queue = queues_[entry.pool_];
+    auto const& run_time = stats(service).run_time_;
+    admission_view view;
+    view.left_ = entry.deadline_ - context.now_;
+    if (!entry.idempotent_)
+    {
+        view.left_ -= claims_->latency();
+    }
+    view.service_ = run_time.learned() ? run_time.p95() : duration{0};
+    view.queued_ = queue.size(service);
+    view.queue_limit_ = settings_->queue_limit_;
+    bool const idle = queue.empty() && choose(context.now_, entry) != nullptr;
+    if (!idle)
+    {
+        std::uint32_t const slots = std::max(
+            workers_->slots(context.now_, entry.pool_) / gateways_here_, 1U);
+        duration const ahead =
+            queue.work_before(entry.class_) + expected_run_time(service);
+        view.wait_ = ahead / slots;
+    }
+    return view;
+}
+
+void request_engine::place(gateway_context& context, request_entry& entry,
+                           bool first)
+{
+    clear_timer(entry);
+    request_queue& queue = queues_[entry.pool_];
+    if ((first || queue.empty()) && dispatch(context, entry))
+    {
+        return;
+    }
+    service_name const& service = entry.request_.service_;
+    entry.phase_ = request_phase::queued;
+    entry.place_ = queue.add(entry.number_, entry.class_, service,
+                             expected_run_time(service), first);
+    auto const& run_time = stats(service).run_time_;
+    bool const sheds = admission_->sheds_hopeless() && run_time.learned();
+    set_timer(entry, entry.deadline_ - (sheds ? run_time.p95() : duration{0}));
+}
+
+void request_engine::gone(gateway_context& context, request_id const& request)
+{
+    auto const found = numbers_.find(request);
+    if (found == numbers_.end())
+    {
+        return;
+    }
+    request_entry& entry = requests_.at(found->second);
+    context.count(reason::cancelled);
+    bool const claimed_run =
+        entry.phase_ == request_phase::dispatched && !entry.claim_.empty();
+    if (claimed_run)
+    {
+        // Its answer is recorded for the caller's next try with the key.
+        entry.caller_gone_ = true;
+        return;
+    }
+    bool const open = entry.phase_ == request_phase::dispatched ||
+                      entry.phase_ == request_phase::forwarded;
+    if (open)
+    {
+        close_attempt(context, entry);
+    }
+    if (!entry.claim_.empty())
+    {
+        claims_->give_up(entry.claim_);
+    }
+    erase(entry);
+}
+
+void request_engine::settle(gateway_context& context,
+                            claim_settlement const& settlement)
+{
+    auto const found = numbers_.find(settlement.request_);
+    if (found == numbers_.end())
+    {
+        return;
+    }
+    request_entry& entry = requests_.at(found->second);
+    if (entry.phase_ != request_phase::claiming)
+    {
+        return;
+    }
+    if (settlement.won_)
+    {
+        place(context, entry, false);
+        return;
+    }
+    entry.claim_ = claim_key{};
+    auto verdict =
+        claims_->judge(*log_, settlement.key_, entry.request_.body_digest_);
+    if (verdict == claim_verdict::free)
+    {
+        verdict = claim_verdict::running;
+    }
+    answer_repeat(context, entry, verdict);
+}
+
+void request_engine::expire(gateway_context& context)
+{
+    while (!timers_.empty() && timers_.begin()->first <= context.now_)
+    {
+        request_number const number = timers_.begin()->second;
+        request_entry& entry = requests_.at(number);
+        clear_timer(entry);
+        on_timer(context, entry);
+    }
+}
+
+void request_engine::on_timer(gateway_context& context, request_entry& entry)
+{
+    bool const passed = context.now_ >= entry.deadline_;
+    switch (entry.phase_)
+    {
+    case request_phase::claiming:
+        end_unanswered(context, entry, reason::claim_log_unavailable);
+        return;
+    case request_phase::queued:
+        end_unanswered(context, entry,
+                       passed ? reason::deadline_passed
+                              : reason::deadline_unreachable);
+        return;
+    case request_phase::waiting_retry:
+        place(context, entry, true);
+        return;
+    default:
+        give_up_attempt(context, entry);
+        return;
+    }
+}
+
+void request_engine::serve_waiting(gateway_context& context)
+{
+    for (auto& item : queues_)
+    {
+        request_queue& queue = item.second;
+        if (queue.empty())
+        {
+            continue;
+        }
+        bool const served = registration_->may_dispatch(context.now_, *log_) &&
+                            workers_->able(context.now_, item.first);
+        queue.offer(
+            [&](request_number number)
+            {
+                request_entry& entry = requests_.at(number);
+                if (!served)
+                {
+                    reroute(context, entry);
+                    return true;
+                }
+                return dispatch(context, entry);
+            });
+    }
+}
+
+void request_engine::reroute(gateway_context& context, request_entry& entry)
+{
+    leave_queue(entry);
+    clear_timer(entry);
+    if (!entry.claim_.empty())
+    {
+        // Another gateway has to claim the key anew.
+        end_unanswered(context, entry, reason::no_worker);
+        return;
+    }
+    find_workers(context, entry);
+}
+
+void request_engine::count_gateways()
+{
+    std::uint32_t here = 0;
+    auto const& registered = log_->fleet().gateways().all();
+    for (auto const& item : registered)
+    {
+        here += item.second.data_centre_ == settings_->data_centre_ ? 1U : 0U;
+    }
+    gateways_here_ =
+        settings_->gateways_ != 0 ? settings_->gateways_ : std::max(here, 1U);
+    gateways_everywhere_ =
+        std::max(static_cast<std::uint32_t>(registered.size()), 1U);
+}
+
+void request_engine::set_timer(request_entry& entry, time_point at)
+{
+    clear_timer(entry);
+    entry.timer_ = at;
+    timers_.emplace(at, entry.number_);
+}
+
+void request_engine::clear_timer(request_entry& entry)
+{
+    if (entry.timer_)
+    {
+        timers_.erase({*entry.timer_, entry.number_});
+        entry.timer_.reset();
+    }
+}
+
+void request_engine::leave_queue(request_entry& entry)
+{
+    if (entry.place_)
+    {
+        queues_[entry.pool_].remove(*entry.place_);
+        entry.place_.reset();
+    }
+}
+
+duration request_engine::expected_run_time(service_name const& service)
+{
+    auto const& run_time = stats(service).run_time_;
+    if (run_time.learned())
+    {
+        return run_time.mean();
+    }
+    service_spec const* const spec = find_service(service);
+    return spec == nullptr ? duration{0} : spec->declared_run_time_;
+}
+
+service_spec const*
+request_engine::find_service(service_name const& service) const
+{
+    auto const& intended = log_->config().current();
+    if (!intended)
+    {
+        return nullptr;
+    }
+    auto const found = intended->services_.find(service);
+    return found == intended->services_.end() ? nullptr : &found->second;
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/request/request_queue.cpp
@@ -0,0 +1,89 @@
+#include "kernel/request/request_queue.hpp"
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// Requests that are passed over for one that can be served.
+constexpr std::uint32_t passed_over_limit = 8;
+
+std::size_t index_of(queue_class what)
+{
+    return static_cast<std::size_t>(what);
+}
+
+} // namespace
+
+queue_place request_queue::add(request_number request, queue_class what,
+                               service_name const& service, duration work,
+                               bool first)
+{
+    auto& list = waiting_[index_of(what)];
+    auto const position =
+        list.insert(first ? list.begin() : list.end(), request);
+    work_[index_of(what)] += work;
+    ++by_service_[service];
+    ++size_;
+    return queue_place{position, what, service, work};
+}
+
+void request_queue::remove(queue_place const& place)
+{
+    waiting_[index_of(place.class_)].erase(place.position_);
+    work_[index_of(place.class_)] -= place.work_;
+    --by_service_[place.service_];
+    --size_;
+}
+
+void request_queue::offer(std::function<bool(request_number)> const& offer)
+{
+    std::uint32_t passed_over = 0;
+    for (auto& list : waiting_)
+    {
+        for (auto place = list.begin(); place != list.end();)
+        {
+            request_number const request = *place;
+            ++place;
+            if (!offer(request))
+            {
+                ++passed_over;
+            }
+            if (passed_over >= passed_over_limit)
+            {
+                return;
+            }
+        }
+    }
+}
+
+request_number request_queue::youngest_below(queue_class what) const
+{
+    for (std::size_t i = classes - 1; i > index_of(what); --i)
+    {
+        if (!waiting_[i].empty())
+        {
+            return waiting_[i].back();
+        }
+    }
+    return 0;
+}
+
+std::uint32_t request_queue::size(service_name const& service) const
+{
+    auto const found = by_service_.find(service);
+    return found == by_service_.end() ? 0 : found->second;
+}
+
+duration request_queue::work_before(queue_class what) const
+{
+    duration sum{0};
+    for (std::size_t i = 0; i <= index_of(what); ++i)
+    {
+        sum += work_[i];
+    }
+    return sum;
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/request/request_queue.hpp
@@ -0,0 +1,79 @@
+#ifndef CUMINFOLD_KERNEL_REQUEST_REQUEST_QUEUE_HPP
+#define CUMINFOLD_KERNEL_REQUEST_REQUEST_QUEUE_HPP
+
+#include "kernel/identifier.hpp"
+#include "kernel/time.hpp"
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+
+namespace cuminfold
+{
+
+/// Names one request within one gateway.
+using request_number = std::uint64_t;
+
+/// Order in which waiting requests are served.
+enum class queue_class : std::uint8_t
+{
+    urgent,
+    normal,
+    borrowing ///< over its team's quota
+};
+
+/// A request's place in a queue.
+struct queue_place
+{
+    std::list<request_number>::iterator position_;
+    queue_class class_ = queue_class::normal;
+    service_name service_;
+    /// Service time that it was queued with.
+    duration work_{0};
+};
+
+/// The requests that wait for workers of one pool, by class and then in the
+/// order of arrival. Leaving it costs O(1) in the number of requests.
+class request_queue
+{
+public:
+    /// @param first Ahead of its class, for an attempt that is made again.
+    queue_place add(request_number request, queue_class what,
+                    service_name const& service, duration work, bool first);
+    void remove(queue_place const& place);
+
+    /// Offers the requests in order, up to a few that are not taken.
+    /// @param offer Returns false if the request cannot be served now; it must
+    /// not change the queue otherwise than by removing that request.
+    void offer(std::function<bool(request_number)> const& offer);
+
+    /// The youngest request of a class below `what`; 0: none.
+    request_number youngest_below(queue_class what) const;
+
+    bool empty() const noexcept
+    {
+        return size_ == 0;
+    }
+    std::uint32_t size() const noexcept
+    {
+        return size_;
+    }
+    /// Requests of one service that wait.
+    std::uint32_t size(service_name const& service) const;
+    /// Service time of what is served before a newcomer of that class.
+    duration work_before(queue_class what) const;
+
+private:
+    static constexpr std::size_t classes = 3;
+
+    std::array<std::list<request_number>, classes> waiting_;
+    std::array<duration, classes> work_{};
+    std::map<service_name, std::uint32_t> by_service_;
+    std::uint32_t size_ = 0;
+};
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/kernel/request/worker_health.cpp
@@ -0,0 +1,81 @@
+#include "kernel/request/worker_health.hpp"
+
+#include <algorithm>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// A worker that may hold so many dispatches again has proved itself.
+constexpr std::uint32_t proved_limit = 16;
+
+} // namespace
+
+void worker_health::count(time_point now, bool succeeded)
+{
+    fade(now);
+    if (!succeeded)
+    {
+        counts_.failed_ += 1;
+        return;
+    }
+    counts_.succeeded_ += 1;
+    if (probing())
+    {
+        probe_limit_ *= 2;
+        if (probe_limit_ >= proved_limit)
+        {
+            probe_limit_ = 0;
+            ejection_ = duration{0};
+        }
+    }
+}
+
+bool worker_health::failing() const
+{
+    if (probing())
+    {
+        return counts_.failed_ > 0;
+    }
+    return counts_.failed_ >= options_->failures_ &&
+           counts_.failed_share() >= options_->ratio_;
+}
+
+void worker_health::eject(time_point now)
+{
+    ejection_ = std::clamp(ejection_ * 2, options_->ejection_first_,
+                           options_->ejection_limit_);
+    ejected_until_ = now + ejection_;
+    probe();
+}
+
+std::uint32_t worker_health::limit(std::uint32_t slots) const
+{
+    return probing() ? std::min(slots, probe_limit_) : slots;
+}
+
+void worker_health::probe()
+{
+    probe_limit_ = 1;
+    counts_ = dispatch_counts{};
+}
+
+void worker_health::fade(time_point now)
+{
+    while (now - faded_ >= options_->half_life_)
+    {
+        if (now - faded_ > 20 * options_->half_life_)
+        {
+            faded_ = now;
+            counts_ = dispatch_counts{};
+            return;
+        }
+        faded_ += options_->half_life_;
+        counts_.succeeded_ /= 2;
+        counts_.failed_ /= 2;
+    }
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/request/worker_table.cpp
@@ -0,0 +1,261 @@
+#include "kernel/request/worker_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+bool contains(std::vector<vm_id> const& vms, vm_id const& vm)
+{
+    return std::find(vms.begin(), vms.end(), vm) != vms.end();
+}
+
+} // namespace
+
+void worker_table::update(vm_entry const& vm)
+{
+    auto const placed = workers_.try_emplace(vm.vm_, vm.vm_, options_->health_);
+    worker_entry& worker = placed.first->second;
+    if (worker.serves_)
+    {
+        strike_off(worker);
+    }
+    bool const served = worker.serves_;
+    worker.address_ = vm.address_;
+    worker.pool_ = vm.pool_;
+    worker.slots_ = vm.shape_.slots_;
+    worker.serves_ = vm.takes_work();
+    if (worker.serves_ && !served && worker.generation_ < vm.generation_)
+    {
+        // What the fold lets serve anew is not bound by older signs.
+        worker.leaving_until_ = time_point{};
+    }
+    worker.generation_ = vm.generation_;
+    if (worker.serves_)
+    {
+        enlist(worker);
+    }
+}
+
+void worker_table::remove(vm_id const& vm)
+{
+    auto const found = workers_.find(vm);
+    if (found == workers_.end())
+    {
+        return;
+    }
+    if (found->second.serves_)
+    {
+        strike_off(found->second);
+        found->second.serves_ = false;
+    }
+    if (found->second.in_flight_ == 0)
+    {
+        workers_.erase(found);
+    }
+}
+
+worker_entry* worker_table::find(vm_id const& vm)
+{
+    auto const found = workers_.find(vm);
+    return found == workers_.end() ? nullptr : &found->second;
+}
+
+bool worker_table::able(time_point now, pool_name const& pool,
+                        std::vector<vm_id> const& excluded) const
+{
+    auto const& all = members(pool);
+    return std::any_of(all.begin(), all.end(),
+                       [&](worker_entry const* worker) {
+                           return takes_work(now, *worker) &&
+                                  !contains(excluded, worker->vm_);
+                       });
+}
+
+std::uint32_t worker_table::slots(time_point now, pool_name const& pool) const
+{
+    std::uint32_t sum = 0;
+    for (auto const* worker : members(pool))
+    {
+        if (takes_work(now, *worker))
+        {
+            sum += worker->health_.limit(worker->slots_);
+        }
+    }
+    return sum;
+}
+
+std::uint32_t worker_table::in_flight(pool_name const& pool) const
+{
+    std::uint32_t sum = 0;
+    for (auto const* worker : members(pool))
+    {
+        sum += worker->in_flight_;
+    }
+    return sum;
+}
+
+std::vector<worker_entry*>
+worker_table::candidates(time_point now, pool_name const& pool,
+                         std::vector<vm_id> const& excluded, bool proved_only)
+{
+    std::vector<worker_entry*> result;
+    bool any_proved = false;
+    for (auto* worker : members(pool))
+    {
+        if (!takes_work(now, *worker))
+        {
+            continue;
+        }
+        any_proved = any_proved || !worker->health_.probing();
+        bool const open =
+            now >= worker->full_until_ &&
+            worker->in_flight_ < worker->health_.limit(worker->slots_);
+        if (open && !contains(excluded, worker->vm_))
+        {
+            result.push_back(worker);
+        }
+    }
+    if (proved_only && any_proved)
+    {
+        auto const probing = [](worker_entry const* worker)
+        { return worker->health_.probing(); };
+        result.erase(std::remove_if(result.begin(), result.end(), probing),
+                     result.end());
+    }
+    return result;
+}
+
+worker_view worker_table::view(time_point now, worker_entry const& worker) const
+{
+    worker_view view;
+    view.limit_ = worker.health_.limit(worker.slots_);
+    view.in_flight_ = worker.in_flight_;
+    view.echoed_ =
+        worker.echoed_ && now - worker.echoed_at_ < options_->echo_lifetime_;
+    view.others_ = view.echoed_ ? worker.others_ : 0;
+    return view;
+}
+
+bool worker_table::count(time_point now, worker_entry& worker, bool succeeded)
+{
+    worker.health_.count(now, succeeded);
+    if (succeeded || !worker.serves_ || worker.health_.ejected(now) ||
+        !worker.health_.failing() || !may_eject(now, worker))
+    {
+        return false;
+    }
+    worker.health_.eject(now);
+    return true;
+}
+
+bool worker_table::hint(time_point now, vm_id const& vm, bool leaving)
+{
+    worker_entry* const worker = find(vm);
+    if (worker == nullptr)
+    {
+        return false;
+    }
+    bool const known = now < worker->leaving_until_;
+    if (leaving)
+    {
+        worker->leaving_until_ = now + options_->health_.leaving_hold_;
+        worker->health_.probe();
+    }
+    else
+    {
+        worker->leaving_until_ = time_point{};
+    }
+    return known != leaving;
+}
+
+std::uint32_t worker_table::ejected(time_point now, pool_name const& pool) const
+{
+    auto const& all = members(pool);
+    return static_cast<std::uint32_t>(
+        std::count_if(all.begin(), all.end(),
+                      [&](worker_entry const* worker)
+                      { return worker->health_.ejected(now); }));
+}
+
+void worker_table::full(time_point now, worker_entry& worker) const
+{
+    worker.full_until_ = now + options_->full_hold_;
+}
+
+void worker_table::echo(time_point now, worker_entry& worker,
+                        std::int32_t busy) const
+{
+    if (busy < 0)
+    {
+        return;
+    }
+    auto const slots = static_cast<std::uint32_t>(busy);
+    worker.others_ = slots > worker.in_flight_ ? slots - worker.in_flight_ : 0;
+    worker.echoed_ = true;
+    worker.echoed_at_ = now;
+}
+
+bool worker_table::takes_work(time_point now, worker_entry const& worker) const
+{
+    return worker.serves_ && now >= worker.leaving_until_ &&
+           !worker.health_.ejected(now);
+}
+
+worker_table::member_list const&
+worker_table::members(pool_name const& pool) const
+{
+    static member_list const none;
+    auto const found = pools_.find(pool);
+    return found == pools_.end() ? none : found->second;
+}
+
+void worker_table::enlist(worker_entry& worker)
+{
+    auto& all = pools_[worker.pool_];
+    auto const place =
+        std::lower_bound(all.begin(), all.end(), &worker,
+                         [](worker_entry const* a, worker_entry const* b)
+                         { return a->vm_ < b->vm_; });
+    all.insert(place, &worker);
+}
+
+void worker_table::strike_off(worker_entry& worker)
+{
+    auto& all = pools_[worker.pool_];
+    all.erase(std::remove(all.begin(), all.end(), &worker), all.end());
+}
+
+bool worker_table::may_eject(time_point now, worker_entry const& worker) const
+{
+    auto const& all = members(worker.pool_);
+    auto const size = static_cast<double>(all.size());
+    double const cap = std::floor(options_->health_.ejected_share_ * size);
+    if (ejected(now, worker.pool_) + 1 > cap)
+    {
+        return false;
+    }
+    // Each worker counts alike: those that fail fast get the most dispatches.
+    double shares = 0;
+    double judged = 0;
+    for (auto const* other : all)
+    {
+        dispatch_counts const& counts = other->health_.counts();
+        if (other != &worker && !other->health_.ejected(now) &&
+            counts.total() > 0)
+        {
+            shares += counts.failed_share();
+            judged += 1;
+        }
+    }
+    double const others = judged > 0 ? shares / judged : 0;
+    return worker.health_.counts().failed_share() >=
+           others + options_->health_.margin_;
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/plugins/admission/bounded_queue.cpp
@@ -0,0 +1,34 @@
+#include "kernel/registry.hpp"
+#include "kernel/request/admission_strategy.hpp"
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// Takes every request that the bounded queue has room for.
+class bounded_queue : public admission_strategy
+{
+public:
+    std::optional<reason> refuse(admission_view const& view) const override
+    {
+        if (view.queued_ >= view.queue_limit_)
+        {
+            return reason::queue_full;
+        }
+        return std::nullopt;
+    }
+
+    bool sheds_hopeless() const override
+    {
+        return false;
+    }
+};
+
+registrar<admission_strategy> const registered{
+    "bounded_queue", [] { return std::make_unique<bounded_queue>(); }};
+
+} // namespace
+
+} // namespace cuminfold
