maintenance: Carry moves, drains and waves through the fold

Cause: grants were never proposed, started or ended; a drain could start after its pool had lost the VMs that the grant relied on; a gateway that registered again under one incarnation no longer owed its acknowledgement.

Change: the start of a drain is judged again at the fold, a VM of an unheard data centre is spared only by a pool that meets its need without it, a repeated finding of health changes nothing, and a repeated registration keeps its place.

--- a/source/kernel/controller/controller_settings.hpp
+++ b/source/kernel/controller/controller_settings.hpp
@@ -28,6 +28,10 @@
     duration probe_interval_ = std::chrono::seconds{1};
     /// A controller of rank r waits r of these before it proposes.
     duration rank_step_ = std::chrono::milliseconds{500};
+    /// A lack of VMs that lasts so long is a lack; a lagging list is not.
+    duration move_delay_ = std::chrono::seconds{5};
+    /// A VM that is not back so long after its reboot has failed.
+    duration return_timeout_ = std::chrono::minutes{5};
     /// An operator's change that is not read back by then is of unknown fate.
     duration change_timeout_ = std::chrono::seconds{10};
     /// Seed of the kernel's random engine.
--- a/source/kernel/fleet/budget.cpp
+++ b/source/kernel/fleet/budget.cpp
@@ -41,6 +41,37 @@
     return 0;
 }
 
+bool meets_need(vm_table const& vms, intended_state const& intended,
+                pool_name const& pool)
+{
+    auto const found = intended.budgets_.find(pool);
+    return found == intended.budgets_.end() ||
+           vms.usage(pool).available_ >= found->second.need_;
+}
+
+std::uint32_t room_of(vm_table const& vms, intended_state const& intended,
+                      pool_name const& pool)
+{
+    pool_usage const& usage = vms.usage(pool);
+    auto const found = intended.budgets_.find(pool);
+    if (found == intended.budgets_.end())
+    {
+        return usage.available_;
+    }
+    budget_spec const& budget = found->second;
+    std::uint32_t const kept =
+        budget.need_ + reserve_of(usage, budget.reserve_, nullptr);
+    std::uint32_t room = usage.available_ > kept ? usage.available_ - kept : 0;
+    if (budget.max_draining_ != 0)
+    {
+        std::uint32_t const left = budget.max_draining_ > usage.leaving_
+                                       ? budget.max_draining_ - usage.leaving_
+                                       : 0;
+        room = std::min(room, left);
+    }
+    return room;
+}
+
 std::optional<reason> refuse_to_spare(vm_table const& vms,
                                       intended_state const& intended,
                                       vm_entry const& leaving)
@@ -56,19 +87,21 @@
     {
         return reason::budget_exhausted;
     }
-    bool const counted = leaving.phase_ == vm_phase::serving &&
-                         !leaving.down_ &&
-                         vms.unheard().count(leaving.data_centre_) == 0;
-    if (!counted)
+    if (leaving.down_)
     {
         return std::nullopt;
     }
-    std::uint32_t const remaining = usage.available_ - 1;
+    // A VM of an unheard data centre may serve there still: it is not counted,
+    // but only a pool that meets its need without it can spare it.
+    bool const counted = leaving.phase_ == vm_phase::serving &&
+                         vms.unheard().count(leaving.data_centre_) == 0;
+    std::uint32_t const remaining = usage.available_ - (counted ? 1 : 0);
+    vm_entry const* gone = counted ? &leaving : nullptr;
     if (remaining < budget.need_)
     {
         return reason::budget_exhausted;
     }
-    if (remaining < budget.need_ + reserve_of(usage, budget.reserve_, &leaving))
+    if (remaining < budget.need_ + reserve_of(usage, budget.reserve_, gone))
     {
         return reason::reserve_exhausted;
     }
--- a/source/kernel/fleet/budget.hpp
+++ b/source/kernel/fleet/budget.hpp
@@ -20,8 +20,18 @@
 std::uint32_t reserve_of(pool_usage const& usage, reserve_kind kind,
                          vm_entry const* leaving);
 
+/// Whether the pool's available VMs alone meet its need. VMs in a drain, in a
+/// release, down, or of an unheard data centre are not available.
+bool meets_need(vm_table const& vms, intended_state const& intended,
+                pool_name const& pool);
+
+/// VMs that the pool could still spare one after the other; without a budget,
+/// all that are available. The reserve is that of the present VMs.
+std::uint32_t room_of(vm_table const& vms, intended_state const& intended,
+                      pool_name const& pool);
+
 /// Why the pool cannot spare the VM now; empty: it can. A pool without a
-/// budget can spare any.
+/// budget can spare any, and a VM that is down costs nothing.
 std::optional<reason> refuse_to_spare(vm_table const& vms,
                                       intended_state const& intended,
                                       vm_entry const& leaving);
--- a/source/kernel/fleet/fleet_drain_fold.cpp
+++ b/source/kernel/fleet/fleet_drain_fold.cpp
@@ -14,7 +14,13 @@
     {
         return;
     }
-    if (entry->phase_ != vm_phase::serving)
+    if (data_.stopped_waves_.count(body.wave_) != 0)
+    {
+        ignore(reason::wave_stopped);
+        return;
+    }
+    if (entry->phase_ != vm_phase::serving ||
+        entry->maintained_.count(body.wave_) != 0)
     {
         ignore(reason::record_stale);
         return;
@@ -34,7 +40,7 @@
     note(body.vm_, "drain granted for wave " + body.wave_.text());
 }
 
-void fleet_state::fold(drain_started const& body, place const&)
+void fleet_state::fold(drain_started const& body, place const& at)
 {
     vm_entry const* entry = expect(body.vm_, body.expected_);
     if (entry == nullptr)
@@ -46,6 +52,12 @@
         ignore(reason::record_stale);
         return;
     }
+    // The pool may have lost VMs since the grant.
+    if (!entry->down_ && !meets_need(data_.vms_, at.intended_, entry->pool_))
+    {
+        ignore(reason::budget_exhausted);
+        return;
+    }
     data_.vms_.change(body.vm_,
                       [&](vm_entry& vm)
                       {
@@ -98,6 +110,7 @@
                       {
                           vm.phase_ = vm_phase::rebooting;
                           vm.reboot_ = at.record_.id_;
+                          vm.boot_ = body.boot_;
                       });
     note(body.vm_, "reboot decided");
 }
--- a/source/kernel/fleet/fleet_state.cpp
+++ b/source/kernel/fleet/fleet_state.cpp
@@ -138,6 +138,13 @@
     entry.data_centre_ = body.data_centre_;
     entry.address_ = body.address_;
     entry.registered_order_ = data_.order_;
+    auto const known = data_.gateways_.all().find(entry.gateway_.node_);
+    if (known != data_.gateways_.all().end() &&
+        known->second.gateway_ == entry.gateway_)
+    {
+        // It may hold requests since its first registration.
+        entry.registered_order_ = known->second.registered_order_;
+    }
     data_.gateways_.register_gateway(std::move(entry));
 }
 
--- a/source/kernel/fleet/fleet_vm_fold.cpp
+++ b/source/kernel/fleet/fleet_vm_fold.cpp
@@ -149,8 +149,15 @@
 
 void fleet_state::fold(vm_health const& body, place const&)
 {
-    if (expect(body.vm_, body.expected_) == nullptr)
+    vm_entry const* entry = expect(body.vm_, body.expected_);
+    if (entry == nullptr)
+    {
+        return;
+    }
+    if (entry->down_ != body.up_)
     {
+        // A second finding of the same must not disturb a drain or a move.
+        ignore(reason::record_stale);
         return;
     }
     data_.vms_.change(body.vm_, [&](vm_entry& vm) { vm.down_ = !body.up_; });
--- a/source/kernel/fleet/vm_table.hpp
+++ b/source/kernel/fleet/vm_table.hpp
@@ -59,6 +59,8 @@
     std::set<incarnation> acknowledged_;
     /// Token of the reboot call.
     record_id reboot_;
+    /// Number of the start that the reboot ends; 0: not known.
+    std::uint64_t boot_ = 0;
     /// Attempts of jobs that are leased to it.
     std::set<job_id> tasks_;
     /// Waves that have maintained it.
--- /dev/null
+++ b/source/kernel/maintenance/pool_balance.cpp
@@ -0,0 +1,195 @@
+#include "kernel/maintenance/pool_balance.hpp"
+
+#include "kernel/fleet/budget.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+template <class Map, class Key>
+std::uint32_t count_at(Map const& counts, Key const& key)
+{
+    auto const found = counts.find(key);
+    return found == counts.end() ? 0 : found->second;
+}
+
+std::uint32_t positive_difference(std::uint32_t a, std::uint32_t b)
+{
+    return a > b ? a - b : 0;
+}
+
+rack_key rack_of(vm_entry const& vm)
+{
+    return {vm.data_centre_, vm.rack_};
+}
+
+void add_member(pool_standing& standing, vm_entry const& vm)
+{
+    ++standing.members_;
+    ++standing.by_data_centre_[vm.data_centre_];
+    ++standing.by_rack_[rack_of(vm)];
+    standing.down_ += vm.down_ ? 1 : 0;
+}
+
+} // namespace
+
+pool_balance::pool_balance(fleet_state const& fleet,
+                           intended_state const& intended)
+    : fleet_(fleet), intended_(intended)
+{
+    for (auto const& item : fleet.vms().all())
+    {
+        vm_entry const& vm = item.second;
+        if (vm.pool_.empty())
+        {
+            continue;
+        }
+        bool const moves = vm.phase_ == vm_phase::releasing;
+        pool_standing& joined = standings_[moves ? vm.target_ : vm.pool_];
+        add_member(joined, vm);
+        if (moves)
+        {
+            ++joined.coming_;
+            ++standings_[vm.pool_].going_;
+        }
+    }
+}
+
+pool_standing const& pool_balance::standing(pool_name const& pool) const
+{
+    static pool_standing const none;
+    auto const found = standings_.find(pool);
+    return found == standings_.end() ? none : found->second;
+}
+
+std::uint32_t pool_balance::lack(pool_spec const& pool,
+                                 data_centre_name const& data_centre,
+                                 std::uint32_t extra) const
+{
+    pool_standing const& now = standing(pool.name_);
+    std::uint32_t const by_size =
+        pool.spread_.empty()
+            ? positive_difference(pool.size_, now.members_)
+            : positive_difference(count_at(pool.spread_, data_centre),
+                                  count_at(now.by_data_centre_, data_centre));
+    auto const budget = intended_.budgets_.find(pool.name_);
+    std::uint32_t const need =
+        budget == intended_.budgets_.end() ? 0 : budget->second.need_;
+    std::uint32_t const by_need =
+        positive_difference(need, now.members_ - now.down_);
+    return std::max({by_size, by_need, extra});
+}
+
+std::uint32_t pool_balance::surplus(pool_spec const& pool,
+                                    data_centre_name const& data_centre) const
+{
+    pool_standing const& now = standing(pool.name_);
+    std::uint32_t const here = count_at(now.by_data_centre_, data_centre);
+    if (pool.spare_)
+    {
+        return here;
+    }
+    if (!pool.spread_.empty())
+    {
+        return positive_difference(here, count_at(pool.spread_, data_centre));
+    }
+    return std::min(here, positive_difference(now.members_, pool.size_));
+}
+
+pool_name pool_balance::pool_for(vm_entry const& vm) const
+{
+    pool_name best;
+    pool_name spare;
+    auto best_score = std::make_tuple(std::numeric_limits<std::uint32_t>::max(),
+                                      std::uint32_t{0});
+    for (auto const& item : intended_.pools_)
+    {
+        pool_spec const& pool = item.second;
+        if (pool.spare_)
+        {
+            spare = pool.name_;
+        }
+        std::uint32_t const lacks = lack(pool, vm.data_centre_, 0);
+        std::uint32_t const in_rack =
+            count_at(standing(pool.name_).by_rack_, rack_of(vm));
+        auto const score = std::make_tuple(
+            in_rack, std::numeric_limits<std::uint32_t>::max() - lacks);
+        if (lacks != 0 && (best.empty() || score < best_score))
+        {
+            best = pool.name_;
+            best_score = score;
+        }
+    }
+    return best.empty() ? spare : best;
+}
+
+bool pool_balance::may_leave(vm_entry const& vm, pool_name const& target) const
+{
+    if (vm.phase_ != vm_phase::serving || vm.down_ || vm.pool_ == target)
+    {
+        return false;
+    }
+    auto const pool = intended_.pools_.find(vm.pool_);
+    bool const wanted = pool != intended_.pools_.end() &&
+                        surplus(pool->second, vm.data_centre_) == 0;
+    return !wanted && !refuse_to_spare(fleet_.vms(), intended_, vm);
+}
+
+vm_entry const*
+pool_balance::source_for(pool_name const& target,
+                         data_centre_name const& data_centre) const
+{
+    vm_entry const* best = nullptr;
+    auto score_of = [&](vm_entry const& vm)
+    {
+        auto const pool = intended_.pools_.find(vm.pool_);
+        bool const declared = pool != intended_.pools_.end();
+        bool const serves = declared && !pool->second.spare_;
+        std::uint32_t const over =
+            serves ? surplus(pool->second, data_centre) : 0;
+        return std::make_tuple(
+            serves, vm.tasks_.size(),
+            std::numeric_limits<std::uint32_t>::max() - over,
+            count_at(standing(target).by_rack_, rack_of(vm)));
+    };
+    for (auto const& item : fleet_.vms().all())
+    {
+        vm_entry const& vm = item.second;
+        if (vm.data_centre_ == data_centre && may_leave(vm, target) &&
+            (best == nullptr || score_of(vm) < score_of(*best)))
+        {
+            best = &vm;
+        }
+    }
+    return best;
+}
+
+std::optional<data_centre_name>
+pool_balance::giver(pool_name const& target) const
+{
+    std::optional<data_centre_name> first;
+    for (auto const& item : fleet_.vms().all())
+    {
+        vm_entry const& vm = item.second;
+        bool const better = !first || vm.data_centre_ < *first;
+        if (better && fleet_.vms().unheard().count(vm.data_centre_) == 0 &&
+            may_leave(vm, target))
+        {
+            first = vm.data_centre_;
+        }
+    }
+    return first;
+}
+
+void pool_balance::expect(vm_entry const& vm, pool_name const& pool)
+{
+    add_member(standings_[pool], vm);
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/maintenance/wave_progress.cpp
@@ -0,0 +1,167 @@
+#include "kernel/maintenance/wave_progress.hpp"
+
+#include "kernel/fleet/budget.hpp"
+#include "kernel/maintenance/window.hpp"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// Of the VMs that ended, one in so many may fail.
+constexpr std::uint32_t failure_share = 5;
+
+void add_candidate(wave_view& view, vm_entry const& vm)
+{
+    view.candidates_.push_back(
+        {vm.vm_, vm.pool_, {vm.data_centre_, vm.rack_}, vm.down_});
+}
+
+bool not_back(vm_entry const& vm)
+{
+    return vm.phase_ == vm_phase::rebooting && vm.down_;
+}
+
+/// Racks in which VMs went down by themselves.
+std::set<rack_key> failing_racks(vm_table const& vms)
+{
+    std::set<rack_key> racks;
+    for (auto const& item : vms.all())
+    {
+        vm_entry const& vm = item.second;
+        if (vm.down_ && !not_back(vm))
+        {
+            racks.insert({vm.data_centre_, vm.rack_});
+        }
+    }
+    return racks;
+}
+
+void add_in_progress(wave_view& view, vm_entry const& vm,
+                     std::set<rack_key> const& failing)
+{
+    rack_key const rack{vm.data_centre_, vm.rack_};
+    ++view.in_progress_by_rack_[rack];
+    if (!not_back(vm))
+    {
+        ++view.in_progress_;
+        return;
+    }
+    // A VM that was down before, or whose rack fails, does not tell of the
+    // wave.
+    bool const by_wave = vm.boot_ != 0 && failing.count(rack) == 0;
+    view.failed_ += by_wave ? 1 : 0;
+}
+
+} // namespace
+
+bool wave_covers(wave_spec const& wave, vm_entry const& vm)
+{
+    return std::find(wave.pools_.begin(), wave.pools_.end(), vm.pool_) !=
+               wave.pools_.end() ||
+           std::find(wave.vms_.begin(), wave.vms_.end(), vm.vm_) !=
+               wave.vms_.end();
+}
+
+wave_view view_wave(fleet_state const& fleet, intended_state const& intended,
+                    wave_spec const& wave, data_centre_name const& data_centre,
+                    wall_time now)
+{
+    wave_view view;
+    view.canary_ = wave.canary_;
+    auto const failing = failing_racks(fleet.vms());
+    for (auto const& item : fleet.vms().all())
+    {
+        vm_entry const& vm = item.second;
+        bool const in_wave =
+            vm.wave_ == wave.name_ && vm.phase_ != vm_phase::serving;
+        if (vm.pool_.empty() || (!in_wave && !wave_covers(wave, vm)))
+        {
+            continue;
+        }
+        bool const failed = not_back(vm);
+        bool const left = !failed && vm.maintained_.count(wave.name_) == 0 &&
+                          (in_wave || wave_may_stop(intended, wave, vm, now));
+        view.fleet_in_progress_ += in_wave && !failed ? 1 : 0;
+        view.left_before_ += left && vm.data_centre_ < data_centre ? 1 : 0;
+        if (vm.data_centre_ != data_centre)
+        {
+            continue;
+        }
+        ++view.total_;
+        if (in_wave)
+        {
+            add_in_progress(view, vm, failing);
+        }
+        else if (vm.maintained_.count(wave.name_) != 0)
+        {
+            ++view.returned_;
+        }
+        else if (vm.phase_ == vm_phase::serving &&
+                 wave_may_stop(intended, wave, vm, now))
+        {
+            add_candidate(view, vm);
+            view.room_[vm.pool_] = 0;
+        }
+    }
+    for (auto& item : view.room_)
+    {
+        item.second = room_of(fleet.vms(), intended, item.first);
+    }
+    std::sort(view.candidates_.begin(), view.candidates_.end(),
+              [](wave_candidate const& a, wave_candidate const& b)
+              { return std::tie(a.rack_, a.vm_) < std::tie(b.rack_, b.vm_); });
+    return view;
+}
+
+bool wave_must_stop(wave_view const& view)
+{
+    if (view.failed_ == 0)
+    {
+        return false;
+    }
+    if (view.returned_ < view.canary_)
+    {
+        return true;
+    }
+    return view.failed_ > 1 &&
+           view.failed_ * failure_share > view.returned_ + view.failed_;
+}
+
+std::vector<vm_id> take_within_room(wave_view const& view, std::uint32_t limit)
+{
+    std::vector<vm_id> chosen;
+    auto room = view.room_;
+    for (auto const& candidate : view.candidates_)
+    {
+        if (chosen.size() >= limit)
+        {
+            break;
+        }
+        std::uint32_t& left = room[candidate.pool_];
+        // A canary must have been healthy, to tell of the wave.
+        bool const canary = view.returned_ < view.canary_;
+        if (candidate.down_ ? canary : left == 0)
+        {
+            continue;
+        }
+        left -= candidate.down_ ? 0 : 1;
+        chosen.push_back(candidate.vm_);
+    }
+    return chosen;
+}
+
+std::uint32_t careful_width(wave_view const& view)
+{
+    std::uint32_t const width = view.returned_ < view.canary_
+                                    ? view.canary_ - view.returned_
+                                    : view.canary_ + view.returned_;
+    return width > view.in_progress_ ? width - view.in_progress_ : 0;
+}
+
+} // namespace cuminfold
--- a/source/kernel/record.hpp
+++ b/source/kernel/record.hpp
@@ -185,6 +185,8 @@
 {
     vm_id vm_;
     generation expected_ = 0;
+    /// Number of the start that ends here; 0: not known, the VM was down.
+    std::uint64_t boot_ = 0;
 };
 
 /// The VM is back, was probed and serves its pool again.
--- /dev/null
+++ b/source/plugins/duties/wave_planner.cpp
@@ -0,0 +1,102 @@
+#include "kernel/controller/controller_duty.hpp"
+#include "kernel/maintenance/proposal_turn.hpp"
+#include "kernel/maintenance/wave_progress.hpp"
+#include "kernel/registry.hpp"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// Proposes the drains of the waves in force for VMs of the own data centre,
+/// and stops a wave whose VMs do not return.
+class wave_planner : public controller_duty
+{
+public:
+    void handle(duty_context& context, controller_event const& event) override
+    {
+        if (!std::holds_alternative<tick>(event) || !context.ready_)
+        {
+            return;
+        }
+        turn_.forget_idle(context.now_);
+        for (auto const& item : context.config_.current()->waves_)
+        {
+            if (context.fleet_.data().stopped_waves_.count(item.first) == 0)
+            {
+                plan(context, item.second);
+            }
+        }
+    }
+
+private:
+    void plan(duty_context& context, wave_spec const& wave)
+    {
+        wave_view const view =
+            view_wave(context.fleet_, *context.config_.current(), wave,
+                      context.settings_.data_centre_, context.wall_);
+        if (wave_must_stop(view))
+        {
+            stop(context, wave);
+            return;
+        }
+        for (vm_id const& id : strategy(wave.strategy_).propose(view))
+        {
+            vm_entry const& vm = *context.fleet_.vms().find(id);
+            std::string const entity = "grant:" + id.text();
+            if (turn_.due(context, entity, vm.generation_))
+            {
+                turn_.propose(context, entity,
+                              drain_granted{id, vm.generation_, wave.name_});
+            }
+        }
+    }
+
+    void stop(duty_context& context, wave_spec const& wave)
+    {
+        std::string const entity = "stop:" + wave.name_.text();
+        if (turn_.due(context, entity, 0))
+        {
+            context.actions_.emplace_back(count_reason{reason::wave_stopped});
+            turn_.propose(context, entity,
+                          wave_stopped{wave.name_, reason::vm_not_back});
+        }
+    }
+
+    /// The strategy of that name; the default one if it is not known here,
+    /// since every controller must go on with the same files.
+    wave_strategy const& strategy(std::string const& name)
+    {
+        auto& made = strategies_[name];
+        if (!made)
+        {
+            auto const& table = registry<wave_strategy>::instance();
+            try
+            {
+                made = table.find(name)();
+            }
+            catch (unknown_strategy const&)
+            {
+                made = table.find(wave_spec{}.strategy_)();
+            }
+        }
+        return *made;
+    }
+
+    std::map<std::string, std::unique_ptr<wave_strategy>> strategies_;
+    proposal_turn turn_;
+};
+
+registrar<controller_duty> const registered{
+    "wave_planner", [](controller_settings const&)
+    { return std::make_unique<wave_planner>(); }};
+
+} // namespace
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/plugins/waves/fastest_rollout.cpp
@@ -0,0 +1,29 @@
+#include "kernel/maintenance/wave_strategy.hpp"
+#include "kernel/registry.hpp"
+
+#include <memory>
+#include <vector>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// After the canary, every VM that the budgets can spare, and as many again as
+/// have returned while the wave widens.
+class fastest_rollout : public wave_strategy
+{
+public:
+    std::vector<vm_id> propose(wave_view const& view) const override
+    {
+        return take_within_room(view, careful_width(view));
+    }
+};
+
+registrar<wave_strategy> const registered{
+    "fastest_rollout", [] { return std::make_unique<fastest_rollout>(); }};
+
+} // namespace
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/plugins/waves/fewest_moves.cpp
@@ -0,0 +1,69 @@
+#include "kernel/maintenance/wave_strategy.hpp"
+#include "kernel/registry.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// Whether the candidate's pool can spare it.
+bool has_room(wave_view const& view, wave_candidate const& candidate)
+{
+    auto const room = view.room_.find(candidate.pool_);
+    return candidate.down_ || (room != view.room_.end() && room->second != 0);
+}
+
+/// The rack with VMs in progress and some to take, else the first with some.
+rack_key current_rack(wave_view const& view)
+{
+    rack_key first = view.candidates_.front().rack_;
+    bool found = false;
+    for (auto const& candidate : view.candidates_)
+    {
+        if (!has_room(view, candidate))
+        {
+            continue;
+        }
+        if (view.in_progress_by_rack_.count(candidate.rack_) != 0)
+        {
+            return candidate.rack_;
+        }
+        first = found ? first : candidate.rack_;
+        found = true;
+    }
+    return first;
+}
+
+/// After the canary, rack by rack: a rack is finished before the next begins,
+/// so that work is disturbed in one place only and no VM is moved for it.
+class fewest_moves : public wave_strategy
+{
+public:
+    std::vector<vm_id> propose(wave_view const& view) const override
+    {
+        if (view.candidates_.empty())
+        {
+            return {};
+        }
+        wave_view one_rack = view;
+        rack_key const rack = current_rack(view);
+        auto& candidates = one_rack.candidates_;
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(),
+                                        [&](wave_candidate const& candidate)
+                                        { return candidate.rack_ != rack; }),
+                         candidates.end());
+        return take_within_room(one_rack, careful_width(view));
+    }
+};
+
+registrar<wave_strategy> const registered{
+    "fewest_moves", [] { return std::make_unique<fewest_moves>(); }};
+
+} // namespace
+
+} // namespace cuminfold
--- a/source/wire/fields.hpp
+++ b/source/wire/fields.hpp
@@ -153,6 +153,7 @@
 {
     v("vm", x.vm_);
     v("expected", x.expected_);
+    v("boot", x.boot_);
 }
 
 template <class V>
--- a/tests/kernel/fleet/fleet_state_test.cpp
+++ b/tests/kernel/fleet/fleet_state_test.cpp
@@ -97,3 +97,27 @@
     CHECK_FALSE(f.fleet_.apply({f.fleet_.next(), {item}}, f.config_));
     CHECK(f.fleet_.vms().find(vm_id{"vm-1"}) != nullptr);
 }
+
+TEST_CASE("a drain does not start once its pool lost what the grant relied on")
+{
+    fixture f;
+    f.write(
+        drain_granted{vm_id{"vm-1"}, f.generation_of("vm-1"), wave_name{"w"}});
+    f.write(vm_health{vm_id{"vm-2"}, f.generation_of("vm-2"), false});
+    f.write(drain_started{vm_id{"vm-1"}, f.generation_of("vm-1")});
+    CHECK(f.vm("vm-1").phase_ == vm_phase::granted);
+    CHECK(f.fleet_.ignored(reason::budget_exhausted) == 1);
+    f.write(vm_health{vm_id{"vm-2"}, f.generation_of("vm-2"), true});
+    f.write(drain_started{vm_id{"vm-1"}, f.generation_of("vm-1")});
+    CHECK(f.vm("vm-1").phase_ == vm_phase::draining);
+}
+
+TEST_CASE("a gateway that registers again still owes its acknowledgement")
+{
+    fixture f;
+    f.write(move_released{vm_id{"vm-1"}, f.generation_of("vm-1"),
+                          pool_name{"b"}, "test"});
+    f.write(gateway_registered{data_centre_name{"dc"}, "127.0.0.1:1"});
+    f.write(move_assigned{vm_id{"vm-1"}, f.generation_of("vm-1")});
+    CHECK(f.vm("vm-1").pool_ == pool_name{"a"});
+}
--- /dev/null
+++ b/tests/kernel/maintenance/window_test.cpp
@@ -0,0 +1,89 @@
+#include "kernel/maintenance/window.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+
+using namespace cuminfold;
+
+namespace
+{
+
+using std::chrono::hours;
+using std::chrono::minutes;
+
+/// Monday 2026-11-30 00:00 UTC.
+constexpr wall_time monday{std::chrono::seconds{1795996800}};
+
+constexpr std::uint8_t on_monday = 1;
+constexpr std::uint8_t on_sunday = 1U << 6U;
+constexpr std::uint8_t every_day = 0x7f;
+
+window_spec make_window(std::uint8_t days, minutes start, minutes length,
+                        minutes offset)
+{
+    window_spec window;
+    window.days_ = days;
+    window.start_ = start;
+    window.length_ = length;
+    window.utc_offset_ = offset;
+    return window;
+}
+
+struct window_case
+{
+    char const* what_;
+    std::uint8_t days_;
+    minutes start_;
+    minutes length_;
+    minutes offset_;
+    minutes at_; ///< since Monday 00:00 UTC
+    bool open_;
+};
+
+window_case const cases[] = {
+    {"first minute", on_monday, hours{9}, hours{2}, hours{0}, hours{9}, true},
+    {"just before", on_monday, hours{9}, hours{2}, hours{0},
+     hours{9} - minutes{1}, false},
+    {"end is outside", on_monday, hours{9}, hours{2}, hours{0}, hours{11},
+     false},
+    {"past midnight belongs to its first day", on_monday, hours{22}, hours{8},
+     hours{0}, hours{24 + 5}, true},
+    {"the second night is another day", on_monday, hours{22}, hours{8},
+     hours{0}, hours{24 + 23}, false},
+    {"Sunday's night reaches into Monday", on_sunday, hours{22}, hours{8},
+     hours{0}, hours{3}, true},
+    {"east of Greenwich the local day comes first", on_monday, hours{2},
+     hours{1}, hours{12}, -hours{10} + minutes{30}, true},
+    {"west of Greenwich it comes later", on_monday, hours{23}, hours{1},
+     -hours{3}, hours{24 + 2}, true},
+    {"all day", every_day, hours{0}, hours{24}, hours{0}, hours{71}, true},
+    {"no day", 0, hours{0}, hours{24}, hours{0}, hours{71}, false},
+};
+
+} // namespace
+
+TEST_CASE("a window is open in its weekly hours only")
+{
+    for (auto const& tried : cases)
+    {
+        CAPTURE(tried.what_);
+        window_spec const window = make_window(tried.days_, tried.start_,
+                                               tried.length_, tried.offset_);
+        CHECK(window_open(window, monday + tried.at_) == tried.open_);
+        CHECK(window_open(window, monday + tried.at_ + hours{7 * 24}) ==
+              tried.open_);
+    }
+}
+
+TEST_CASE("a window is open as long as it says, before the epoch too")
+{
+    window_spec const window =
+        make_window(every_day, hours{22}, hours{8}, hours{12});
+    int open = 0;
+    for (int minute = -14 * 24 * 60; minute < 0; ++minute)
+    {
+        open += window_open(window, wall_time{} + minutes{minute}) ? 1 : 0;
+    }
+    CHECK(open == 14 * 8 * 60);
+}
