--- a/tests/proof/world.hpp
+++ b/tests/proof/world.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <random>
 #include <set>
 #include <string>
@@ -92,6 +93,9 @@
     /// every accepted change is in force at every node.
     void settle();
 
+    /// Writes each VM's pool and phase as the first live controller sees them.
+    void dump(std::ostream& out) const;
+
     /// Events that were handed to kernels.
     std::uint64_t events() const noexcept
     {
@@ -210,6 +214,10 @@
     std::uint64_t events_ = 0;
     std::map<request_id, open_request> requests_;
     std::map<std::pair<std::string, dispatch_number>, std::string> replies_;
+    /// VM and caller's request of each dispatch.
+    std::map<std::pair<std::string, dispatch_number>,
+             std::pair<std::string, std::string>>
+        dispatches_;
     std::string last_answer_;
     /// What the operators want: need and size, with the lower need while a
     /// planned stop from before the last edit may be under way.
--- a/tests/proof/world_commands.cpp
+++ b/tests/proof/world_commands.cpp
@@ -368,6 +368,27 @@
     }
 }
 
+void world::dump(std::ostream& out) const
+{
+    for (auto const& each : nodes_)
+    {
+        if (!each->controller_ || !each->alive_)
+        {
+            continue;
+        }
+        fleet_state const& fleet = each->controller_->fleet();
+        out << each->life_ << " fleet " << fleet.next() << ":";
+        for (auto const& item : fleet.vms().all())
+        {
+            vm_entry const& vm = item.second;
+            out << " " << item.first << "=" << vm.pool_ << "/"
+                << static_cast<int>(vm.phase_) << (vm.down_ ? "!" : "");
+        }
+        out << "\n";
+        return;
+    }
+}
+
 void world::settle()
 {
     heal();
