transport: Join the gateway's threads without waits and check heads

Cause: the gateway's I/O thread and its kernel each waited for room in the other's full ring, so that both could stop for good. Bodies of replies that were not used stayed in memory. A forwarded refusal came to the kernel as an answer. A caller that was too slow ended the server (cancel on a closed socket threw), and an oversized reply whose body came with its head passed the client's limit, since the library passes over that error when it reads head and body in one go.

Change: a channel whose producer never waits (what must arrive waits with the producer; the kernel takes no new work while too much waits); a thread each for callers, workers and links; bodies in a store bounded in bytes; refusals of other gateways are judged by cuminfold-outcome and cuminfold-reason; each reply must repeat the request's id, else its connection is closed. Heads that two readers may take differently are refused; slow, oversized and surplus callers get an answer and a count; idle client connections expire.

--- a/source/gateway/caller_api.cpp
+++ b/source/gateway/caller_api.cpp
@@ -90,6 +90,9 @@
     {
         auto const seconds = std::chrono::ceil<std::chrono::seconds>(after);
         response.fields_["retry-after"] = std::to_string(seconds.count());
+        auto const exact = std::chrono::ceil<std::chrono::milliseconds>(after);
+        response.fields_["cuminfold-retry-after"] =
+            std::to_string(exact.count());
     }
 }
 
@@ -100,8 +103,11 @@
         {"type", "about:blank"}, {"title", std::string(name_of(why))},
         {"status", status},      {"reason", std::string(name_of(why))},
         {"outcome", outcome},    {"detail", detail}};
-    return make_response(status, "application/problem+json",
-                         body.dump() + "\n");
+    http_response response =
+        make_response(status, "application/problem+json", body.dump() + "\n");
+    response.fields_["cuminfold-outcome"] = outcome;
+    response.fields_["cuminfold-reason"] = std::string(name_of(why));
+    return response;
 }
 
 } // namespace
--- a/source/gateway/gateway_settings_file.cpp
+++ b/source/gateway/gateway_settings_file.cpp
@@ -14,10 +14,13 @@
 
 void read_gateway(section_reader& in, gateway_program_settings& settings)
 {
+    settings.callers_.stop_grace_ = std::chrono::milliseconds{500};
     std::string name;
     std::string data_centre;
     std::uint32_t body_limit =
         static_cast<std::uint32_t>(settings.callers_.body_bytes_);
+    std::uint32_t caller_connections =
+        static_cast<std::uint32_t>(settings.callers_.connections_);
     std::uint32_t worker_connections =
         static_cast<std::uint32_t>(settings.workers_.connections_);
     read_log_settings(in, settings.log_);
@@ -31,6 +34,9 @@
     in.read("body_limit_bytes", body_limit, 1, largest_body);
     in.read("worker_connections", worker_connections, 1, 1024);
     in.read("ring_capacity", settings.ring_capacity_, 16, 1U << 20U);
+    in.read("caller_connections", caller_connections, 1, 65'536);
+    in.read("body_store_bytes", settings.body_store_bytes_, 1U << 20U);
+    in.read("stop_grace", settings.callers_.stop_grace_);
     in.read("tick", settings.tick_, std::chrono::milliseconds{1},
             std::chrono::seconds{1});
     in.read("stop_limit", settings.stop_limit_);
@@ -40,6 +46,7 @@
     in.read("retry", settings.kernel_.retry_);
     in.read("queue_limit", settings.kernel_.queue_limit_, 1, 1U << 20U);
     settings.callers_.body_bytes_ = body_limit;
+    settings.callers_.connections_ = caller_connections;
     settings.workers_.connections_ = worker_connections;
     settings.kernel_.self_ = incarnation{node_id{name}, draw_incarnation()};
     settings.kernel_.seed_ = settings.kernel_.self_.number_;
--- a/source/gateway/gateway_settings_file.hpp
+++ b/source/gateway/gateway_settings_file.hpp
@@ -23,6 +23,8 @@
     http_server_limits callers_;
     http_client_limits workers_;
     std::uint32_t ring_capacity_ = 8192;
+    /// Bytes of all bodies of open requests and their replies.
+    std::uint32_t body_store_bytes_ = 128 * 1024 * 1024;
     duration tick_ = std::chrono::milliseconds{5};
     /// Time that a stop waits for what is in flight.
     duration stop_limit_ = std::chrono::seconds{60};
--- a/source/transport/bounded_ring.hpp
+++ b/source/transport/bounded_ring.hpp
@@ -36,11 +36,18 @@
     bool push(T item)
     {
         auto held = std::make_unique<T>(std::move(item));
-        if (!queue_.push(held.get()))
+        return push(held);
+    }
+
+    /// Called by the one producing thread.
+    /// @return false if the ring is full; the item stays where it is then
+    bool push(std::unique_ptr<T>& item)
+    {
+        if (!queue_.push(item.get()))
         {
             return false;
         }
-        held.release();
+        item.release();
         return true;
     }
 
--- a/source/transport/http_client.cpp
+++ b/source/transport/http_client.cpp
@@ -4,10 +4,13 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <cctype>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <utility>
@@ -59,7 +62,7 @@
 {
 public:
     impl(asio::io_context& context, http_client_limits limits)
-        : context_(context), limits_(limits)
+        : context_(context), limits_(limits), sweep_(context)
     {
     }
 
@@ -103,6 +106,7 @@
             drop(item.second);
         }
         idle_.clear();
+        sweep_.cancel();
     }
 
 private:
@@ -116,7 +120,8 @@
         beast::flat_buffer buffer_;
         http::request<http::string_body> request_;
         std::optional<http::response_parser<http::string_body>> parser_;
-        bool sent_ = false;
+        /// What the response's `echo_field_` must be.
+        std::string echo_;
     };
     using open_ptr = std::shared_ptr<open_call>;
 
@@ -129,7 +134,8 @@
             write(open);
             return;
         }
-        if (busy_[open->call_.address_] >= limits_.connections_)
+        auto const busy = busy_.find(open->call_.address_);
+        if (busy != busy_.end() && busy->second >= limits_.connections_)
         {
             end_later(open, http_end::not_sent);
             return;
@@ -139,7 +145,12 @@
 
     std::shared_ptr<beast::tcp_stream> take_idle(std::string const& address)
     {
-        auto& kept = idle_[address];
+        auto const found = idle_.find(address);
+        if (found == idle_.end())
+        {
+            return nullptr;
+        }
+        auto& kept = found->second;
         while (!kept.empty())
         {
             idle_connection last = std::move(kept.back());
@@ -206,9 +217,12 @@
         {
             request.set(field.first, field.second);
         }
+        if (!open->call_.echo_field_.empty())
+        {
+            open->echo_ = std::string(request[open->call_.echo_field_]);
+        }
         request.body() = std::move(open->call_.body_);
         request.prepare_payload();
-        open->sent_ = true;
         open->stream_->expires_at(open->deadline_);
         http::async_write(
             *open->stream_, request,
@@ -233,11 +247,31 @@
         open->parser_->header_limit(
             static_cast<std::uint32_t>(limits_.head_bytes_));
         open->parser_->body_limit(limits_.body_bytes_);
-        http::async_read(
+        // Read on its own: read together with a body, a length over the limit
+        // would be passed over.
+        http::async_read_header(
             *open->stream_, open->buffer_, *open->parser_,
             [self = shared_from_this(), open,
              kept = open->stream_](beast::error_code error, std::size_t)
-            { self->on_read(open, error); });
+            { self->on_head(open, error); });
+    }
+
+    void on_head(open_ptr const& open, beast::error_code error)
+    {
+        if (!open->done_)
+        {
+            return;
+        }
+        if (error)
+        {
+            end(open, end_of(error, *open->parser_));
+            return;
+        }
+        http::async_read(
+            *open->stream_, open->buffer_, *open->parser_,
+            [self = shared_from_this(), open,
+             kept = open->stream_](beast::error_code failed, std::size_t)
+            { self->on_read(open, failed); });
     }
 
     void on_read(open_ptr const& open, beast::error_code error)
@@ -251,14 +285,28 @@
             end(open, end_of(error, *open->parser_));
             return;
         }
-        if (!open->parser_->get().has_content_length() &&
-            !open->parser_->chunked())
+        auto const& response = open->parser_->get();
+        if (!has_framed_body(response))
         {
             // A body that only the connection's end ends may be cut short.
             end(open, http_end::truncated);
-            return;
         }
-        finish(open);
+        else if (!open->call_.echo_field_.empty() &&
+                 response[open->call_.echo_field_] != open->echo_)
+        {
+            end(open, http_end::mismatched);
+        }
+        else
+        {
+            finish(open);
+        }
+    }
+
+    static bool
+    has_framed_body(http::response<http::string_body> const& response)
+    {
+        return response.result() == http::status::no_content ||
+               response.has_content_length() || response.chunked();
     }
 
     static http_end
@@ -291,14 +339,10 @@
         }
         result.response_.body_ = std::move(message.body());
         bool const clean = message.keep_alive() && open->buffer_.size() == 0;
-        --busy_[open->call_.address_];
-        if (clean &&
-            idle_[open->call_.address_].size() + busy_[open->call_.address_] <
-                limits_.connections_)
+        release(open->call_.address_);
+        if (clean)
         {
-            open->stream_->expires_never();
-            idle_[open->call_.address_].push_back(
-                {std::move(open->stream_), clock::now()});
+            keep(open->call_.address_, std::move(open->stream_));
         }
         open->stream_.reset();
         calls_.erase(open->number_);
@@ -324,12 +368,79 @@
                    { self->end(open, how); });
     }
 
+    /// A connection to an address carries no request any more.
+    void release(std::string const& address)
+    {
+        auto const found = busy_.find(address);
+        if (--found->second == 0)
+        {
+            busy_.erase(found);
+        }
+    }
+
+    void keep(std::string const& address,
+              std::shared_ptr<beast::tcp_stream> stream)
+    {
+        auto const busy = busy_.find(address);
+        std::size_t const used = busy == busy_.end() ? 0 : busy->second;
+        auto& kept = idle_[address];
+        if (kept.size() + used < limits_.connections_)
+        {
+            stream->expires_never();
+            kept.push_back({std::move(stream), clock::now()});
+        }
+        sweep_later();
+    }
+
+    /// Closes idle connections in time, also to addresses that nobody calls
+    /// any more.
+    void sweep_later()
+    {
+        if (sweeping_)
+        {
+            return;
+        }
+        sweeping_ = true;
+        sweep_.expires_after(limits_.idle_time_);
+        sweep_.async_wait(
+            [weak = weak_from_this()](beast::error_code error)
+            {
+                auto const self = weak.lock();
+                if (self)
+                {
+                    self->sweeping_ = false;
+                }
+                if (self && !error)
+                {
+                    self->sweep();
+                }
+            });
+    }
+
+    void sweep()
+    {
+        auto const oldest = clock::now() - limits_.idle_time_;
+        for (auto place = idle_.begin(); place != idle_.end();)
+        {
+            auto& kept = place->second;
+            kept.erase(std::remove_if(kept.begin(), kept.end(),
+                                      [&](idle_connection const& each)
+                                      { return each.since_ <= oldest; }),
+                       kept.end());
+            place = kept.empty() ? idle_.erase(place) : std::next(place);
+        }
+        if (!idle_.empty())
+        {
+            sweep_later();
+        }
+    }
+
     void drop(open_ptr const& open)
     {
         if (open->stream_)
         {
             open->stream_->close();
-            --busy_[open->call_.address_];
+            release(open->call_.address_);
             // Handlers that are still to come keep the stream's memory.
             open->stream_.reset();
         }
@@ -337,6 +448,8 @@
 
     asio::io_context& context_;
     http_client_limits limits_;
+    asio::steady_timer sweep_;
+    bool sweeping_ = false;
     std::uint64_t next_number_ = 1;
     std::map<std::uint64_t, open_ptr> calls_;
     std::map<std::string, std::size_t> busy_;
--- a/source/transport/http_client.hpp
+++ b/source/transport/http_client.hpp
@@ -36,6 +36,8 @@
     http_fields fields_;
     std::string body_;
     duration timeout_ = std::chrono::seconds{2};
+    /// A field of the call whose value the response must repeat; empty: none.
+    std::string echo_field_;
 };
 
 /// How a call ended. After `not_sent` the other side has seen no byte of it.
@@ -46,6 +48,7 @@
     lost,
     timeout,
     truncated,
+    mismatched, ///< a response that does not repeat the `echo_field_`
     too_large
 };
 
--- a/source/transport/http_server.hpp
+++ b/source/transport/http_server.hpp
@@ -28,6 +28,9 @@
     duration idle_time_ = std::chrono::seconds{60};
     /// Time for the caller to take a response.
     duration write_time_ = std::chrono::seconds{10};
+    /// Time after `stop()` in which connections are still taken and idle ones
+    /// are kept, so that callers hear from an answer that it ends.
+    duration stop_grace_{0};
 };
 
 /// Answers one request, once; may be kept and called on the server's thread
@@ -42,6 +45,9 @@
         request_;
     /// The caller disconnected before its answer.
     std::function<void(std::uint64_t exchange)> gone_;
+    /// Makes the refusal of a request that came on a connection over the
+    /// limit; empty: a problem document, status 503, outcome `not-run`.
+    std::function<http_response(http_request const&)> overloaded_;
     /// A request that was refused for its size or form, or a connection that
     /// was dropped for its slowness; `what` is a metrics label.
     std::function<void(char const* what)> rejected_;
@@ -60,8 +66,12 @@
     /// @throws std::runtime_error which names the address
     std::string listen(std::string const& address);
 
-    /// Accepts no more connections and closes those that are idle; the others
-    /// are closed after their answer. Calls `done` once all are closed.
+    /// From now on each answer closes its connection.
+    void leave();
+
+    /// After the grace time, accepts no more connections and closes those that
+    /// are idle; the others are closed after their answer. Calls `done` once
+    /// all are closed.
     void stop(std::function<void()> done);
 
 private:
--- a/source/transport/io_thread.hpp
+++ b/source/transport/io_thread.hpp
@@ -1,7 +1,7 @@
 #ifndef CUMINFOLD_TRANSPORT_IO_THREAD_HPP
 #define CUMINFOLD_TRANSPORT_IO_THREAD_HPP
 
-#include "transport/bounded_ring.hpp"
+#include "transport/channel.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -24,7 +24,7 @@
     using task = std::function<void()>;
 
     explicit io_thread(std::size_t capacity)
-        : work_(boost::asio::make_work_guard(context_)), ring_(capacity)
+        : work_(boost::asio::make_work_guard(context_)), tasks_(capacity)
     {
     }
 
@@ -43,21 +43,40 @@
         thread_ = std::thread([this] { context_.run(); });
     }
 
-    /// Runs a task on this thread; called by one other thread only, which
-    /// waits while the ring is full.
-    void run(task work)
+    /// Sets what is called, on this thread, once there is room for tasks that
+    /// wait; it makes the other thread call `flush()`.
+    void on_room(std::function<void()> call)
+    {
+        tasks_.on_room(std::move(call));
+    }
+
+    /// Runs a task on this thread, without waiting; called by one other thread
+    /// only. A task that finds no room waits for `flush()`.
+    void put(task work)
+    {
+        tasks_.put(std::move(work));
+        wake();
+    }
+
+    /// Hands over tasks that wait; called by that other thread.
+    /// @return the tasks that still wait
+    std::size_t flush()
     {
-        while (!ring_.push(work))
+        if (tasks_.flush())
         {
-            if (stopping_)
-            {
-                return;
-            }
-            std::this_thread::yield();
+            wake();
         }
-        if (!posted_.exchange(true))
+        return tasks_.waiting();
+    }
+
+    /// As `put()`, but waits until the task is handed over. This thread must
+    /// then never wait for the caller.
+    void run(task work)
+    {
+        put(std::move(work));
+        while (flush() != 0 && !stopping_)
         {
-            boost::asio::post(context_, [this] { drain(); });
+            std::this_thread::yield();
         }
     }
 
@@ -78,19 +97,31 @@
     }
 
 private:
+    /// Tasks taken before sockets have their turn.
+    static constexpr std::size_t fair_share = 256;
+
+    void wake()
+    {
+        if (!posted_.exchange(true))
+        {
+            boost::asio::post(context_, [this] { drain(); });
+        }
+    }
+
     void drain()
     {
         posted_ = false;
-        while (auto const work = ring_.pop())
+        auto const taken = tasks_.drain(fair_share, [](task& work) { work(); });
+        if (taken == fair_share)
         {
-            (*work)();
+            wake();
         }
     }
 
     boost::asio::io_context context_{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
         work_;
-    bounded_ring<task> ring_;
+    channel<task> tasks_;
     std::atomic<bool> posted_{false};
     std::atomic<bool> stopping_{false};
     std::thread thread_;
--- a/source/worker/worker_vm.cpp
+++ b/source/worker/worker_vm.cpp
@@ -38,6 +38,8 @@
     handler.request_ =
         [this](std::uint64_t, http_request request, http_responder respond)
     { handle(std::move(request), std::move(respond)); };
+    handler.overloaded_ = [this](http_request const& request)
+    { return refuse(request, "all connections busy\n"); };
     server_ = std::make_unique<http_server>(context_, limits, handler);
 }
 
@@ -70,7 +72,7 @@
     auto const parts = request.parts();
     if (down_)
     {
-        respond(json_response(503, {{"error", "rebooting"}}));
+        respond(refuse(request, "rebooting\n"));
     }
     else if (parts.size() == 3 && parts[0] == "v1" && parts[1] == "run")
     {
@@ -108,10 +110,7 @@
 {
     if (busy() >= settings_.shape_.slots_)
     {
-        ++refused_;
-        http_response response = make_reply(503, request, "all slots busy\n");
-        response.fields_["cuminfold-not-started"] = "true";
-        respond(std::move(response));
+        respond(refuse(request, "all slots busy\n"));
         return;
     }
     ++running_;
@@ -158,6 +157,14 @@
                            " " + request.body_));
 }
 
+http_response worker_vm::refuse(http_request const& request, std::string body)
+{
+    ++refused_;
+    http_response response = make_reply(503, request, std::move(body));
+    response.fields_["cuminfold-not-started"] = "true";
+    return response;
+}
+
 http_response worker_vm::make_reply(unsigned status,
                                     http_request const& request,
                                     std::string body) const
--- a/source/worker/worker_vm.hpp
+++ b/source/worker/worker_vm.hpp
@@ -88,6 +88,8 @@
     void answer_counts(http_responder const& respond);
     void set_faults(http_request const& request, http_responder const& respond);
     void reboot(http_responder const& respond);
+    /// A reply that says that the request was not started.
+    http_response refuse(http_request const& request, std::string body);
     http_response make_reply(unsigned status, http_request const& request,
                              std::string body) const;
     std::uint32_t busy() const;
