tests: Start the real programs and change valid encodings

Cause: stops, kills, faulty workers, a log that is down and bad frames were shown by no test on real processes; the workers' stand-in could not cut, double, spoil or delay a reply, the platform's not lose one in the middle; the decoders were tried on random bytes only, which seldom get past the first one.

Change: a harness that starts the programs on free ports and polls their state; fault switches of both stand-ins; property tests that change valid records and messages; the interfaces of the stand-ins, the gateway's settings and the transport's counters in docs/OPERATIONS.md.

--- a/source/platform/platform_server.cpp
+++ b/source/platform/platform_server.cpp
@@ -44,6 +44,10 @@
     duration log_delay_{0};
     /// Share of appends, in percent, whose reply is lost after the write.
     std::uint32_t lose_replies_percent_ = 0;
+    /// Share of appends, in percent, that are written twice.
+    std::uint32_t repeat_appends_percent_ = 0;
+    /// Share of reads, in percent, whose answer is cut short.
+    std::uint32_t truncate_reads_percent_ = 0;
     bool calls_down_ = false;
     bool list_down_ = false;
 };
@@ -59,6 +63,15 @@
     return make_response(status, "application/json", body.dump());
 }
 
+/// Bytes after which the connection ends.
+http_response cut_response(std::string bytes)
+{
+    http_response response;
+    response.raw_ = std::move(bytes);
+    response.raw_close_ = true;
+    return response;
+}
+
 std::uint64_t query_number(http_request const& request, std::string const& name,
                            std::uint64_t otherwise)
 {
@@ -167,15 +180,25 @@
               });
     }
 
+    bool happens(std::uint32_t percent)
+    {
+        std::uniform_int_distribution<std::uint32_t> draw(0, 99);
+        return draw(random_) < percent;
+    }
+
     void append(std::string const& stream, http_request const& request,
                 http_responder const& respond)
     {
         log_offset const offset = log_.append(stream, request.body_);
+        if (happens(faults_.repeat_appends_percent_))
+        {
+            log_.append(stream, request.body_);
+        }
         wake_readers(stream);
-        std::uniform_int_distribution<std::uint32_t> percent(0, 99);
-        if (percent(random_) < faults_.lose_replies_percent_)
+        if (happens(faults_.lose_replies_percent_))
         {
-            respond(json_response(500, {{"error", "reply lost"}}));
+            // The connection ends within the head.
+            respond(cut_response("HTTP/1.1 2"));
             return;
         }
         respond(json_response(201, {{"offset", offset}}));
@@ -243,6 +266,13 @@
         }
         std::string text;
         json::to_cbor(body, text);
+        if (happens(faults_.truncate_reads_percent_))
+        {
+            respond(cut_response("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                 std::to_string(text.size()) + "\r\n\r\n" +
+                                 text.substr(0, text.size() / 2)));
+            return;
+        }
         respond(make_response(gone ? 410 : 200, "application/cbor",
                               std::move(text)));
     }
@@ -314,6 +344,15 @@
         faults_.list_down_ = body.value("list_down", faults_.list_down_);
         faults_.lose_replies_percent_ =
             body.value("lose_replies_percent", faults_.lose_replies_percent_);
+        faults_.repeat_appends_percent_ = body.value(
+            "repeat_appends_percent", faults_.repeat_appends_percent_);
+        faults_.truncate_reads_percent_ = body.value(
+            "truncate_reads_percent", faults_.truncate_reads_percent_);
+        json const dropped = body.value("drop_before", json::object());
+        for (auto const& item : dropped.items())
+        {
+            log_.drop_before(item.key(), item.value().get<log_offset>());
+        }
         faults_.log_delay_ = std::chrono::milliseconds{
             body.value("log_delay_ms", std::int64_t{0})};
         respond(json_response(200, json::object()));
--- a/source/transport/http_message.hpp
+++ b/source/transport/http_message.hpp
@@ -55,6 +55,10 @@
     unsigned status_ = 200;
     http_fields fields_;
     std::string body_;
+    /// Bytes that a server sends as they are, in place of all the above; for
+    /// stand-ins that answer wrongly.
+    std::string raw_;
+    bool raw_close_ = false;
 };
 
 /// A response with a body of that type.
--- a/source/transport/http_session.cpp
+++ b/source/transport/http_session.cpp
@@ -387,8 +387,27 @@
     }
 }
 
+void http_session::write_raw(http_response response)
+{
+    raw_ = std::move(response.raw_);
+    keep_alive_ = keep_alive_ && !response.raw_close_;
+    asio::async_write(stream_, asio::buffer(raw_),
+                      [self = shared_from_this()](error_code error, std::size_t)
+                      { self->on_written(error); });
+}
+
 void http_session::write(http_response response)
 {
+    reading_ = false;
+    read_timer_.cancel();
+    error_code ignored;
+    stream_.socket().cancel(ignored);
+    stream_.expires_after(shared_->limits_.write_time_);
+    if (!response.raw_.empty())
+    {
+        write_raw(std::move(response));
+        return;
+    }
     response_ = http::response<http::string_body>();
     response_.result(response.status_);
     response_.version(11);
@@ -403,11 +422,6 @@
     {
         response_.body() = std::move(response.body_);
     }
-    reading_ = false;
-    read_timer_.cancel();
-    error_code ignored;
-    stream_.socket().cancel(ignored);
-    stream_.expires_after(shared_->limits_.write_time_);
     http::async_write(stream_, response_,
                       [self = shared_from_this()](error_code error, std::size_t)
                       { self->on_written(error); });
--- a/source/transport/http_session.hpp
+++ b/source/transport/http_session.hpp
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 
 /// Included by the server's own sources only.
 
@@ -73,6 +74,7 @@
     void on_readable(std::uint64_t exchange);
     void respond(std::uint64_t exchange, http_response response);
     void write(http_response response);
+    void write_raw(http_response response);
     void on_written(error_code error);
     void close_lingering();
     void discard();
@@ -88,6 +90,7 @@
         boost::beast::http::request_parser<boost::beast::http::string_body>>
         parser_;
     boost::beast::http::response<boost::beast::http::string_body> response_;
+    std::string raw_;
     std::uint64_t exchange_ = 0;
     std::size_t discarded_ = 0;
     bool answered_ = false;
--- a/source/worker/worker_vm.cpp
+++ b/source/worker/worker_vm.cpp
@@ -19,6 +19,12 @@
     return make_response(status, "application/json", body.dump());
 }
 
+time_point now()
+{
+    return std::chrono::time_point_cast<duration>(
+        std::chrono::steady_clock::now());
+}
+
 std::int64_t field_number(http_request const& request, std::string const& name,
                           std::int64_t otherwise)
 {
@@ -35,9 +41,10 @@
     http_server_limits limits;
     limits.connections_ = settings_.shape_.connections_;
     http_handler handler;
-    handler.request_ =
-        [this](std::uint64_t, http_request request, http_responder respond)
-    { handle(std::move(request), std::move(respond)); };
+    handler.request_ = [this](std::uint64_t exchange, http_request request,
+                              http_responder respond)
+    { handle(exchange, std::move(request), std::move(respond)); };
+    handler.gone_ = [this](std::uint64_t exchange) { take_gone(exchange); };
     handler.overloaded_ = [this](http_request const& request)
     { return refuse(request, "all connections busy\n"); };
     server_ = std::make_unique<http_server>(context_, limits, handler);
@@ -67,7 +74,17 @@
     server_->stop(std::move(done));
 }
 
-void worker_vm::handle(http_request request, http_responder respond)
+void worker_vm::take_gone(std::uint64_t exchange)
+{
+    ++gone_;
+    if (hanging_.erase(exchange) != 0)
+    {
+        --running_;
+    }
+}
+
+void worker_vm::handle(std::uint64_t exchange, http_request request,
+                       http_responder respond)
 {
     auto const parts = request.parts();
     if (down_)
@@ -76,7 +93,7 @@
     }
     else if (parts.size() == 3 && parts[0] == "v1" && parts[1] == "run")
     {
-        run_request(parts[2], request, respond);
+        run_request(exchange, parts[2], request, respond);
     }
     else if (parts.size() == 4 && parts[1] == "tasks")
     {
@@ -104,7 +121,7 @@
     }
 }
 
-void worker_vm::run_request(std::string const& service,
+void worker_vm::run_request(std::uint64_t exchange, std::string const& service,
                             http_request const& request,
                             http_responder const& respond)
 {
@@ -122,10 +139,13 @@
     }
     if (faults_.hang_)
     {
+        hanging_.insert(exchange);
         return;
     }
     duration const time =
-        faults_.fail_all_ ? duration{0} : draw_run_time(settings_.run_time_);
+        faults_.fails_at(now())
+            ? duration{0}
+            : draw_run_time(settings_.run_time_) + faults_.late_;
     auto const timer = std::make_shared<steady_timer>(context_, time);
     timer->async_wait(
         [this, timer, service, request, respond,
@@ -147,14 +167,16 @@
         return;
     }
     --running_;
-    if (faults_.fail_all_)
+    if (faults_.fails_at(now()))
     {
         respond(make_reply(500, request, "failed\n"));
         return;
     }
-    respond(make_reply(200, request,
-                       service + " " + request.field("cuminfold-request-id") +
-                           " " + request.body_));
+    http_response reply =
+        make_reply(200, request,
+                   service + " " + request.field("cuminfold-request-id") + " " +
+                       request.body_);
+    respond(spoil(faults_, std::move(reply)));
 }
 
 http_response worker_vm::refuse(http_request const& request, std::string body)
@@ -316,6 +338,7 @@
                                 {"refused", refused_},
                                 {"cut", cut_},
                                 {"reboots", reboots_},
+                                {"gone", gone_},
                                 {"repeated_keys", repeats},
                                 {"runs_by_key", runs_by_key_}}));
 }
@@ -329,12 +352,7 @@
         respond(json_response(400, {{"error", "expected a JSON object"}}));
         return;
     }
-    faults_.fail_all_ = body.value("fail_all", faults_.fail_all_);
-    faults_.hang_ = body.value("hang", faults_.hang_);
-    faults_.swap_ids_ = body.value("swap_ids", faults_.swap_ids_);
-    faults_.unhealthy_ = body.value("unhealthy", faults_.unhealthy_);
-    faults_.leaving_ = body.value("leaving", faults_.leaving_);
-    faults_.slowdown_ = body.value("slowdown", faults_.slowdown_);
+    update_faults(faults_, body);
     respond(json_response(200, json::object()));
 }
 
@@ -344,6 +362,7 @@
     ++reboots_;
     ++boot_;
     running_ = 0;
+    hanging_.clear();
     down_ = true;
     for (auto& item : tasks_)
     {
--- a/source/worker/worker_vm.hpp
+++ b/source/worker/worker_vm.hpp
@@ -5,6 +5,7 @@
 #include "kernel/record.hpp"
 #include "kernel/time.hpp"
 #include "transport/http_server.hpp"
+#include "worker/worker_faults.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -15,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 namespace cuminfold
@@ -33,17 +35,6 @@
     duration reboot_time_{0};
 };
 
-/// Faults that can be switched on while it runs.
-struct worker_faults
-{
-    bool fail_all_ = false;      ///< answers 500 at once
-    bool hang_ = false;          ///< never answers
-    bool swap_ids_ = false;      ///< answers name another request
-    bool unhealthy_ = false;     ///< probes say so
-    bool leaving_ = false;       ///< answers say that it is leaving
-    std::uint32_t slowdown_ = 1; ///< factor of the run times
-};
-
 /// One worker VM: runs requests and tasks within its slots, in memory.
 class worker_vm
 {
@@ -74,8 +65,11 @@
         std::shared_ptr<boost::asio::steady_timer> lease_;
     };
 
-    void handle(http_request request, http_responder respond);
-    void run_request(std::string const& service, http_request const& request,
+    void handle(std::uint64_t exchange, http_request request,
+                http_responder respond);
+    void take_gone(std::uint64_t exchange);
+    void run_request(std::uint64_t exchange, std::string const& service,
+                     http_request const& request,
                      http_responder const& respond);
     void answer_run(std::string const& service, http_request const& request,
                     http_responder const& respond, std::uint64_t boot);
@@ -103,6 +97,8 @@
     std::uint64_t boot_ = 1;
     bool down_ = false;
     std::uint32_t running_ = 0;
+    /// Requests that are never answered, until their callers leave.
+    std::set<std::uint64_t> hanging_;
     std::map<std::string, task> tasks_;
     /// Runs of each key that callers marked.
     std::map<std::string, std::uint32_t> runs_by_key_;
@@ -111,6 +107,8 @@
     /// Requests and tasks that a reboot cut.
     std::uint64_t cut_ = 0;
     std::uint64_t reboots_ = 0;
+    /// Requests whose callers left before the answer.
+    std::uint64_t gone_ = 0;
 };
 
 } // namespace cuminfold
