--- a/source/kernel/fleet/fleet_drain_fold.cpp
+++ b/source/kernel/fleet/fleet_drain_fold.cpp
@@ -2,11 +2,27 @@
 
 #include "kernel/fleet/budget.hpp"
 
+#include <iterator>
 #include <string>
 
 namespace cuminfold
 {
 
+namespace
+{
+
+/// A wave that is no longer declared asks for nothing.
+void forget_past_waves(vm_entry& vm, intended_state const& intended)
+{
+    for (auto place = vm.maintained_.begin(); place != vm.maintained_.end();)
+    {
+        bool const past = intended.waves_.count(*place) == 0;
+        place = past ? vm.maintained_.erase(place) : std::next(place);
+    }
+}
+
+} // namespace
+
 void fleet_state::fold(drain_granted const& body, place const& at)
 {
     vm_entry const* entry = expect(body.vm_, body.expected_);
@@ -115,7 +131,7 @@
     note(body.vm_, "reboot decided");
 }
 
-void fleet_state::fold(vm_returned const& body, place const&)
+void fleet_state::fold(vm_returned const& body, place const& at)
 {
     vm_entry const* entry = expect(body.vm_, body.expected_);
     if (entry == nullptr)
@@ -131,6 +147,7 @@
                       [&](vm_entry& vm)
                       {
                           vm.phase_ = vm_phase::serving;
+                          forget_past_waves(vm, at.intended_);
                           vm.maintained_.insert(vm.wave_);
                           vm.wave_ = wave_name{};
                           vm.down_ = false;
