--- a/source/controller/controller_settings_file.cpp
+++ b/source/controller/controller_settings_file.cpp
@@ -34,6 +34,9 @@
     in.read("probe_interval", settings.kernel_.probe_interval_,
             std::chrono::milliseconds{10});
     in.read("rank_step", settings.kernel_.rank_step_);
+    in.read("move_delay", settings.kernel_.move_delay_);
+    in.read("return_timeout", settings.kernel_.return_timeout_,
+            std::chrono::seconds{1});
     in.read("change_timeout", settings.kernel_.change_timeout_,
             std::chrono::milliseconds{100});
     settings.kernel_.self_ = incarnation{node_id{name}, draw_incarnation()};
--- a/source/kernel/maintenance/pool_balance.cpp
+++ b/source/kernel/maintenance/pool_balance.cpp
@@ -86,6 +86,22 @@
     return std::max({by_size, by_need, extra});
 }
 
+std::uint32_t pool_balance::missing_for_drain(pool_name const& pool) const
+{
+    auto const budget = intended_.budgets_.find(pool);
+    if (budget == intended_.budgets_.end())
+    {
+        return 0;
+    }
+    pool_standing const& now = standing(pool);
+    pool_usage all_serve;
+    all_serve.available_by_rack_ = now.by_rack_;
+    std::uint32_t const reserve =
+        reserve_of(all_serve, budget->second.reserve_, nullptr);
+    return positive_difference(budget->second.need_ + reserve + 1,
+                               now.members_);
+}
+
 std::uint32_t pool_balance::surplus(pool_spec const& pool,
                                     data_centre_name const& data_centre) const
 {
--- a/source/plugins/duties/pool_assignment.cpp
+++ b/source/plugins/duties/pool_assignment.cpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -27,7 +28,7 @@
         }
         turn_.forget_idle(context.now_);
         std::map<vm_id, pool_name> chosen;
-        pool_balance balance(context.fleet_, *context.config_.current());
+        std::optional<pool_balance> balance;
         for (auto const& item : context.fleet_.vms().all())
         {
             vm_entry const& vm = item.second;
@@ -36,12 +37,16 @@
             {
                 continue;
             }
-            pool_name const pool = choose(balance, vm);
+            if (!balance)
+            {
+                balance.emplace(context.fleet_, *context.config_.current());
+            }
+            pool_name const pool = choose(*balance, vm);
             if (pool.empty())
             {
                 continue;
             }
-            balance.expect(vm, pool);
+            balance->expect(vm, pool);
             chosen[vm.vm_] = pool;
             propose(context, vm, pool);
         }
--- a/source/plugins/duties/pool_moves.cpp
+++ b/source/plugins/duties/pool_moves.cpp
@@ -89,7 +89,9 @@
             !meets_need(context.fleet_.vms(), intended, vm.pool_);
         bool const target_over =
             balance.surplus(target->second, vm.data_centre_) != 0 &&
-            extra_for_wave(context, target->second) == 0 &&
+            extra_for_wave(context, target->second,
+                           spares_missing(context.fleet_.vms(), intended,
+                                          vm.target_)) == 0 &&
             is_above_need(balance, intended, vm.target_);
         return own_short || (target_over && !target->second.spare_);
     }
@@ -105,17 +107,16 @@
                standing.members_ - standing.down_ > budget->second.need_;
     }
 
-    /// VMs that the pool needs so that its budget can admit a wave's drains.
+    /// The VMs that are missing for a drain, if a wave waits for them.
     static std::uint32_t extra_for_wave(duty_context& context,
-                                        pool_spec const& pool)
+                                        pool_spec const& pool,
+                                        std::uint32_t missing)
     {
-        intended_state const& intended = *context.config_.current();
-        std::uint32_t const missing =
-            spares_missing(context.fleet_.vms(), intended, pool.name_);
         if (missing == 0)
         {
             return 0;
         }
+        intended_state const& intended = *context.config_.current();
         for (auto const& item : intended.waves_)
         {
             if (waits_for_spare(context, item.second, pool))
@@ -152,10 +153,8 @@
     {
         auto const& home = context.settings_.data_centre_;
         pool_standing const& standing = balance.standing(pool.name_);
-        // Releases that are under way make up for what is missing.
-        std::uint32_t const missing = extra_for_wave(context, pool);
-        std::uint32_t const extra =
-            missing > standing.coming_ ? missing - standing.coming_ : 0;
+        std::uint32_t const extra = extra_for_wave(
+            context, pool, balance.missing_for_drain(pool.name_));
         if (pool.spare_ || balance.lack(pool, home, extra) == 0 ||
             (pool.spread_.empty() && balance.giver(pool.name_) != home))
         {
--- a/source/plugins/duties/wave_planner.cpp
+++ b/source/plugins/duties/wave_planner.cpp
@@ -21,10 +21,12 @@
 public:
     void handle(duty_context& context, controller_event const& event) override
     {
-        if (!std::holds_alternative<tick>(event) || !context.ready_)
+        if (!std::holds_alternative<tick>(event) || !context.ready_ ||
+            context.now_ < next_)
         {
             return;
         }
+        next_ = context.now_ + context.settings_.rank_step_;
         turn_.forget_idle(context.now_);
         for (auto const& item : context.config_.current()->waves_)
         {
@@ -89,6 +91,7 @@
         return *made;
     }
 
+    time_point next_{};
     std::map<std::string, std::unique_ptr<wave_strategy>> strategies_;
     proposal_turn turn_;
 };
--- a/tests/benchmarks/wave_benchmark.cpp
+++ b/tests/benchmarks/wave_benchmark.cpp
@@ -14,14 +14,15 @@
 
 /// Prints roll-out time, buffer and moves of a full wave of one deployment,
 /// for every strategy, with and without a rack that fails in mid-wave.
-///   wave_benchmark FOLDER [SEEDS]
+///   wave_benchmark FOLDER SEEDS VMS...   (of each data centre)
 
 using namespace cuminfold;
 
 namespace
 {
 
-constexpr std::uint32_t default_seeds = 20;
+constexpr int first_vms_argument = 3;
+constexpr std::uint32_t spare_vms = 4;
 constexpr duration settle = std::chrono::minutes{2};
 constexpr duration wave_limit = std::chrono::hours{4};
 constexpr duration rack_fails_after = std::chrono::seconds{150};
@@ -324,18 +325,25 @@
 
 int main(int argc, char** argv)
 {
-    if (argc < 2)
+    if (argc < first_vms_argument + 1)
     {
-        std::fputs("usage: wave_benchmark FOLDER [SEEDS]\n", stderr);
+        std::fputs("usage: wave_benchmark FOLDER SEEDS VMS...\n", stderr);
         return 2;
     }
     config_files const files = read_folder(argv[1]);
-    std::uint64_t const seeds =
-        argc > 2 ? std::strtoull(argv[2], nullptr, 10) : default_seeds;
+    std::uint64_t const seeds = std::strtoull(argv[2], nullptr, 10);
+    std::vector<std::uint32_t> vms;
+    for (int i = first_vms_argument; i < argc; ++i)
+    {
+        vms.push_back(
+            static_cast<std::uint32_t>(std::strtoul(argv[i], nullptr, 10)));
+    }
+    auto with_spares = vms;
+    with_spares.back() += spare_vms;
     std::vector<scenario> const scenarios = {
-        {"no failure", {20, 16, 16}, false, false},
-        {"rack fails", {20, 16, 16}, true, false},
-        {"rack replaced, 4 spares", {20, 16, 20}, true, true}};
+        {"no failure", vms, false, false},
+        {"rack fails", vms, true, false},
+        {"rack replaced, 4 spares", with_spares, true, true}};
     std::puts("| scenario | strategy | done/stopped/runs | minutes | longest | "
               "times one_at_a_time | buffer | rack share | pools over share | "
               "moves | naive moves | breaches | records a drain |");
