--- a/source/load/load_run.cpp
+++ b/source/load/load_run.cpp
@@ -57,6 +57,8 @@
             std::chrono::duration<double>(gap_(random_)));
         if (next_ - start_ > settings_.length_)
         {
+            all_sent_ = true;
+            stop_if_done();
             return;
         }
         timer_.expires_at(next_);
@@ -92,9 +94,23 @@
         call.timeout_ = settings_.deadline_ + answer_margin;
         // Latency counts from when the request was due, not from when this
         // process came to send it.
+        ++open_;
         client_.start(std::move(call),
                       [this, body, due = next_](http_result const& result)
-                      { take(body, due, result); });
+                      {
+                          --open_;
+                          take(body, due, result);
+                          stop_if_done();
+                      });
+    }
+
+    /// Closes what idles once all is answered, which ends the run.
+    void stop_if_done()
+    {
+        if (all_sent_ && open_ == 0)
+        {
+            client_.stop();
+        }
     }
 
     void take(std::string const& body, clock::time_point due,
@@ -163,6 +179,8 @@
     clock::time_point start_;
     clock::time_point next_;
     load_report report_;
+    std::uint64_t open_ = 0;
+    bool all_sent_ = false;
 };
 
 json describe_times(std::vector<duration>& times)
--- a/source/load/main.cpp
+++ b/source/load/main.cpp
@@ -43,12 +43,47 @@
     return settings;
 }
 
+void override_settings(po::variables_map const& given, load_settings& settings)
+{
+    if (given.count("rate") != 0)
+    {
+        settings.rate_ = given["rate"].as<double>();
+    }
+    if (given.count("length") != 0)
+    {
+        std::string const text = given["length"].as<std::string>();
+        auto const length = parse_duration(text);
+        if (!length)
+        {
+            throw usage_error("--length: '" + text + "' is no time");
+        }
+        settings.length_ = *length;
+    }
+    if (given.count("seed") != 0)
+    {
+        settings.seed_ = given["seed"].as<std::uint64_t>();
+    }
+    if (given.count("targets") != 0)
+    {
+        settings.targets_ = given["targets"].as<std::vector<std::string>>();
+    }
+    if (settings.rate_ <= 0 || settings.length_.count() <= 0)
+    {
+        throw usage_error("rate and length must be above zero");
+    }
+}
+
 int run(int argc, char const* const* argv)
 {
     po::options_description options("Options");
     options.add_options()("help,h", "print this text and exit")(
         "version,v", "print the version and exit")(
-        "config,c", po::value<std::string>(), "settings file (YAML)");
+        "config,c", po::value<std::string>(), "settings file (YAML)")(
+        "rate,r", po::value<double>(), "arrivals a second, instead of rate")(
+        "length,n", po::value<std::string>(), "such as 10s, instead of length")(
+        "seed,s", po::value<std::uint64_t>(), "instead of seed")(
+        "targets,t", po::value<std::vector<std::string>>()->multitoken(),
+        "IP:PORT of gateways, instead of targets");
     po::variables_map given;
     po::store(po::parse_command_line(argc, argv, options), given);
     if (given.count("help") != 0)
@@ -67,7 +102,8 @@
     {
         throw usage_error("--config FILE is missing");
     }
-    load_settings const settings = load_from(given["config"].as<std::string>());
+    load_settings settings = load_from(given["config"].as<std::string>());
+    override_settings(given, settings);
     load_report const report = run_load(settings);
     std::cout << describe_report(settings, report) << "\n";
     return report.wrong_ == 0 ? exit_fine : exit_failed;
--- a/tests/processes/gateway_process_test.cpp
+++ b/tests/processes/gateway_process_test.cpp
@@ -144,3 +144,17 @@
     CHECK(peer.closed());
     CHECK(is_own_answer(fleet.request(0, "read", "a").get(), "a"));
 }
+
+TEST_CASE("the load tool ends by itself once all is answered")
+{
+    small_fleet fleet(4, 1);
+    std::string const settings = fleet.write_file(
+        "load.yaml", "targets: [" + fleet.gateway_address(0) +
+                         "]\nservices: [read]\nrate: 1\nlength: 1h\n");
+    child_process load(CUMINFOLD_LOAD,
+                       {"--config", settings, "--rate", "200", "--length",
+                        "500ms", "--seed", "7"},
+                       settings + ".err");
+    CHECK(load.wait() == 0);
+    CHECK(fleet.worker_count("runs") > 0);
+}
--- a/tests/processes/small_fleet.hpp
+++ b/tests/processes/small_fleet.hpp
@@ -53,11 +53,13 @@
     /// The value of a line of a server's metrics; 0 if it is not there.
     double metric(std::string const& address, std::string const& line);
 
+    /// Writes a file into the fleet's folder and returns its path.
+    std::string write_file(std::string const& name, std::string const& text);
+
     /// Polls until it holds; false after a long time.
     static bool eventually(std::function<bool()> const& holds);
 
 private:
-    std::string write_file(std::string const& name, std::string const& text);
     std::unique_ptr<child_process> start(std::string const& path,
                                          std::string const& name,
                                          std::string const& settings);
