--- a/tests/transport/raw_socket.hpp
+++ b/tests/transport/raw_socket.hpp
@@ -54,7 +54,7 @@
         }
         std::size_t const length =
             at == std::string::npos ? kept_.size() : at + text.size();
-        std::string const taken = kept_.substr(0, length);
+        std::string taken = kept_.substr(0, length);
         kept_.erase(0, length);
         return taken;
     }
