--- a/source/kernel/log/log_tail.cpp
+++ b/source/kernel/log/log_tail.cpp
@@ -1,5 +1,7 @@
 #include "kernel/log/log_tail.hpp"
 
+#include "kernel/hash.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -7,7 +9,9 @@
 {
 
 log_tail::log_tail(stream_name stream, log_tail_options options)
-    : stream_(std::move(stream)), options_(options)
+    : stream_(std::move(stream)), options_(options),
+      backoff_(options.backoff_first_, options.backoff_limit_,
+               stable_hash(stream_.text()))
 {
 }
 
@@ -41,13 +45,13 @@
         return {};
     }
     reachable_ = true;
-    backoff_ = duration{0};
-    earliest_ = result.earliest_;
+    earliest_ = std::max(earliest_, result.earliest_);
     known_end_ = std::max(known_end_, result.end_);
     if (result.status_ == log_read_status::gap)
     {
-        gap_ = true;
+        gap_ = result.earliest_ > next_;
         caught_up_ = false;
+        fail_unless(now, gap_);
         return {};
     }
     std::vector<log_entry> fresh;
@@ -60,7 +64,9 @@
         fresh.push_back(entry);
         ++next_;
     }
+    // An answer may be truncated, or name an end that is not true yet.
     caught_up_ = next_ >= known_end_;
+    fail_unless(now, caught_up_ || !fresh.empty());
     return fresh;
 }
 
@@ -75,9 +81,17 @@
 void log_tail::fail(time_point now)
 {
     reachable_ = false;
-    backoff_ = std::clamp(backoff_ * 2, options_.backoff_first_,
-                          options_.backoff_limit_);
-    not_before_ = now + backoff_;
+    not_before_ = now + backoff_.next();
+}
+
+void log_tail::fail_unless(time_point now, bool progress)
+{
+    if (progress)
+    {
+        backoff_.reset();
+        return;
+    }
+    not_before_ = now + backoff_.next();
 }
 
 } // namespace cuminfold
--- a/source/kernel/log/log_tail.hpp
+++ b/source/kernel/log/log_tail.hpp
@@ -2,6 +2,7 @@
 #define CUMINFOLD_KERNEL_LOG_LOG_TAIL_HPP
 
 #include "kernel/identifier.hpp"
+#include "kernel/log/backoff.hpp"
 #include "kernel/log_port.hpp"
 #include "kernel/time.hpp"
 
@@ -77,6 +78,8 @@
 
 private:
     void fail(time_point now);
+    /// Delays the next read after an answer that brought nothing on.
+    void fail_unless(time_point now, bool progress);
 
     stream_name stream_;
     log_tail_options options_;
@@ -88,7 +91,7 @@
     bool reachable_ = false;
     std::optional<time_point> sent_at_;
     time_point not_before_{};
-    duration backoff_{0};
+    backoff backoff_;
 };
 
 } // namespace cuminfold
