--- a/source/controller/controller_settings_file.cpp
+++ b/source/controller/controller_settings_file.cpp
@@ -1,6 +1,7 @@
 #include "controller/controller_settings_file.hpp"
 
 #include "config/settings_file.hpp"
+#include "wire/state_codec.hpp"
 
 #include <chrono>
 
@@ -36,6 +37,19 @@
     in.read("rank_step", settings.kernel_.rank_step_);
     in.read("change_timeout", settings.kernel_.change_timeout_,
             std::chrono::milliseconds{100});
+    in.read("append_rate", settings.kernel_.append_rate_, 0, 10'000);
+    in.read("append_burst", settings.kernel_.append_burst_, 1, 10'000);
+    in.read("snapshot_interval", settings.kernel_.snapshot_interval_,
+            std::chrono::seconds{1});
+    in.read("snapshot_entries", settings.kernel_.snapshot_entries_, 1);
+    auto& members = settings.kernel_.membership_;
+    in.read("heartbeat_interval", members.heartbeat_interval_,
+            std::chrono::milliseconds{10});
+    in.read("suspect_after", members.suspect_after_,
+            std::chrono::milliseconds{50});
+    in.read("unheard_after", settings.kernel_.unheard_after_,
+            std::chrono::seconds{1});
+    settings.kernel_.snapshot_codec_ = make_state_codec();
     settings.kernel_.self_ = incarnation{node_id{name}, draw_incarnation()};
     settings.kernel_.seed_ = settings.kernel_.self_.number_;
     settings.kernel_.data_centre_ = data_centre_name{data_centre};
--- a/source/controller/operator_api.cpp
+++ b/source/controller/operator_api.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -234,6 +235,43 @@
     return json_response(200, body);
 }
 
+/// Nodes that have, and have not, applied the configuration of an offset.
+http_response describe_confirmations(http_request const& request,
+                                     controller_kernel const& kernel)
+{
+    std::string const prefix = "offset=";
+    if (request.query_.compare(0, prefix.size(), prefix) != 0)
+    {
+        return json_response(400, {{"error", "offset: missing"}});
+    }
+    std::string const text = request.query_.substr(prefix.size());
+    bool const number =
+        !text.empty() && text.size() < 20 &&
+        text.find_first_not_of("0123456789") == std::string::npos;
+    if (!number)
+    {
+        return json_response(400, {{"error", "offset: not a number"}});
+    }
+    log_offset const offset = std::stoull(text);
+    std::set<std::string> confirmed;
+    std::set<std::string> missing;
+    for (auto const& item : kernel.members().members())
+    {
+        bool const applied = item.second.config_next_ > offset;
+        (applied ? confirmed : missing).insert(item.first.text());
+    }
+    for (auto const& item : kernel.fleet().gateways().all())
+    {
+        if (confirmed.count(item.first.text()) == 0)
+        {
+            missing.insert(item.first.text());
+        }
+    }
+    return json_response(
+        200,
+        {{"offset", offset}, {"confirmed", confirmed}, {"missing", missing}});
+}
+
 using describer = json (*)(controller_kernel const&);
 
 struct resource
@@ -261,6 +299,10 @@
     {
         return explain_vm(parts[3], kernel);
     }
+    if (parts.size() == 2 && parts[0] == "v1" && parts[1] == "confirmations")
+    {
+        return describe_confirmations(request, kernel);
+    }
     for (auto const& entry : resources)
     {
         if (parts.size() == 2 && parts[0] == "v1" && parts[1] == entry.name_)
@@ -328,12 +370,20 @@
     {
         conflicts.push_back(file.text());
     }
+    json in_force = json::object();
+    for (auto const& conflict : outcome.conflict_details_)
+    {
+        in_force[conflict.file_.text()] = {
+            {"revision", offset_value(conflict.revision_)},
+            {"author", conflict.author_}};
+    }
     bool const invalid = outcome.why_ == reason::config_invalid;
     return json_response(invalid ? 422 : 409,
                          {{"outcome", "not-run"},
                           {"reason", std::string(name_of(outcome.why_))},
                           {"offset", outcome.offset_},
                           {"conflicts", conflicts},
+                          {"in_force", in_force},
                           {"errors", errors}});
 }
 
--- a/source/kernel/config/config_state.cpp
+++ b/source/kernel/config/config_state.cpp
@@ -10,12 +10,20 @@
 {
 
 constexpr std::size_t outcome_limit = 1024;
+/// Changes that a snapshot holds besides the oldest files: readers of another
+/// stream may lag by as many.
+constexpr std::size_t history_kept = 256;
+
+std::shared_ptr<intended_state const> const& empty_state()
+{
+    static auto const state = std::make_shared<intended_state const>();
+    return state;
+}
 
 } // namespace
 
 config_state::config_state(config_merger merger)
-    : merger_(std::move(merger)),
-      current_(std::make_shared<intended_state const>())
+    : merger_(std::move(merger)), current_(empty_state())
 {
 }
 
@@ -45,25 +53,20 @@
     change_outcome outcome;
     outcome.id_ = item.id_;
     outcome.offset_ = offset;
-    outcome.conflicts_ = find_conflicts(*change);
-    if (!outcome.conflicts_.empty())
+    outcome.conflict_details_ = find_conflicts(*change);
+    if (!outcome.conflict_details_.empty())
     {
+        for (auto const& conflict : outcome.conflict_details_)
+        {
+            outcome.conflicts_.push_back(conflict.file_);
+        }
         outcome.why_ = reason::config_conflict;
         keep_outcome(std::move(outcome));
         return;
     }
+    accepted_change accepted{offset, change->author_, change->edits_};
     config_files files = files_;
-    for (auto const& edit : change->edits_)
-    {
-        if (edit.removed_)
-        {
-            files.erase(edit.file_);
-        }
-        else
-        {
-            files[edit.file_] = config_file{edit.text_, offset};
-        }
-    }
+    apply_edits(files, accepted);
     merge_result merged = merger_(files);
     if (!merged.errors_.empty() || !merged.state_)
     {
@@ -75,73 +78,147 @@
     files_ = std::move(files);
     current_ = std::move(merged.state_);
     version_ = offset;
-    history_[offset] = current_;
+    history_.add(std::move(accepted));
     outcome.accepted_ = true;
     keep_outcome(std::move(outcome));
 }
 
-std::vector<file_name>
+std::vector<config_conflict>
 config_state::find_conflicts(config_change const& change) const
 {
-    std::vector<file_name> conflicts;
+    std::vector<config_conflict> conflicts;
     for (auto const& edit : change.edits_)
     {
         auto const found = files_.find(edit.file_);
-        log_offset const revision =
-            found == files_.end() ? no_offset : found->second.revision_;
-        if (revision != edit.expected_revision_)
+        config_file const in_force =
+            found == files_.end() ? config_file{} : found->second;
+        if (in_force.revision_ != edit.expected_revision_)
         {
-            conflicts.push_back(edit.file_);
+            conflicts.push_back(
+                {edit.file_, in_force.revision_, in_force.author_});
         }
     }
     return conflicts;
 }
 
-bool config_state::restore(config_files files, record_window window,
-                           log_offset version, log_offset next)
+bool config_state::restore(config_data data)
 {
-    if (next < next_)
+    if (data.next_ < next_)
     {
         return false;
     }
-    merge_result merged = merger_(files);
-    if (!merged.errors_.empty() || !merged.state_)
+    config_history history;
+    history.reset(std::move(data.base_), data.base_version_,
+                  std::move(data.changes_));
+    log_offset const version = history.changes().empty()
+                                   ? history.base_version()
+                                   : history.changes().back().offset_;
+    config_files files = history.files_of(version);
+    auto state = empty_state();
+    if (version != no_offset)
     {
-        return false;
+        merge_result merged = merger_(files);
+        if (!merged.errors_.empty() || !merged.state_)
+        {
+            return false;
+        }
+        state = std::move(merged.state_);
     }
+    history_ = std::move(history);
     files_ = std::move(files);
-    window_ = std::move(window);
+    window_ = std::move(data.window_);
     version_ = version;
-    next_ = next;
-    current_ = std::move(merged.state_);
-    if (version_ != no_offset)
+    next_ = data.next_;
+    current_ = std::move(state);
+    cached_.reset();
+    return true;
+}
+
+config_data config_state::data() const
+{
+    config_history const kept = history_.last(history_kept);
+    config_data data;
+    data.base_ = kept.base();
+    data.base_version_ = kept.base_version();
+    data.changes_ = kept.changes();
+    data.window_ = window_;
+    data.next_ = next_;
+    return data;
+}
+
+bool config_state::pin(config_pin const& pin)
+{
+    if (pin.version_ == no_offset)
     {
-        history_[version_] = current_;
+        pinned_ = empty_state();
     }
+    else
+    {
+        merge_result merged = merger_(pin.files_);
+        if (!merged.errors_.empty() || !merged.state_)
+        {
+            return false;
+        }
+        pinned_ = std::move(merged.state_);
+    }
+    pinned_offset_ = pin.offset_;
+    pinned_version_ = pin.version_;
+    pinned_files_ = pin.files_;
     return true;
 }
 
-std::shared_ptr<intended_state const> config_state::at(log_offset offset) const
+std::optional<config_pin> config_state::pin_of(log_offset offset) const
 {
     if (offset == no_offset)
     {
-        return std::make_shared<intended_state const>();
+        return config_pin{};
+    }
+    if (pinned_ && offset == pinned_offset_)
+    {
+        return config_pin{offset, pinned_version_, pinned_files_};
     }
-    auto const after = history_.upper_bound(offset);
-    if (after != history_.begin())
+    auto const version = history_.version_at(offset);
+    if (!version)
     {
-        return std::prev(after)->second;
+        return std::nullopt;
     }
-    return version_ == no_offset ? current_ : nullptr;
+    return config_pin{offset, *version, history_.files_of(*version)};
 }
 
-void config_state::forget_before(log_offset offset)
+std::shared_ptr<intended_state const> config_state::at(log_offset offset) const
 {
-    auto const after = history_.upper_bound(offset);
-    if (after != history_.begin())
+    if (offset == no_offset)
+    {
+        return empty_state();
+    }
+    if (pinned_ && offset == pinned_offset_)
     {
-        history_.erase(history_.begin(), std::prev(after));
+        return pinned_;
     }
+    auto const version = history_.version_at(offset);
+    if (!version)
+    {
+        return nullptr;
+    }
+    if (*version == version_)
+    {
+        return current_;
+    }
+    if (*version == no_offset)
+    {
+        return empty_state();
+    }
+    if (!cached_ || cached_version_ != *version)
+    {
+        cached_ = merger_(history_.files_of(*version)).state_;
+        cached_version_ = *version;
+    }
+    return cached_;
+}
+
+void config_state::forget_before(log_offset offset)
+{
+    history_.forget_before(offset, history_kept);
 }
 
 change_outcome const* config_state::outcome(record_id const& id) const
--- a/source/kernel/controller/controller_duty.hpp
+++ b/source/kernel/controller/controller_duty.hpp
@@ -17,6 +17,7 @@
 namespace cuminfold
 {
 
+class fleet_view;
 class membership;
 class log_writer;
 
@@ -37,13 +38,21 @@
     std::vector<controller_action>& actions_;
 
     /// Proposes a fleet record that relies on the configuration in force here.
+    /// A kind of which the log holds a newer version is not proposed: the id
+    /// that comes back is settled at once.
     record_id propose(record_body body);
 
     /// Rank of this controller among the live ones of its data centre for the
     /// thing of that name; 0 proposes first.
     std::uint32_t rank(std::string const& name) const;
 
-    /// True if nothing may be proposed: the state is not known or not fresh.
+    /// Rank among the live controllers of all data centres.
+    std::uint32_t rank_of_all(std::string const& name) const;
+
+    /// Follows the streams; never null within `handle()`.
+    fleet_view const* view_ = nullptr;
+
+    /// False if nothing may be proposed: the state is not known or not fresh.
     bool ready_ = false;
 };
 
--- a/source/kernel/controller/controller_kernel.cpp
+++ b/source/kernel/controller/controller_kernel.cpp
@@ -22,15 +22,23 @@
     return news;
 }
 
+/// All writers of one process share its appends.
+controller_settings with_bucket(controller_settings settings)
+{
+    settings.writer_.bucket_ = std::make_shared<append_bucket>(
+        settings.append_rate_, settings.append_burst_);
+    return settings;
+}
+
 } // namespace
 
 controller_kernel::controller_kernel(controller_settings settings,
                                      config_merger merger,
                                      std::vector<std::string> const& duties)
-    : settings_(std::move(settings)), config_(std::move(merger)),
-      members_(describe_self(settings_)),
-      config_tail_(config_stream(), settings_.tail_),
-      fleet_tail_(fleet_stream(), settings_.tail_),
+    : settings_(with_bucket(std::move(settings))),
+      view_(settings_.tail_, std::move(merger), settings_.snapshot_codec_,
+            true),
+      members_(describe_self(settings_), settings_.membership_),
       config_writer_(config_stream(), settings_.self_, settings_.writer_),
       fleet_writer_(fleet_stream(), settings_.self_, settings_.writer_),
       random_(settings_.seed_)
@@ -46,17 +54,31 @@
 controller_kernel::handle(time_point now, controller_event const& event)
 {
     actions_.clear();
+    if (auto const* read = std::get_if<log_read_result>(&event))
+    {
+        route_.heard(*read);
+    }
+    auto const* received = std::get_if<peer_message>(&event);
+    auto const answer =
+        received == nullptr ? std::nullopt : route_.answer(received->message_);
+    step(now, answer ? *answer : event);
+    route_.direct(now, members_, actions_);
+    return std::move(actions_);
+}
+
+void controller_kernel::step(time_point now, controller_event const& event)
+{
     take(now, event);
+    view_.settle(&config_writer_, fleet_writer_);
     run_duties(now, event);
     settle_changes(now);
     poll_log(now);
-    return std::move(actions_);
+    count_log_events();
 }
 
 bool controller_kernel::ready() const noexcept
 {
-    return config_tail_.caught_up() && fleet_tail_.caught_up() &&
-           fleet_backlog_.empty();
+    return view_.known();
 }
 
 void controller_kernel::take(time_point now, controller_event const& event)
@@ -64,6 +86,9 @@
     if (auto const* passed = std::get_if<tick>(&event))
     {
         wall_ = passed->wall_;
+        view_.pass(now);
+        ask_peers(now);
+        keep_members(now);
     }
     else if (auto const* list = std::get_if<vm_list>(&event))
     {
@@ -71,7 +96,7 @@
     }
     else if (auto const* read = std::get_if<log_read_result>(&event))
     {
-        take_log(now, *read);
+        view_.take(now, *read);
     }
     else if (auto const* reply = std::get_if<log_append_result>(&event))
     {
@@ -83,51 +108,92 @@
         record_id const id = config_writer_.propose(change->change_);
         changes_[change->ticket_] = {id, now + settings_.change_timeout_};
     }
+    else if (auto const* received = std::get_if<peer_message>(&event))
+    {
+        take_peer(now, *received);
+    }
     else if (auto const* lost = std::get_if<peer_lost>(&event))
     {
         members_.lost(now, lost->node_);
     }
 }
 
-void controller_kernel::take_log(time_point now, log_read_result const& result)
+void controller_kernel::take_peer(time_point now, peer_message const& received)
 {
-    if (result.stream_ == config_stream())
+    auto const& body = received.message_.body_;
+    if (auto const* request = std::get_if<state_request>(&body))
+    {
+        for (auto& chunk : view_.answer(*request))
+        {
+            actions_.emplace_back(send_message{
+                received.from_.node_,
+                message{state_reply{settings_.self_, std::move(chunk)}}});
+        }
+    }
+    else if (auto const* reply = std::get_if<state_reply>(&body))
     {
-        for (auto const& entry : config_tail_.take(now, result))
+        view_.take(now, *reply);
+    }
+    else if (auto const* greeting = std::get_if<hello>(&body))
+    {
+        members_.linked(now, *greeting);
+    }
+    else if (auto const* beat = std::get_if<heartbeat>(&body))
+    {
+        if (auto const question = members_.take(now, *beat))
         {
-            config_.apply(entry);
-            config_writer_.read_back(entry);
+            actions_.emplace_back(
+                send_message{received.from_.node_, message{*question}});
         }
     }
-    if (result.stream_ == fleet_stream())
+    else if (std::holds_alternative<members_request>(body))
     {
-        for (auto& entry : fleet_tail_.take(now, result))
+        actions_.emplace_back(send_message{
+            received.from_.node_,
+            message{members_.full(now, {config().next(), fleet().next()},
+                                  route_.reachable())}});
+    }
+    else if (auto const* read = std::get_if<relayed_read>(&body))
+    {
+        // Whoever reads `config` from an offset has applied what is before.
+        if (read->read_.stream_ == config_stream())
         {
-            fleet_backlog_.push_back(std::move(entry));
+            members_.applied(received.from_, read->read_.from_);
         }
     }
-    fold_fleet();
 }
 
-void controller_kernel::fold_fleet()
+void controller_kernel::keep_members(time_point now)
 {
-    while (!fleet_backlog_.empty() &&
-           fleet_.apply(fleet_backlog_.front(), config_))
+    auto beats = members_.poll(now, {config().next(), fleet().next()},
+                               route_.reachable());
+    for (auto& beat : beats)
     {
-        fleet_writer_.read_back(fleet_backlog_.front());
-        fleet_backlog_.pop_front();
+        actions_.emplace_back(
+            send_message{beat.to_, message{std::move(beat.body_)}});
     }
 }
 
-void controller_kernel::poll_log(time_point now)
+void controller_kernel::ask_peers(time_point now)
 {
-    for (auto* tail : {&config_tail_, &fleet_tail_})
+    for (auto const& request : view_.ask_peers(now))
     {
-        if (auto read = tail->poll(now))
+        for (auto const& node : members_.controllers())
         {
-            actions_.emplace_back(std::move(*read));
+            if (node != settings_.self_.node_)
+            {
+                actions_.emplace_back(send_message{node, message{request}});
+            }
         }
     }
+}
+
+void controller_kernel::poll_log(time_point now)
+{
+    for (auto& read : view_.poll(now))
+    {
+        actions_.emplace_back(std::move(read));
+    }
     for (auto* writer : {&config_writer_, &fleet_writer_})
     {
         if (auto append = writer->poll(now))
@@ -141,19 +207,23 @@
 {
     for (auto place = changes_.begin(); place != changes_.end();)
     {
-        change_outcome const* outcome = config_.outcome(place->second.id_);
+        // A change that was overtaken was read back under another id.
+        auto const fate = config_writer_.outcome(place->second.id_);
+        record_id const id = fate ? fate->id_ : place->second.id_;
+        change_outcome const* outcome = view_.config().outcome(id);
+        bool const lost = now >= place->second.give_up_ ||
+                          (fate && fate->fate_ == proposal_fate::unknown);
         if (outcome != nullptr)
         {
-            actions_.emplace_back(
-                operator_reply{place->first, *outcome, false});
+            reply_to(place->first, *outcome, false);
             place = changes_.erase(place);
         }
-        else if (now >= place->second.give_up_)
+        else if (lost)
         {
-            change_outcome lost;
-            lost.id_ = place->second.id_;
-            lost.why_ = reason::append_unknown;
-            actions_.emplace_back(operator_reply{place->first, lost, true});
+            change_outcome unknown;
+            unknown.id_ = place->second.id_;
+            unknown.why_ = reason::append_unknown;
+            reply_to(place->first, unknown, true);
             place = changes_.erase(place);
         }
         else
@@ -163,12 +233,41 @@
     }
 }
 
+void controller_kernel::reply_to(std::uint64_t ticket, change_outcome outcome,
+                                 bool unknown)
+{
+    actions_.emplace_back(operator_reply{ticket, std::move(outcome), unknown});
+}
+
+void controller_kernel::count_log_events()
+{
+    auto const count = [this](reason why, std::uint64_t total)
+    {
+        for (auto& counted = counted_[why]; counted < total; ++counted)
+        {
+            actions_.emplace_back(count_reason{why});
+        }
+    };
+    auto const sum = [this](auto member)
+    { return (config_writer_.*member)() + (fleet_writer_.*member)(); };
+    count(reason::append_unknown, sum(&log_writer::unknown_appends));
+    count(reason::log_rate_limited, sum(&log_writer::rate_limited));
+    count(reason::peer_duplicate_address, members_.duplicates());
+    count(reason::snapshot_corrupt, view_.corrupt_snapshots());
+    for (auto const why : {reason::record_stale, reason::record_duplicate,
+                           reason::record_unknown_kind})
+    {
+        count(why, fleet().ignored(why));
+    }
+}
+
 void controller_kernel::run_duties(time_point now,
                                    controller_event const& event)
 {
-    duty_context context{now,      wall_, settings_, config_,       fleet_,
+    duty_context context{now,      wall_, settings_, config(),      fleet(),
                          members_, list_, random_,   fleet_writer_, actions_};
-    context.ready_ = ready();
+    context.view_ = &view_;
+    context.ready_ = view_.caught_up();
     for (auto const& duty : duties_)
     {
         duty->handle(context, event);
--- a/source/kernel/controller/controller_kernel.hpp
+++ b/source/kernel/controller/controller_kernel.hpp
@@ -6,13 +6,13 @@
 #include "kernel/controller/controller_duty.hpp"
 #include "kernel/controller/controller_event.hpp"
 #include "kernel/controller/controller_settings.hpp"
+#include "kernel/controller/log_route.hpp"
 #include "kernel/fleet/fleet_state.hpp"
-#include "kernel/log/log_tail.hpp"
 #include "kernel/log/log_writer.hpp"
 #include "kernel/membership/membership.hpp"
+#include "kernel/snapshot/fleet_view.hpp"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -36,16 +36,21 @@
     std::vector<controller_action> handle(time_point now,
                                           controller_event const& event);
 
-    /// True once the log was read to its end.
+    /// True if its state may be served by: the log was read to its end, or,
+    /// while the log does not answer, peers gave their state.
     bool ready() const noexcept;
 
     config_state const& config() const noexcept
     {
-        return config_;
+        return view_.config();
     }
     fleet_state const& fleet() const noexcept
     {
-        return fleet_;
+        return view_.fleet();
+    }
+    fleet_view const& view() const noexcept
+    {
+        return view_;
     }
     membership const& members() const noexcept
     {
@@ -54,10 +59,14 @@
 
 private:
     void take(time_point now, controller_event const& event);
-    void take_log(time_point now, log_read_result const& result);
-    void fold_fleet();
+    void take_peer(time_point now, peer_message const& received);
+    void ask_peers(time_point now);
+    void keep_members(time_point now);
+    void step(time_point now, controller_event const& event);
     void poll_log(time_point now);
     void settle_changes(time_point now);
+    void reply_to(std::uint64_t ticket, change_outcome outcome, bool unknown);
+    void count_log_events();
     void run_duties(time_point now, controller_event const& event);
 
     struct waiting_change
@@ -67,20 +76,18 @@
     };
 
     controller_settings settings_;
-    config_state config_;
-    fleet_state fleet_;
+    fleet_view view_;
     membership members_;
-    log_tail config_tail_;
-    log_tail fleet_tail_;
+    log_route route_;
     log_writer config_writer_;
     log_writer fleet_writer_;
-    /// Entries of `fleet` that wait for an entry of `config`.
-    std::deque<log_entry> fleet_backlog_;
     vm_list list_;
     wall_time wall_{};
     std::mt19937_64 random_;
     std::map<std::uint64_t, waiting_change> changes_;
     std::vector<std::unique_ptr<controller_duty>> duties_;
+    /// Events of the log that were counted so far, by reason.
+    std::map<reason, std::uint64_t> counted_;
     std::vector<controller_action> actions_;
 };
 
--- a/source/kernel/controller/controller_settings.hpp
+++ b/source/kernel/controller/controller_settings.hpp
@@ -4,10 +4,13 @@
 #include "kernel/identifier.hpp"
 #include "kernel/log/log_tail.hpp"
 #include "kernel/log/log_writer.hpp"
+#include "kernel/membership/membership.hpp"
+#include "kernel/snapshot/snapshot_codec.hpp"
 #include "kernel/time.hpp"
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -34,6 +37,19 @@
     duration return_timeout_ = std::chrono::minutes{5};
     /// An operator's change that is not read back by then is of unknown fate.
     duration change_timeout_ = std::chrono::seconds{10};
+    membership_options membership_;
+    /// A data centre that nobody has heard for so long counts as down.
+    duration unheard_after_ = std::chrono::seconds{30};
+    /// Appends per second of this process, over all streams; 0: no limit. All
+    /// processes together stay within the share of the platform's rate.
+    std::uint32_t append_rate_ = 10;
+    /// Appends that may follow each other at once.
+    std::uint32_t append_burst_ = 40;
+    /// States to bytes and back; none: no snapshots.
+    std::shared_ptr<snapshot_codec const> snapshot_codec_;
+    /// A snapshot is due after this time, or after so many entries.
+    duration snapshot_interval_ = std::chrono::minutes{30};
+    std::uint32_t snapshot_entries_ = 5000;
     /// Seed of the kernel's random engine.
     std::uint64_t seed_ = 1;
 };
--- a/source/kernel/fleet/fleet_state.cpp
+++ b/source/kernel/fleet/fleet_state.cpp
@@ -11,58 +11,58 @@
 
 constexpr std::size_t history_limit = 16;
 
-log_offset highest_named(log_entry const& entry, log_offset floor)
+/// The floor after a record that names `named`.
+log_offset raise(log_offset floor, log_offset named)
 {
-    for (auto const& item : entry.records_)
-    {
-        log_offset const named = item.config_offset_;
-        if (named != no_offset && (floor == no_offset || named > floor))
-        {
-            floor = named;
-        }
-    }
-    return floor;
+    bool const higher =
+        named != no_offset && (floor == no_offset || named > floor);
+    return higher ? named : floor;
 }
 
 } // namespace
 
 bool fleet_state::apply(log_entry const& entry, config_state const& config)
 {
-    if (entry.offset_ != data_.next_)
-    {
-        return false;
-    }
-    log_offset const needed = highest_named(entry, data_.config_floor_);
-    if (needed != no_offset && needed >= config.next())
+    if (entry.offset_ != data_.next_ || basis_of(entry, config) != basis::known)
     {
         return false;
     }
+    verdicts_.clear();
     for (auto const& item : entry.records_)
     {
-        log_offset const named = item.config_offset_;
-        if (named != no_offset &&
-            (data_.config_floor_ == no_offset || named > data_.config_floor_))
-        {
-            data_.config_floor_ = named;
-        }
+        data_.config_floor_ = raise(data_.config_floor_, item.config_offset_);
         ++data_.order_;
+        verdicts_.push_back({item.id_, std::nullopt});
         if (!data_.window_.accept(item.id_))
         {
             ignore(reason::record_duplicate);
             continue;
         }
-        auto const intended = config.at(data_.config_floor_);
-        if (!intended)
-        {
-            ignore(reason::record_stale);
-            continue;
-        }
-        apply_record(item, entry.offset_, *intended);
+        apply_record(item, entry.offset_, *config.at(data_.config_floor_));
     }
     ++data_.next_;
     return true;
 }
 
+fleet_state::basis fleet_state::basis_of(log_entry const& entry,
+                                         config_state const& config) const
+{
+    log_offset floor = data_.config_floor_;
+    for (auto const& item : entry.records_)
+    {
+        floor = raise(floor, item.config_offset_);
+        if (floor != no_offset && floor >= config.next())
+        {
+            return basis::not_read;
+        }
+        if (!config.at(floor))
+        {
+            return basis::forgotten;
+        }
+    }
+    return basis::known;
+}
+
 bool fleet_state::restore(fleet_data data)
 {
     if (data.next_ < data_.next_)
@@ -104,6 +104,10 @@
 void fleet_state::ignore(reason why)
 {
     ++ignored_[static_cast<std::size_t>(why)];
+    if (!verdicts_.empty())
+    {
+        verdicts_.back().ignored_ = why;
+    }
 }
 
 void fleet_state::note(vm_id const& vm, std::string what)
--- a/source/kernel/fleet/fleet_state.hpp
+++ b/source/kernel/fleet/fleet_state.hpp
@@ -5,6 +5,7 @@
 #include "kernel/fleet/gateway_table.hpp"
 #include "kernel/fleet/job_table.hpp"
 #include "kernel/fleet/vm_table.hpp"
+#include "kernel/log/log_writer.hpp"
 #include "kernel/log/record_window.hpp"
 #include "kernel/log_port.hpp"
 #include "kernel/reason.hpp"
@@ -17,6 +18,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cuminfold
 {
@@ -45,9 +47,20 @@
 class fleet_state
 {
 public:
+    /// Whether the configuration that an entry relies on is there.
+    enum class basis
+    {
+        known,
+        not_read, ///< it comes with later entries of `config`
+        forgotten ///< only a snapshot of `fleet` helps
+    };
+    basis basis_of(log_entry const& entry, config_state const& config) const;
+
     /// Folds the entry at `next()`.
-    /// @return false, and changes nothing, while the entry names a config
-    /// offset that `config` has not read; the caller tries again later.
+    /// @return false, and changes nothing, while `config` cannot tell what was
+    /// in force at the offsets that the entry relies on: it has not read that
+    /// far, or went on from a snapshot that no longer holds it. The caller
+    /// tries again later.
     bool apply(log_entry const& entry, config_state const& config);
 
     /// Replaces all by a snapshot.
@@ -78,6 +91,12 @@
     /// Gateways whose acknowledgement a release or drain still lacks.
     std::set<incarnation> missing_acknowledgements(vm_entry const& vm) const;
 
+    /// How the records of the last folded entry were judged, in their order.
+    std::vector<record_verdict> const& verdicts() const noexcept
+    {
+        return verdicts_;
+    }
+
     /// Times that a record folded to nothing, by reason.
     std::uint64_t ignored(reason why) const;
 
@@ -132,6 +151,7 @@
 
     fleet_data data_;
     std::array<std::uint64_t, reason_count> ignored_{};
+    std::vector<record_verdict> verdicts_;
 };
 
 } // namespace cuminfold
--- a/source/kernel/log/record_value.cpp
+++ b/source/kernel/log/record_value.cpp
@@ -23,6 +23,8 @@
     "claim_answered",  "claim_unknown",      "claims_forgotten",
     "snapshot_chunk",  "unknown_body"};
 
+static_assert(kinds.back() != nullptr, "each kind has its name");
+
 } // namespace
 
 bool is_low_value(record_body const& body)
--- a/source/kernel/message.hpp
+++ b/source/kernel/message.hpp
@@ -52,6 +52,8 @@
     member_status status_ = member_status::alive;
     /// Grows with each news that the member itself gives.
     std::uint64_t version_ = 0;
+    /// How far it is known to have applied the stream `config`.
+    log_offset config_next_ = 0;
 };
 
 /// How far a node has read.
@@ -61,6 +63,13 @@
     log_offset fleet_next_ = 0;
 };
 
+/// How long ago a data centre was heard.
+struct heard_data_centre
+{
+    data_centre_name data_centre_;
+    duration ago_{0};
+};
+
 /// Sent at intervals; carries only what has changed, and a digest of the
 /// whole, so that a receiver that misses something asks for it.
 struct heartbeat
@@ -72,6 +81,8 @@
     std::vector<member_news> news_;
     /// Whether the sender reaches the platform's log itself.
     bool log_reachable_ = false;
+    /// What the sender, or a node that it hears, heard of data centres.
+    std::vector<heard_data_centre> heard_;
 };
 
 /// Asks for all that the receiver knows of the members.
--- a/source/plugins/duties/vm_intake.cpp
+++ b/source/plugins/duties/vm_intake.cpp
@@ -3,8 +3,11 @@
 #include "kernel/registry.hpp"
 
 #include <chrono>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <variant>
 
 namespace cuminfold
@@ -33,14 +36,18 @@
         {
             return;
         }
+        auto const named = count_lines(context.list_);
         for (auto const& listed : context.list_.vms_)
         {
-            if (listed.data_centre_ == context.settings_.data_centre_ &&
+            // Lines that contradict each other say nothing about their VM.
+            bool const sure = named.at(listed.vm_) == 1;
+            if (sure && listed.data_centre_ == context.settings_.data_centre_ &&
                 !listed.entry_)
             {
                 record(context, listed);
             }
         }
+        dismiss_gateways(context);
     }
 
 private:
@@ -58,6 +65,73 @@
         }
     }
 
+    /// Lines of each VM that are not alike.
+    static std::map<vm_id, std::uint32_t> count_lines(vm_list const& list)
+    {
+        std::map<vm_id, listed_vm const*> first;
+        std::map<vm_id, std::uint32_t> lines;
+        for (auto const& listed : list.vms_)
+        {
+            auto const [place, fresh] = first.emplace(listed.vm_, &listed);
+            lines[listed.vm_] +=
+                fresh || !alike(*place->second, listed) ? 1 : 0;
+        }
+        return lines;
+    }
+
+    static bool alike(listed_vm const& a, listed_vm const& b)
+    {
+        return a.state_ == b.state_ && a.entry_ == b.entry_ &&
+               a.address_ == b.address_ && a.rack_ == b.rack_ &&
+               a.data_centre_ == b.data_centre_ && a.shape_ == b.shape_;
+    }
+
+    static std::string host_of(std::string const& address)
+    {
+        return address.substr(0, address.rfind(':'));
+    }
+
+    /// Whether the list says that a gateway's VM is gone: by the gateway's
+    /// name, or by an address that no other entry VM has.
+    static bool vm_gone(vm_list const& list, gateway_entry const& gateway)
+    {
+        bool gone = false;
+        for (auto const& listed : list.vms_)
+        {
+            bool const same =
+                listed.vm_.text() == gateway.gateway_.node_.text() ||
+                host_of(listed.address_) == host_of(gateway.address_);
+            if (!listed.entry_ || !same)
+            {
+                continue;
+            }
+            if (listed.state_ != listed_state::gone)
+            {
+                return false;
+            }
+            gone = true;
+        }
+        return gone;
+    }
+
+    /// Lets moves and drains go on without the acknowledgement of gateways
+    /// whose VM is gone.
+    void dismiss_gateways(duty_context& context)
+    {
+        for (auto const& item : context.fleet_.gateways().all())
+        {
+            gateway_entry const& gateway = item.second;
+            std::string const name = "gateway " + item.first.text();
+            if (gateway.data_centre_ == context.settings_.data_centre_ &&
+                vm_gone(context.list_, gateway) &&
+                !guard_.waits(context.fleet_writer_, name))
+            {
+                guard_.proposed(name, context.propose(gateway_left{
+                                          gateway.gateway_, false}));
+            }
+        }
+    }
+
     void record(duty_context& context, listed_vm const& listed)
     {
         vm_entry const* known = context.fleet_.vms().find(listed.vm_);
--- a/source/wire/fields.hpp
+++ b/source/wire/fields.hpp
@@ -324,6 +324,14 @@
     v("address", x.address_);
     v("status", x.status_);
     v("version", x.version_);
+    v("config_next", x.config_next_);
+}
+
+template <class V>
+void fields(V& v, heard_data_centre& x)
+{
+    v("data_centre", x.data_centre_);
+    v("ago", x.ago_);
 }
 
 template <class V>
@@ -342,6 +350,7 @@
     v("members_digest", x.members_digest_);
     v("news", x.news_);
     v("log_reachable", x.log_reachable_);
+    v("heard", x.heard_);
 }
 
 template <class V>
