--- a/source/kernel/request/request_options.hpp
+++ b/source/kernel/request/request_options.hpp
@@ -26,8 +26,8 @@
     duration half_life_ = std::chrono::seconds{10};
     duration ejection_first_ = std::chrono::seconds{1};
     duration ejection_limit_ = std::chrono::seconds{30};
-    /// How long a sign that a worker is leaving holds if nothing confirms it.
-    duration leaving_hold_ = std::chrono::seconds{30};
+    /// How long a sign that a worker is leaving holds if nothing takes it back.
+    duration leaving_hold_ = std::chrono::hours{24};
 };
 
 /// Tokens that pay for retries, one bucket a pool.
--- a/tests/kernel/gateway/gateway_kernel_test.cpp
+++ b/tests/kernel/gateway/gateway_kernel_test.cpp
@@ -204,6 +204,7 @@
     settings.queue_limit_ = 20000;
     small_fleet world(1, 2, settings);
     std::vector<request_id> all;
+    all.reserve(10000);
     for (int i = 0; i < 10000; ++i)
     {
         all.push_back(world.submit(0, quick()));
