cli: Keep the revisions that a folder edits and show values

Cause: apply read the revision in force just before it sent, so that the second of two racing operators overwrote the first. Names and bytes of operators' files were not checked, and a fault in a name without keys named no file.

Change: a folder keeps the revisions that it edits; another one in force is a conflict that names the file and the revision, and a file of others is never removed.

--- a/source/cli/apply_command.cpp
+++ b/source/cli/apply_command.cpp
@@ -1,8 +1,9 @@
-#include "cli/apply_command.hpp"
-
+#include "cli/command_table.hpp"
+#include "cli/config_client.hpp"
 #include "cli/controller_client.hpp"
-#include "config/merge_files.hpp"
-#include "config/operators_folder.hpp"
+#include "cli/folder_check.hpp"
+#include "cli/folder_edits.hpp"
+#include "config/folder_revisions.hpp"
 #include "config/section_reader.hpp"
 #include "transport/program.hpp"
 
@@ -17,36 +18,52 @@
 
 using nlohmann::json;
 
-/// Edits that turn the files in force into the folder's.
-json list_edits(config_files const& wanted, json const& in_force)
+json write_change(command_arguments const& arguments, folder_edits const& diff)
 {
     json edits = json::array();
+    for (auto const& edit : diff.edits_)
+    {
+        json const expected = edit.expected_revision_ == no_offset
+                                  ? json()
+                                  : json(edit.expected_revision_);
+        edits.push_back({{"file", edit.file_.text()},
+                         {"removed", edit.removed_},
+                         {"text", edit.text_},
+                         {"expected", expected}});
+    }
+    return {{"author", arguments.author_}, {"edits", edits}};
+}
+
+/// Notes in the folder which revisions it stands at after `offset`.
+void keep_revisions(std::string const& path, config_files const& wanted,
+                    config_files const& in_force, log_offset offset)
+{
+    folder_revisions revisions;
     for (auto const& item : wanted)
     {
-        std::string const& name = item.first.text();
-        bool const known = in_force.contains(name);
-        if (known && in_force[name]["text"] == item.second.text_)
-        {
-            continue;
-        }
-        edits.push_back(
-            {{"file", name},
-             {"text", item.second.text_},
-             {"expected", known ? in_force[name]["revision"] : json()}});
+        auto const current = in_force.find(item.first);
+        bool const same = current != in_force.end() &&
+                          current->second.text_ == item.second.text_;
+        revisions[item.first] = same ? current->second.revision_ : offset;
     }
-    for (auto const& item : in_force.items())
+    write_revisions(path, revisions);
+}
+
+int report_conflicts(folder_edits const& diff, std::string const& path)
+{
+    for (auto const& conflict : diff.conflicts_)
     {
-        if (wanted.count(file_name{item.key()}) == 0)
-        {
-            edits.push_back({{"file", item.key()},
-                             {"removed", true},
-                             {"expected", item.value()["revision"]}});
-        }
+        std::cerr << format_conflict(conflict) << "\n";
     }
-    return edits;
+    std::cerr << "cuminfold: nothing was sent; read what is in force with "
+                 "'cuminfold get --into FOLDER' and bring "
+              << path << " up to it, or apply with --overwrite\n";
+    return exit_failed;
 }
 
-int report_refusal(controller_answer const& answer)
+/// The refusal of a change that was sent.
+int report_refusal(command_arguments const& arguments,
+                   controller_answer const& answer)
 {
     json const& body = answer.body_;
     if (answer.status_ == 504)
@@ -55,11 +72,27 @@
                      "with 'cuminfold get' before applying again\n";
         return exit_failed;
     }
-    for (auto const& file : body.value("conflicts", json::array()))
+    if (!body.is_object())
+    {
+        std::cerr << "cuminfold: refused with status " << answer.status_
+                  << "\n";
+        return exit_failed;
+    }
+    json const conflicts = body.value("conflicts", json::array());
+    if (!conflicts.empty())
     {
-        std::cerr << file.get<std::string>()
-                  << ": conflict: it was changed by somebody else; read it "
-                     "back and apply again\n";
+        auto const now = parse_files(read_resource(arguments, "/v1/config"));
+        for (auto const& name : conflicts)
+        {
+            file_name const file{name.get<std::string>()};
+            auto const found = now.find(file);
+            std::cerr << file << ": conflict: somebody else wrote "
+                      << (found == now.end()
+                              ? std::string("its removal")
+                              : "revision " +
+                                    std::to_string(found->second.revision_))
+                      << " meanwhile\n";
+        }
     }
     for (auto const& error : body.value("errors", json::array()))
     {
@@ -70,11 +103,41 @@
                   << "\n";
     }
     std::cerr << "cuminfold: refused: " << body.value("reason", "unknown")
-              << "\n";
+              << "; what was in force stays in force\n";
     return exit_failed;
 }
 
-} // namespace
+int confirm(command_arguments const& arguments, log_offset offset)
+{
+    if (!arguments.wait_ || wait_for_confirmations(arguments, offset))
+    {
+        return exit_fine;
+    }
+    std::cerr << "cuminfold: the change is in force; these nodes had not "
+                 "confirmed it in time\n";
+    return exit_failed;
+}
+
+int send(command_arguments const& arguments, std::string const& path,
+         config_files const& wanted, config_files const& in_force,
+         folder_edits const& diff)
+{
+    auto const answer = ask_controller(arguments, "POST", "/v1/config/changes",
+                                       write_change(arguments, diff).dump());
+    if (answer.status_ != 200)
+    {
+        return report_refusal(arguments, answer);
+    }
+    auto const offset = answer.body_.at("offset").get<log_offset>();
+    keep_revisions(path, wanted, in_force, offset);
+    for (auto const& edit : diff.edits_)
+    {
+        std::cout << (edit.removed_ ? "removed " : "put ") << edit.file_
+                  << "\n";
+    }
+    std::cout << "offset " << offset << " is in force\n";
+    return confirm(arguments, offset);
+}
 
 int run_apply(command_arguments const& arguments)
 {
@@ -82,35 +145,53 @@
     {
         throw usage_error("apply takes one folder");
     }
-    config_files const wanted = read_folder(arguments.words_.front());
-    merge_result const merged = merge_files(wanted);
-    if (!merged.errors_.empty())
+    std::string const& path = arguments.words_.front();
+    checked_folder const folder = check_folder(path);
+    if (!folder.merged_.errors_.empty())
     {
-        for (auto const& error : merged.errors_)
-        {
-            std::cerr << format_error(error) << "\n";
-        }
+        print_errors(folder.merged_.errors_);
         return exit_usage;
     }
-    auto const current = ask_controller(arguments, "GET", "/v1/config");
-    json const edits =
-        list_edits(wanted, current.body_.value("files", json::object()));
-    if (edits.empty())
+    auto const read = read_revisions(path);
+    json const current = read_resource(arguments, "/v1/config");
+    auto const in_force = parse_files(current);
+    auto const diff =
+        compare_folder(folder.files_, in_force, read, arguments.overwrite_);
+    if (!diff.conflicts_.empty())
     {
-        std::cout << "nothing to change; offset "
-                  << current.body_["offset"].dump() << " is in force\n";
-        return exit_fine;
+        return report_conflicts(diff, path);
     }
-    json const change = {{"author", arguments.author_}, {"edits", edits}};
-    auto const answer =
-        ask_controller(arguments, "POST", "/v1/config/changes", change.dump());
-    if (answer.status_ != 200)
+    if (!diff.edits_.empty())
     {
-        return report_refusal(answer);
+        return send(arguments, path, folder.files_, in_force, diff);
     }
-    std::cout << edits.size() << " files changed; offset "
-              << answer.body_["offset"].dump() << " is in force\n";
-    return exit_fine;
+    auto const offset = current.at("offset").get<log_offset>();
+    keep_revisions(path, folder.files_, in_force, offset);
+    std::cout << "nothing to change; offset " << offset << " is in force\n";
+    return confirm(arguments, offset);
+}
+
+constexpr char const* help_text =
+    R"(Makes the *.yaml files of DIR the intended state: checks them as 'check' does,
+and sends what differs from the files in force as one change that takes effect
+whole or not at all.
+
+Each file carries the revision that it edits, which DIR keeps in its file
+.cuminfold-revisions; put that under version control with the rest. A file that
+somebody else has changed since is a conflict: nothing is sent, and the file
+and its revision in force are named. --overwrite edits whatever is in force.
+
+--wait waits, up to --timeout, until every live node has confirmed the change,
+and names those that have not.
+)";
+
+} // namespace
+
+command make_apply_command()
+{
+    return {"apply", "apply DIR [--wait] [--overwrite]",
+            "Make the folder the intended state: send puts and removals.",
+            help_text, &run_apply};
 }
 
 } // namespace cuminfold
--- a/source/cli/command.hpp
+++ b/source/cli/command.hpp
@@ -18,6 +18,10 @@
     bool json_ = false;
     /// `apply --wait`: until all nodes have it.
     bool wait_ = false;
+    /// `apply --overwrite`: also what this folder has not read.
+    bool overwrite_ = false;
+    /// `get --into FOLDER`; empty: print.
+    std::string into_;
     std::string author_;
     duration timeout_{0};
 };
@@ -27,6 +31,9 @@
 {
     char const* name_;
     char const* usage_;
+    /// One line for the list of commands.
+    char const* summary_;
+    /// The text of `cuminfold help COMMAND`.
     char const* help_;
     /// Returns the exit status.
     int (*run_)(command_arguments const&);
--- a/source/cli/command_line.cpp
+++ b/source/cli/command_line.cpp
@@ -2,11 +2,15 @@
 
 #include "cli/command_table.hpp"
 #include "config/duration_text.hpp"
+#include "config/operators_folder.hpp"
 #include "config/settings_file.hpp"
 #include "transport/program.hpp"
 
 #include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <cstddef>
 #include <exception>
 #include <iostream>
 #include <string>
@@ -22,6 +26,9 @@
 
 constexpr char const* version_text = "0.1.0";
 
+/// Column of the commands' summaries in the help text.
+constexpr std::size_t usage_width = 32;
+
 po::options_description describe_options()
 {
     po::options_description options("Options");
@@ -36,7 +43,10 @@
                         po::value<std::string>()->default_value("operator"),
                         "who makes the change")(
         "timeout,t", po::value<std::string>(), "how long to wait, such as 10s")(
-        "wait,w", "apply: wait until all nodes have the change");
+        "wait,w", "apply: wait until all nodes have the change")(
+        "overwrite", "apply: also change what others have changed")(
+        "into", po::value<std::string>()->default_value(""),
+        "get: write the files in force into this new folder");
     return options;
 }
 
@@ -47,8 +57,8 @@
     for (auto const& entry : command_table())
     {
         std::string usage = entry.usage_;
-        usage.resize(std::max<std::size_t>(usage.size(), 20), ' ');
-        std::cout << "  " << usage << "  " << entry.help_ << "\n";
+        usage.resize(std::max(usage.size(), usage_width), ' ');
+        std::cout << "  " << usage << "  " << entry.summary_ << "\n";
     }
     std::cout << "\n" << options;
 }
@@ -96,6 +106,8 @@
     }
     arguments.json_ = output == "json";
     arguments.wait_ = given.count("wait") != 0;
+    arguments.overwrite_ = given.count("overwrite") != 0;
+    arguments.into_ = given["into"].as<std::string>();
     arguments.words_ = given["words"].as<std::vector<std::string>>();
     return arguments;
 }
@@ -104,14 +116,7 @@
 {
     std::string const name = arguments.words_.front();
     arguments.words_.erase(arguments.words_.begin());
-    for (auto const& entry : command_table())
-    {
-        if (name == entry.name_)
-        {
-            return entry.run_(arguments);
-        }
-    }
-    throw usage_error("unknown command '" + name + "'");
+    return find_command(name).run_(arguments);
 }
 
 int parse_and_run(int argc, char const* const* argv)
@@ -164,6 +169,10 @@
         std::cerr << error.what() << "\n";
         return exit_usage;
     }
+    catch (folder_error const& error)
+    {
+        return fail(error.what(), exit_usage);
+    }
     catch (po::error const& error)
     {
         return fail(std::string(error.what()) + "; see --help", exit_usage);
@@ -172,6 +181,12 @@
     {
         return fail(std::string(error.what()) + "; see --help", exit_usage);
     }
+    catch (nlohmann::json::exception const&)
+    {
+        return fail("the controller's answer was not understood; is it of "
+                    "another version?",
+                    exit_failed);
+    }
     catch (std::exception const& error)
     {
         return fail(error.what(), exit_failed);
--- a/source/cli/command_table.hpp
+++ b/source/cli/command_table.hpp
@@ -3,14 +3,31 @@
 
 #include "cli/command.hpp"
 
+#include <string>
 #include <vector>
 
 namespace cuminfold
 {
 
+/// The commands; each is defined with its help in a file of its own.
+command make_check_command();
+command make_apply_command();
+command make_get_command();
+command make_status_command();
+command make_pools_command();
+command make_vms_command();
+command make_waves_command();
+command make_jobs_command();
+command make_explain_command();
+command make_help_command();
+
 /// All commands, in the order of the help text.
 std::vector<command> const& command_table();
 
+/// The command of that name.
+/// @throws usage_error which lists the known names
+command const& find_command(std::string const& name);
+
 } // namespace cuminfold
 
 #endif
--- a/source/cli/controller_client.cpp
+++ b/source/cli/controller_client.cpp
@@ -1,10 +1,12 @@
 #include "cli/controller_client.hpp"
 
+#include "cli/table_text.hpp"
 #include "transport/http_client.hpp"
 #include "transport/program.hpp"
 
 #include <boost/asio/io_context.hpp>
 
+#include <iostream>
 #include <stdexcept>
 #include <utility>
 
@@ -18,7 +20,8 @@
 {
     if (arguments.controller_.empty())
     {
-        throw usage_error("no controller; give --controller IP:PORT");
+        throw usage_error("no controller; give --controller IP:PORT, or "
+                          "'controller' in the settings file");
     }
     boost::asio::io_context context;
     http_client client(context, http_client_limits{});
@@ -46,4 +49,40 @@
             nlohmann::json::parse(result.response_.body_, nullptr, false)};
 }
 
+nlohmann::json read_resource(command_arguments const& arguments,
+                             std::string const& path)
+{
+    auto const answer = ask_controller(arguments, "GET", path);
+    nlohmann::json const& body = answer.body_;
+    if (answer.status_ == 200 && body.is_object())
+    {
+        return body;
+    }
+    std::string const why =
+        body.is_object() ? body.value("error", "") : std::string();
+    throw std::runtime_error(
+        "the controller at " + arguments.controller_ + " refused " + path +
+        (why.empty() ? " with status " + std::to_string(answer.status_)
+                     : ": " + why));
+}
+
+int show_resource(command_arguments const& arguments, std::string const& name,
+                  std::vector<std::string> const& columns)
+{
+    expect_no_words(arguments);
+    nlohmann::json const body = read_resource(arguments, "/v1/" + name);
+    std::cout << (arguments.json_ ? body.dump(2) + "\n"
+                                  : format_table(columns, body.at(name)));
+    return exit_fine;
+}
+
+void expect_no_words(command_arguments const& arguments)
+{
+    if (!arguments.words_.empty())
+    {
+        throw usage_error("unexpected argument '" + arguments.words_.front() +
+                          "'");
+    }
+}
+
 } // namespace cuminfold
--- a/source/config/section_reader.cpp
+++ b/source/config/section_reader.cpp
@@ -24,6 +24,15 @@
     return parsed.ec == std::errc{} && parsed.ptr == end && !text.empty();
 }
 
+/// @param most empty: there is no upper bound
+std::string describe_range(std::string const& text, std::string const& least,
+                           std::string const& most)
+{
+    std::string const range =
+        most.empty() ? "at least " + least : "within " + least + " to " + most;
+    return "out of range: " + text + " is not " + range;
+}
+
 std::string join(std::vector<std::string> const& words)
 {
     std::string text;
@@ -37,8 +46,10 @@
 } // namespace
 
 section_reader::section_reader(located_map const& values, std::string path,
-                               std::vector<config_error>& errors)
-    : values_(values), path_(std::move(path)), errors_(errors)
+                               std::vector<config_error>& errors,
+                               located_place origin)
+    : values_(values), path_(std::move(path)), errors_(errors),
+      origin_(std::move(origin))
 {
 }
 
@@ -87,8 +98,9 @@
     }
     if (value < least || value > most)
     {
-        fail(key, "out of range: " + text + " is not within " +
-                      std::to_string(least) + " to " + std::to_string(most));
+        bool const open = most == std::numeric_limits<std::uint32_t>::max();
+        fail(key, describe_range(text, std::to_string(least),
+                                 open ? "" : std::to_string(most)));
         return;
     }
     target = value;
@@ -117,8 +129,9 @@
     }
     if (*value < least || *value > most)
     {
-        fail(key, "out of range: " + text + " is not within " +
-                      format_duration(least) + " to " + format_duration(most));
+        bool const open = most == duration::max();
+        fail(key, describe_range(text, format_duration(least),
+                                 open ? "" : format_duration(most)));
         return;
     }
     target = *value;
@@ -210,6 +223,8 @@
 void section_reader::fail(std::string const& key, std::string what)
 {
     config_error error;
+    error.file_ = origin_.file_;
+    error.line_ = origin_.line_;
     auto const found = values_.find(key);
     if (found != values_.end())
     {
--- a/source/config/section_reader.hpp
+++ b/source/config/section_reader.hpp
@@ -17,6 +17,13 @@
 namespace cuminfold
 {
 
+/// A place in a file.
+struct located_place
+{
+    file_name file_;
+    std::uint32_t line_ = 0; ///< counted from 1
+};
+
 /// A YAML value and where it stands.
 struct located_node
 {
@@ -36,8 +43,10 @@
 {
 public:
     /// @param path key path of the map, for errors; empty: the whole file
+    /// @param origin where the map stands, for faults of a map without keys
     section_reader(located_map const& values, std::string path,
-                   std::vector<config_error>& errors);
+                   std::vector<config_error>& errors,
+                   located_place origin = {});
 
     bool has(std::string const& key);
 
@@ -82,6 +91,7 @@
     located_map const& values_;
     std::string path_;
     std::vector<config_error>& errors_;
+    located_place origin_;
     std::set<std::string> asked_;
 };
 
--- a/source/controller/operator_api.cpp
+++ b/source/controller/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "controller/operator_api.hpp"
 
+#include "config/value_text.hpp"
 #include "kernel/fleet/budget.hpp"
 
 #include <nlohmann/json.hpp>
@@ -51,14 +52,17 @@
             {"revision", offset_value(item.second.revision_)},
             {"text", item.second.text_}};
     }
-    json provenance = json::object();
-    for (auto const& item : kernel.config().current()->provenance_)
+    auto const& intended = *kernel.config().current();
+    auto texts = write_values(kernel.config().files(), intended);
+    json values = json::object();
+    for (auto const& item : intended.provenance_)
     {
-        provenance[item.first] = item.second.text();
+        values[item.first] = {{"value", texts[item.first]},
+                              {"file", item.second.text()}};
     }
     return {{"offset", offset_value(kernel.config().version())},
             {"files", files},
-            {"provenance", provenance}};
+            {"values", values}};
 }
 
 json describe_status(controller_kernel const& kernel)
--- a/source/worker/worker_server.cpp
+++ b/source/worker/worker_server.cpp
@@ -74,7 +74,10 @@
     {
         located_map const values = locate(item.second.file_, item.second.node_,
                                           "vms." + item.first, errors);
-        read_vm(values, item.first, errors, common, settings);
+        if (item.second.node_.IsMap())
+        {
+            read_vm(values, item.first, errors, common, settings);
+        }
     }
     if (!errors.empty())
     {
