--- a/source/controller/controller_settings_file.cpp
+++ b/source/controller/controller_settings_file.cpp
@@ -39,6 +39,11 @@
             std::chrono::seconds{1});
     in.read("change_timeout", settings.kernel_.change_timeout_,
             std::chrono::milliseconds{100});
+    in.read("job_lease", settings.kernel_.job_lease_, std::chrono::seconds{1},
+            std::chrono::hours{1});
+    in.read("job_window", settings.kernel_.job_window_,
+            std::chrono::minutes{1});
+    in.read("placement", settings.kernel_.placement_);
     settings.kernel_.self_ = incarnation{node_id{name}, draw_incarnation()};
     settings.kernel_.seed_ = settings.kernel_.self_.number_;
     settings.kernel_.data_centre_ = data_centre_name{data_centre};
--- a/source/controller/worker_client.cpp
+++ b/source/controller/worker_client.cpp
@@ -23,6 +23,12 @@
     return words[static_cast<std::size_t>(kind)];
 }
 
+bool says_not_started(http_response const& response)
+{
+    auto const found = response.fields_.find("cuminfold-not-started");
+    return found != response.fields_.end() && found->second == "true";
+}
+
 std::string to_milliseconds(duration value)
 {
     return std::to_string(value.count() / 1000);
@@ -118,6 +124,9 @@
                     answer.replied_ = reply.end_ == http_end::whole;
                     answer.accepted_ =
                         answer.replied_ && reply.response_.status_ < 300;
+                    answer.not_started_ = answer.replied_ &&
+                                          !answer.accepted_ &&
+                                          says_not_started(reply.response_);
                     answer.detail_ = reply.response_.body_;
                     done(std::move(answer));
                 });
--- a/source/kernel/controller/controller_event.hpp
+++ b/source/kernel/controller/controller_event.hpp
@@ -114,6 +114,8 @@
     bool not_sent_ = false;
     bool replied_ = false;
     bool accepted_ = false;
+    /// The worker said that a start did not start anything.
+    bool not_started_ = false;
     std::string detail_;
 };
 
--- a/source/kernel/controller/controller_settings.hpp
+++ b/source/kernel/controller/controller_settings.hpp
@@ -34,6 +34,12 @@
     duration return_timeout_ = std::chrono::minutes{5};
     /// An operator's change that is not read back by then is of unknown fate.
     duration change_timeout_ = std::chrono::seconds{10};
+    /// Lease of a job's attempt; the worker stops a task whose lease lapses.
+    duration job_lease_ = std::chrono::seconds{15};
+    /// Time for which an ended job is remembered at least.
+    duration job_window_ = std::chrono::hours{24};
+    /// Registered name of the placement strategy.
+    std::string placement_ = "spread";
     /// Seed of the kernel's random engine.
     std::uint64_t seed_ = 1;
 };
--- a/source/kernel/fleet/fleet_job_fold.cpp
+++ b/source/kernel/fleet/fleet_job_fold.cpp
@@ -6,6 +6,20 @@
 namespace cuminfold
 {
 
+namespace
+{
+
+/// Whether a team that may not borrow holds its whole quota.
+bool over_quota(job_table const& jobs, intended_state const& intended,
+                team_name const& team)
+{
+    auto const found = intended.teams_.find(team);
+    return found != intended.teams_.end() && !found->second.may_borrow_ &&
+           jobs.slots_held(team) >= found->second.slots_;
+}
+
+} // namespace
+
 void fleet_state::fold(job_submitted const& body, place const& at)
 {
     job_entry entry;
@@ -39,6 +53,11 @@
         ignore(reason::record_stale);
         return;
     }
+    if (over_quota(data_.jobs_, at.intended_, job->request_.team_))
+    {
+        ignore(reason::job_team_quota);
+        return;
+    }
     data_.jobs_.change(body.job_, at.offset_,
                        [&](job_entry& entry)
                        {
@@ -46,6 +65,7 @@
                            entry.attempt_ = body.attempt_;
                            entry.vm_ = body.vm_;
                            entry.lease_ = body.lease_;
+                           entry.placed_by_ = at.record_.id_;
                        });
     data_.vms_.annotate(body.vm_, [&](vm_entry& entry)
                         { entry.tasks_.insert(body.job_); });
@@ -118,7 +138,10 @@
                        {
                            entry.phase_ = cancelled ? job_phase::cancelled
                                                     : job_phase::waiting;
-                           entry.failed_on_.insert(vm);
+                           if (body.end_ != attempt_end::not_started)
+                           {
+                               entry.failed_on_.insert(vm);
+                           }
                            entry.vm_ = vm_id{};
                            entry.detail_ = body.detail_;
                        });
@@ -155,6 +178,7 @@
                                if (waits)
                                {
                                    entry.phase_ = job_phase::cancelled;
+                                   entry.detail_ = "cancelled while it waited";
                                }
                            });
     }
--- a/source/kernel/fleet/job_table.cpp
+++ b/source/kernel/fleet/job_table.cpp
@@ -5,6 +5,48 @@
 namespace cuminfold
 {
 
+namespace
+{
+
+template <class Key>
+void count_in(std::map<Key, std::uint32_t>& counts, Key const& key, int sign)
+{
+    auto& held = counts[key];
+    held += static_cast<std::uint32_t>(sign);
+    if (held == 0)
+    {
+        counts.erase(key);
+    }
+}
+
+template <class Key, class Value>
+void index_in(std::map<Key, std::set<Value>>& sets, Key const& key,
+              Value const& value, int sign)
+{
+    if (sign > 0)
+    {
+        sets[key].insert(value);
+        return;
+    }
+    auto const found = sets.find(key);
+    found->second.erase(value);
+    if (found->second.empty())
+    {
+        sets.erase(found);
+    }
+}
+
+template <class Key, class Value>
+std::set<Value> const& find_in(std::map<Key, std::set<Value>> const& sets,
+                               Key const& key)
+{
+    static std::set<Value> const none;
+    auto const found = sets.find(key);
+    return found == sets.end() ? none : found->second;
+}
+
+} // namespace
+
 job_entry const* job_table::find(job_id const& job) const
 {
     auto const found = jobs_.find(job);
@@ -17,6 +59,31 @@
     return found == slots_held_.end() ? 0 : found->second;
 }
 
+std::set<waiting_key> const&
+job_table::waiting(data_centre_name const& home) const
+{
+    return find_in(waiting_, home);
+}
+
+std::set<job_id> const& job_table::placed(data_centre_name const& home) const
+{
+    return find_in(placed_, home);
+}
+
+bool job_table::any_team_below(
+    std::map<team_name, std::uint32_t> const& slots) const
+{
+    for (auto const& item : waiting_by_team_)
+    {
+        auto const quota = slots.find(item.first);
+        if (quota != slots.end() && slots_held(item.first) < quota->second)
+        {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool job_table::add(job_entry entry)
 {
     job_id const job = entry.job_;
@@ -43,6 +110,8 @@
 {
     jobs_ = std::move(jobs);
     waiting_.clear();
+    placed_.clear();
+    waiting_by_team_.clear();
     slots_held_.clear();
     for (auto const& item : jobs_)
     {
@@ -52,25 +121,18 @@
 
 void job_table::count(job_entry const& entry, int sign)
 {
+    team_name const& team = entry.request_.team_;
     if (entry.phase_ == job_phase::waiting)
     {
-        if (sign > 0)
-        {
-            waiting_.insert(entry.job_);
-        }
-        else
-        {
-            waiting_.erase(entry.job_);
-        }
+        waiting_key const key{!entry.request_.urgent_, entry.last_offset_,
+                              entry.job_};
+        index_in(waiting_, entry.home_, key, sign);
+        count_in(waiting_by_team_, team, sign);
     }
     if (entry.phase_ == job_phase::placed)
     {
-        auto& held = slots_held_[entry.request_.team_];
-        held += static_cast<std::uint32_t>(sign);
-        if (held == 0)
-        {
-            slots_held_.erase(entry.request_.team_);
-        }
+        index_in(placed_, entry.home_, entry.job_, sign);
+        count_in(slots_held_, team, sign);
     }
 }
 
--- a/source/kernel/fleet/job_table.hpp
+++ b/source/kernel/fleet/job_table.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 
 namespace cuminfold
 {
@@ -42,6 +43,9 @@
     std::uint32_t attempt_ = 0;
     vm_id vm_;
     duration lease_{0};
+    /// The record that placed the latest attempt. Only its writer may send the
+    /// task's start.
+    record_id placed_by_;
     bool cancel_requested_ = false;
     /// VMs on which an attempt failed.
     std::set<vm_id> failed_on_;
@@ -52,6 +56,20 @@
     log_offset last_offset_ = 0;
 };
 
+/// Orders waiting jobs: urgent ones first, then those that wait longest.
+struct waiting_key
+{
+    bool patient_ = false; ///< not urgent
+    log_offset since_ = 0;
+    job_id job_;
+
+    friend bool operator<(waiting_key const& a, waiting_key const& b)
+    {
+        return std::tie(a.patient_, a.since_, a.job_) <
+               std::tie(b.patient_, b.since_, b.job_);
+    }
+};
+
 /// All jobs that are not forgotten.
 class job_table
 {
@@ -61,11 +79,13 @@
     {
         return jobs_;
     }
-    /// Jobs that wait for a placement.
-    std::set<job_id> const& waiting() const noexcept
-    {
-        return waiting_;
-    }
+    /// Jobs of one data centre that wait for a placement.
+    std::set<waiting_key> const& waiting(data_centre_name const& home) const;
+    /// Jobs of one data centre that are leased to a VM.
+    std::set<job_id> const& placed(data_centre_name const& home) const;
+    /// Whether a team that has waiting jobs holds fewer slots than its quota;
+    /// `slots` gives a team's quota.
+    bool any_team_below(std::map<team_name, std::uint32_t> const& slots) const;
     /// Slots that the team's placed jobs hold.
     std::uint32_t slots_held(team_name const& team) const;
 
@@ -93,7 +113,9 @@
     void count(job_entry const& entry, int sign);
 
     std::map<job_id, job_entry> jobs_;
-    std::set<job_id> waiting_;
+    std::map<data_centre_name, std::set<waiting_key>> waiting_;
+    std::map<data_centre_name, std::set<job_id>> placed_;
+    std::map<team_name, std::uint32_t> waiting_by_team_;
     std::map<team_name, std::uint32_t> slots_held_;
 };
 
--- a/source/worker/worker_vm.cpp
+++ b/source/worker/worker_vm.cpp
@@ -253,7 +253,9 @@
     if (busy() >= settings_.shape_.slots_ || faults_.fail_all_)
     {
         ++refused_;
-        respond(json_response(503, {{"error", "not started"}}));
+        http_response response = json_response(503, {{"error", "not started"}});
+        response.fields_["cuminfold-not-started"] = "true";
+        respond(std::move(response));
         return;
     }
     auto& fresh = tasks_[name];
