--- a/source/controller/controller_settings_file.cpp
+++ b/source/controller/controller_settings_file.cpp
@@ -53,6 +53,11 @@
     in.read("unheard_after", settings.kernel_.unheard_after_,
             std::chrono::seconds{1});
     settings.kernel_.snapshot_codec_ = make_state_codec();
+    in.read("job_lease", settings.kernel_.job_lease_, std::chrono::seconds{1},
+            std::chrono::hours{1});
+    in.read("job_window", settings.kernel_.job_window_,
+            std::chrono::minutes{1});
+    in.read("placement", settings.kernel_.placement_);
     settings.kernel_.self_ = incarnation{node_id{name}, draw_incarnation()};
     settings.kernel_.seed_ = settings.kernel_.self_.number_;
     settings.kernel_.data_centre_ = data_centre_name{data_centre};
--- a/source/kernel/controller/controller_settings.hpp
+++ b/source/kernel/controller/controller_settings.hpp
@@ -50,6 +50,12 @@
     /// A snapshot is due after this time, or after so many entries.
     duration snapshot_interval_ = std::chrono::minutes{30};
     std::uint32_t snapshot_entries_ = 5000;
+    /// Lease of a job's attempt; the worker stops a task whose lease lapses.
+    duration job_lease_ = std::chrono::seconds{15};
+    /// Time for which an ended job is remembered at least.
+    duration job_window_ = std::chrono::hours{24};
+    /// Registered name of the placement strategy.
+    std::string placement_ = "spread";
     /// Seed of the kernel's random engine.
     std::uint64_t seed_ = 1;
 };
--- a/tests/proof/seeded_defects_test.cpp
+++ b/tests/proof/seeded_defects_test.cpp
@@ -95,7 +95,13 @@
 void leaving_vm(world& target)
 {
     target.leave_vm(0);
-    load_while(target, seconds{6}, true);
+    target.leave_vm(1);
+    for (int i = 0; i < 60; ++i)
+    {
+        target.submit(4, true, false);
+        target.submit(4, false, false);
+        target.run_for(milliseconds{100});
+    }
 }
 
 void lost_tail(world& target)
