--- a/source/wire/state_fields.hpp
+++ b/source/wire/state_fields.hpp
@@ -139,8 +139,8 @@
 template <class V>
 void fields(V& v, job_entry& x)
 {
-    auto& [job, request, home, phase, generation, attempt, vm, lease,
-           placed_by, cancel, failed_on, checkpoint, detail, last_offset] = x;
+    auto& [job, request, home, phase, generation, attempt, vm, lease, placed_by,
+           cancel, failed_on, checkpoint, detail, last_offset] = x;
     v("job", job);
     v("request", request);
     v("home", home);
--- a/tests/cli/folder_edits_test.cpp
+++ b/tests/cli/folder_edits_test.cpp
@@ -15,7 +15,7 @@
     config_files files;
     if (!text.empty())
     {
-        files[file_name{"a.yaml"}] = {text, revision};
+        files[file_name{"a.yaml"}] = {text, revision, ""};
     }
     return files;
 }
