proof: Keep the sources of a leaving VM's sign apart

Cause: the oracle held a sign from the log for as long as the platform listed the VM as leaving, and knew no pool for tasks. Traces show both cases are allowed: the drain was over, and the task was of the VM's own pool. Change: a sign is kept by its source, a task runs for its service's pool, and only jobs that may not be repeated count for at most once.

--- a/tests/proof/fake_worker.hpp
+++ b/tests/proof/fake_worker.hpp
@@ -178,8 +178,10 @@
         report.attempt_ = what.attempt_;
         report.running_ = true;
         tasks_[name] = report;
-        judge_.run_started(listed_.vm_.text(), "", "task " + what.job_.text(),
-                           what.job_.text(), false);
+        std::string const pool = what.service_.text() == "t" ? "tally" : "stat";
+        judge_.run_started(listed_.vm_.text(), pool, "task " + what.job_.text(),
+                           what.job_.text() + "/" + what.checkpoint_,
+                           what.job_.text().rfind("again-", 0) == 0);
         judge_.run_ended(listed_.vm_.text(), "task " + what.job_.text());
         time_.after(run_time,
                     [this, name, boot = boot_]
--- a/tests/proof/oracle.cpp
+++ b/tests/proof/oracle.cpp
@@ -93,26 +93,32 @@
 }
 
 void oracle::told_leaving(time_point now, std::string const& gateway,
-                          std::string const& vm)
+                          std::string const& vm, leaving_source source)
 {
-    leaving_.emplace(std::make_pair(gateway, vm), now);
+    leaving_.emplace(std::make_tuple(gateway, vm, source), now);
 }
 
 void oracle::no_longer_leaving(std::string const& gateway,
-                               std::string const& vm)
+                               std::string const& vm, leaving_source source)
 {
-    leaving_.erase({gateway, vm});
+    leaving_.erase({gateway, vm, source});
 }
 
 void oracle::dispatched(time_point now, std::string const& gateway,
                         std::string const& vm)
 {
     ++looks_["leaving VM gets no work"];
-    auto const found = leaving_.find({gateway, vm});
-    if (found != leaving_.end() && now - found->second > leaving_limit)
+    for (auto const source : {leaving_source::log, leaving_source::worker})
     {
-        breach("leaving VM gets no work",
-               gateway + " sent work to " + vm + " that it knew was leaving");
+        auto const found = leaving_.find({gateway, vm, source});
+        if (found != leaving_.end() && now - found->second > leaving_limit)
+        {
+            char const* const who =
+                source == leaving_source::log ? "the log" : "its worker";
+            breach("leaving VM gets no work", gateway + " sent work to " + vm +
+                                                  " that " + who +
+                                                  " had said was leaving");
+        }
     }
 }
 
--- a/tests/proof/oracle.hpp
+++ b/tests/proof/oracle.hpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace cuminfold
@@ -37,6 +38,13 @@
         bool planned_out_ = false;
     };
 
+    /// Who said that a VM is leaving.
+    enum class leaving_source
+    {
+        log,
+        worker
+    };
+
     // What the fakes saw.
 
     void run_started(std::string const& vm, std::string const& pool,
@@ -50,10 +58,11 @@
     /// The VM failed, and all that ran on it is gone.
     void vm_lost(std::string const& vm);
     void rebooted(std::string const& vm, std::size_t tasks);
-    /// A gateway was told by any source that the VM is leaving.
+    /// A gateway was told by a source that the VM is leaving.
     void told_leaving(time_point now, std::string const& gateway,
-                      std::string const& vm);
-    void no_longer_leaving(std::string const& gateway, std::string const& vm);
+                      std::string const& vm, leaving_source source);
+    void no_longer_leaving(std::string const& gateway, std::string const& vm,
+                           leaving_source source);
     void dispatched(time_point now, std::string const& gateway,
                     std::string const& vm);
     /// A node's view: config version and VM to pool at a fleet offset.
@@ -95,7 +104,8 @@
     std::set<std::string> started_;
     std::set<std::string> refused_;
     std::map<std::string, std::uint32_t> runs_by_key_;
-    std::map<std::pair<std::string, std::string>, time_point> leaving_;
+    std::map<std::tuple<std::string, std::string, leaving_source>, time_point>
+        leaving_;
     std::map<std::string, std::uint64_t> config_next_;
     std::map<std::uint64_t, std::string> config_content_;
     std::map<std::uint64_t, std::map<std::string, std::string>> pools_at_;
--- a/tests/proof/world.cpp
+++ b/tests/proof/world.cpp
@@ -299,11 +299,18 @@
         std::string const& name = item.first.text();
         if (leaving.count(name) != 0)
         {
-            judge_.told_leaving(time_.now(), gateway->life_, name);
+            judge_.told_leaving(time_.now(), gateway->life_, name,
+                                oracle::leaving_source::log);
         }
-        else if (item.second->listed_.state_ == listed_state::live)
+        else
+        {
+            judge_.no_longer_leaving(gateway->life_, name,
+                                     oracle::leaving_source::log);
+        }
+        if (item.second->listed_.state_ == listed_state::live)
         {
-            judge_.no_longer_leaving(gateway->life_, name);
+            judge_.no_longer_leaving(gateway->life_, name,
+                                     oracle::leaving_source::worker);
         }
     }
 }
@@ -675,7 +682,8 @@
         }
         if (result.worker_leaving_)
         {
-            judge_.told_leaving(time_.now(), who->life_, what.vm_.text());
+            judge_.told_leaving(time_.now(), who->life_, what.vm_.text(),
+                                oracle::leaving_source::worker);
             result.worker_leaving_ = defect_ != seeded_defect::leaving_hidden;
         }
         if (defect_ == seeded_defect::answers_swapped && result.short_body_)
--- a/tests/proof/world_commands.cpp
+++ b/tests/proof/world_commands.cpp
@@ -137,7 +137,8 @@
         std::uint64_t const number = next_request_++;
         caller_job job;
         job.request_ = request_id{"j" + std::to_string(number)};
-        job.job_ = job_id{"job-" + std::to_string(number)};
+        job.job_ =
+            job_id{(idempotent ? "again-" : "once-") + std::to_string(number)};
         job.job_request_.service_ = service_name{idempotent ? "t" : "s"};
         job.job_request_.idempotent_ = idempotent;
         job.job_request_.declared_run_time_ = seconds{1};
