--- a/tests/proof/world.cpp
+++ b/tests/proof/world.cpp
@@ -96,7 +96,7 @@
 world::node_ptr world::start_node(std::string const& name, std::size_t centre,
                                   bool controller)
 {
-    auto const fresh = std::make_shared<node>();
+    auto fresh = std::make_shared<node>();
     std::uint64_t const life = next_life_++;
     fresh->name_ = name;
     fresh->life_ = name + "/" + std::to_string(life);
