controller: Ask the wave's progress which VMs it covers

Cause: the operators' interface repeated the rule by which a wave covers a VM. Change: it calls wave_covers; behaviour is the same.

--- a/source/controller/operator_api.cpp
+++ b/source/controller/operator_api.cpp
@@ -2,6 +2,7 @@
 
 #include "config/value_text.hpp"
 #include "kernel/fleet/budget.hpp"
+#include "kernel/maintenance/wave_progress.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -139,25 +140,6 @@
     return {{"vms", vms}};
 }
 
-bool covers(wave_spec const& wave, vm_entry const& vm)
-{
-    for (auto const& pool : wave.pools_)
-    {
-        if (pool == vm.pool_)
-        {
-            return true;
-        }
-    }
-    for (auto const& named : wave.vms_)
-    {
-        if (named == vm.vm_)
-        {
-            return true;
-        }
-    }
-    return false;
-}
-
 json describe_waves(controller_kernel const& kernel)
 {
     json waves = json::array();
@@ -169,7 +151,7 @@
         for (auto const& entry : kernel.fleet().vms().all())
         {
             vm_entry const& vm = entry.second;
-            if (!covers(item.second, vm))
+            if (!wave_covers(item.second, vm))
             {
                 continue;
             }
