--- /dev/null
+++ b/source/kernel/cell/cell.hpp
@@ -0,0 +1,244 @@
+#ifndef CUMINFOLD_KERNEL_CELL_CELL_HPP
+#define CUMINFOLD_KERNEL_CELL_CELL_HPP
+
+#include "kernel/cell/cell_action.hpp"
+#include "kernel/cell/fleet_config.hpp"
+#include "kernel/cell/job_definition.hpp"
+#include "kernel/cell/job_state.hpp"
+#include "kernel/cell/placement_rule.hpp"
+#include "kernel/cell/run_time_book.hpp"
+#include "kernel/cell/worker_state.hpp"
+#include "kernel/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace cuminfold
+{
+
+/// Times and bounds of a cell.
+struct cell_options
+{
+    /// Lease that a renewal gives. A worker that falls silent costs this much
+    /// before its tasks may go elsewhere.
+    duration lease_ = std::chrono::milliseconds{3000};
+    /// How long a worker may hold the answer to a renewal back for an end.
+    duration renewal_wait_ = std::chrono::milliseconds{1000};
+    /// Least time between two renewals of one worker, so that ends gather.
+    duration renewal_gap_ = std::chrono::milliseconds{30};
+    duration repeat_gap_ = std::chrono::milliseconds{250};
+    /// Without a confirmation of its epoch an owner gives no orders for longer
+    /// than this after its last one.
+    duration confirmation_limit_ = std::chrono::milliseconds{5000};
+    /// The platform's bound on a lease; what an earlier owner gave.
+    duration longest_lease_ = std::chrono::milliseconds{3000};
+    /// Time that ended jobs stay known.
+    duration keep_ended_ = std::chrono::seconds{130};
+    /// A task without progress for this share of its expected run time, and
+    /// for no less than the floor, is stopped and tried elsewhere.
+    double stall_share_ = 0.3;
+    duration stall_floor_ = std::chrono::milliseconds{2200};
+};
+
+/// The only writer of one partition: places the jobs of its pools on their
+/// workers.
+///
+/// It holds no clock, socket or thread: time is passed in, and what is to be
+/// done is returned as actions. An order to a worker is given only after the
+/// record that explains it was stored, so that the next owner knows every run
+/// that may exist.
+class cell
+{
+public:
+    /// @param now the time of the takeover
+    cell(cell_options options, time_point now);
+
+    /// @name Recovery, before anything else
+    /// @{
+    void restore(job_definition request, time_point now);
+    void restore(job_id const& job, job_progress const& progress,
+                 time_point now);
+    void restored(time_point now);
+    /// @}
+
+    /// The store accepted this owner's epoch; `sent` is when it was asked.
+    void confirmed(time_point sent);
+
+    void set_config(fleet_config const& config);
+
+    /// @name Workers
+    /// @{
+    void worker_listed(worker_registration entry, time_point now);
+    void worker_unlisted(std::string const& worker, time_point now);
+    void start_answered(std::string const& worker, task_id const& task,
+                        std::uint32_t run, call_outcome outcome,
+                        time_point now);
+    void stop_answered(std::string const& worker, task_id const& task,
+                       std::uint32_t run, call_outcome outcome, time_point now);
+    void renewal_answered(std::string const& worker, call_outcome outcome,
+                          worker_report const& report, time_point now);
+    /// @}
+
+    /// @name Clients; each is answered once by an `answer_client`
+    /// @{
+    void submit(std::uint64_t exchange, queue_route const& route,
+                job_definition request, time_point now);
+    void query(std::uint64_t exchange, job_id const& job);
+    void cancel(std::uint64_t exchange, job_id const& job, time_point now);
+    void count(std::uint64_t exchange, queue_route const& route);
+    /// @}
+
+    /// Places, renews, repeats and gives up what is due. `calendar` decides
+    /// which occurrences are due.
+    void tick(time_point now, calendar_time calendar);
+
+    /// The records to append next; none if there is nothing or a batch is out.
+    std::optional<cell_batch> next_batch();
+    /// The batch that is out was stored.
+    void batch_stored(time_point now);
+
+    std::vector<cell_action> take_actions();
+
+    /// Keeps new work off a VM, or lets it come again.
+    void reserve(vm_id const& vm, bool reserved);
+    /// Tasks on a VM's workers, whatever their phase.
+    std::size_t tasks_on(vm_id const& vm) const;
+    std::size_t lasting_tasks_on(vm_id const& vm) const;
+
+    std::map<std::string, worker_state> const& workers() const noexcept
+    {
+        return workers_;
+    }
+    std::unordered_map<std::string, job_state> const& jobs() const noexcept
+    {
+        return jobs_;
+    }
+    fleet_config const& config() const noexcept
+    {
+        return config_;
+    }
+
+    /// Evacuates lasting tasks from a VM, as far as their steps allow.
+    void evacuate(vm_id const& vm, time_point now);
+
+private:
+    /// What may be done once the batch that is out is stored.
+    struct batch_effects
+    {
+        std::vector<std::pair<task_id, std::uint32_t>> starts_;
+        std::vector<job_id> jobs_;
+        std::map<std::string, std::uint64_t> ends_;
+    };
+
+    struct task_place
+    {
+        job_state* job_ = nullptr;
+        step_state* step_ = nullptr;
+        job_step const* shape_ = nullptr;
+        task_state* task_ = nullptr;
+
+        explicit operator bool() const noexcept
+        {
+            return task_ != nullptr;
+        }
+    };
+
+    // cell_clients.cpp
+    client_answer answer(answer_kind kind, char const* why) const;
+    void reply(std::uint64_t exchange, client_answer answer);
+    void note(char const* event, std::string subject, std::string why);
+    bool admit(queue_route const& route, job_definition const& request,
+               duration objective, time_point now,
+               client_answer& refusal) const;
+    /// Processor time in core-seconds that the job still needs.
+    double work_left(job_state const& job) const;
+    std::uint64_t count_pending(std::string const& route) const;
+
+    // cell_records.cpp
+    void mark(job_state& job);
+    job_progress progress_of(job_state const& job) const;
+    void give_start(task_id const& task, std::uint32_t run, time_point now);
+    void settle_answers(job_state& job, time_point now);
+    void forget_ended(time_point now);
+    void prepare(job_state& job, time_point now);
+    void open_occurrences(job_state& job, calendar_time calendar);
+    void add_occurrence(job_state& job);
+
+    // cell_tasks.cpp
+    task_place find(task_id const& task);
+    worker_state& ensure_worker(std::string const& worker, time_point now);
+    void occupy(task_id const& task, task_place const& at,
+                std::string const& worker);
+    void release(task_id const& task, task_place const& at, time_point now);
+    void finish(task_id const& task, task_place const& at, time_point now);
+    void fail_job(job_state& job, std::string const& why, time_point now);
+    void take_end(worker_state& worker, end_report const& end, time_point now);
+    void take_failure(worker_state& worker, task_id const& task,
+                      task_place const& at, time_point now);
+    std::uint32_t attempts_of(job_state const& job) const;
+    void strike(worker_state& worker, time_point now);
+
+    // cell_workers.cpp
+    bool may_order(time_point now) const;
+    void read_clock(worker_state& worker, worker_clock clock, time_point now);
+    worker_clock lease_for(worker_state& worker, time_point now);
+    void compare(worker_state& worker, worker_report const& report,
+                 time_point asked, time_point now);
+    void compare_task(worker_state& worker, task_id const& task,
+                      running_report const* report, time_point asked,
+                      time_point now);
+    void stop(worker_state& worker, task_id const& task, std::uint32_t run,
+              char const* why);
+    void renew_due(time_point now);
+    bool needs_renewal(worker_state const& worker) const;
+    void repeat_stops(time_point now);
+    void drop_lapsed(time_point now);
+    void end_life(worker_state& worker, char const* why, time_point now);
+    bool is_at_work(task_state const& task) const;
+    void stop_stalled(time_point now);
+
+    // cell_placement.cpp
+    void place(time_point now);
+    void place_pool(pool_name const& pool,
+                    std::vector<std::pair<job_id, job_state*>>& jobs,
+                    time_point now);
+    bool place_step(job_id const& id, job_state& job, std::uint32_t occurrence,
+                    std::uint32_t step, time_point now);
+    bool place_gang(job_id const& id, job_state& job, std::uint32_t occurrence,
+                    std::uint32_t step, time_point now);
+    worker_state* choose(job_state const& job, job_step const& shape,
+                         step_state const& step, time_point now);
+    placement_view view_of(worker_state const& worker, job_step const& shape,
+                           step_state const& step, time_point now) const;
+    void assign(task_id const& task, task_place const& at, worker_state& worker,
+                std::uint32_t run, time_point now);
+
+    cell_options options_;
+    time_point began_;
+    time_point confirmed_{};
+    fleet_config config_;
+    run_time_book run_times_;
+    std::unordered_map<std::string, job_state> jobs_;
+    std::map<std::string, worker_state> workers_;
+    std::map<pool_name, std::vector<std::string>> pool_workers_;
+    std::set<vm_id> reserved_;
+    std::vector<std::string> dirty_;
+    std::vector<std::string> forgotten_;
+    std::set<std::string> ends_read_;
+    std::optional<batch_effects> out_;
+    std::uint64_t next_batch_ = 1;
+    std::vector<cell_action> actions_;
+    bool placement_due_ = true;
+    time_point next_cleanup_{};
+};
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/kernel/cell/cell_placement.cpp
@@ -0,0 +1,241 @@
+#include "kernel/cell/cell.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// Steps of one pool that may fail to be placed before the rest is left for
+/// later.
+constexpr std::size_t tries_per_pool = 12;
+
+/// Order of a pool's jobs: on time before late, lasting ones first, then the
+/// earliest objective.
+auto order_of(job_state const& job, std::uint32_t priority, time_point now)
+{
+    bool const late = !job.lasting_ && job.objective_ < now;
+    return std::make_tuple(late, !job.lasting_, priority, job.objective_);
+}
+
+bool is_ready(job_step const& shape, occurrence_state const& occurrence)
+{
+    return std::all_of(shape.after_.begin(), shape.after_.end(),
+                       [&](std::uint32_t before)
+                       {
+                           auto const& step = occurrence.steps_[before];
+                           return step.done_ == step.tasks_.size();
+                       });
+}
+
+} // namespace
+
+void cell::place(time_point now)
+{
+    if (!may_order(now))
+    {
+        placement_due_ = true;
+        return;
+    }
+    std::map<pool_name, std::vector<std::pair<job_id, job_state*>>> by_pool;
+    for (auto& item : jobs_)
+    {
+        auto& job = item.second;
+        if (!job.ended() && job.request_)
+        {
+            by_pool[job.pool_].emplace_back(job_id{item.first}, &job);
+        }
+    }
+    for (auto& pool : by_pool)
+    {
+        place_pool(pool.first, pool.second, now);
+    }
+}
+
+void cell::place_pool(pool_name const& pool,
+                      std::vector<std::pair<job_id, job_state*>>& jobs,
+                      time_point now)
+{
+    if (pool_workers_[pool].empty())
+    {
+        return;
+    }
+    std::sort(jobs.begin(), jobs.end(),
+              [&](auto const& a, auto const& b)
+              {
+                  auto const priority = [&](job_state const& job)
+                  {
+                      auto const* const route = config_.find_name(job.route_);
+                      return route == nullptr ? 0 : route->priority_;
+                  };
+                  auto const left =
+                      order_of(*a.second, priority(*a.second), now);
+                  auto const right =
+                      order_of(*b.second, priority(*b.second), now);
+                  return left != right ? left < right : a.first < b.first;
+              });
+    std::size_t failed = 0;
+    for (auto const& item : jobs)
+    {
+        auto& job = *item.second;
+        for (std::uint32_t k = 0; k < job.occurrences_.size(); ++k)
+        {
+            auto const& occurrence = job.occurrences_[k];
+            for (std::uint32_t s = 0;
+                 !occurrence.done_ && s < occurrence.steps_.size(); ++s)
+            {
+                if (occurrence.steps_[s].waiting_ == 0 ||
+                    !is_ready(job.request_->steps_[s], occurrence))
+                {
+                    continue;
+                }
+                bool const whole = job.request_->steps_[s].gang_
+                                       ? place_gang(item.first, job, k, s, now)
+                                       : place_step(item.first, job, k, s, now);
+                failed += whole ? 0 : 1;
+                if (failed > tries_per_pool)
+                {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+bool cell::place_step(job_id const& id, job_state& job,
+                      std::uint32_t occurrence, std::uint32_t step,
+                      time_point now)
+{
+    auto& state = job.occurrences_[occurrence].steps_[step];
+    auto const& shape = job.request_->steps_[step];
+    bool whole = true;
+    for (std::uint32_t i = 0; i < state.tasks_.size(); ++i)
+    {
+        auto& task = state.tasks_[i];
+        if (task.phase_ != task_phase::waiting)
+        {
+            continue;
+        }
+        if (task.not_before_ > now)
+        {
+            placement_due_ = true;
+            continue;
+        }
+        auto* const worker = choose(job, shape, state, now);
+        if (worker == nullptr)
+        {
+            whole = false;
+            break;
+        }
+        task_place at{&job, &state, &shape, &task};
+        assign({id, occurrence, step, i}, at, *worker, task.run_ + 1, now);
+    }
+    return whole;
+}
+
+bool cell::place_gang(job_id const& id, job_state& job,
+                      std::uint32_t occurrence, std::uint32_t step,
+                      time_point now)
+{
+    auto& state = job.occurrences_[occurrence].steps_[step];
+    auto const& shape = job.request_->steps_[step];
+    std::uint32_t run = 0;
+    std::string checkpoint;
+    for (auto const& task : state.tasks_)
+    {
+        if (task.phase_ != task_phase::waiting || task.not_before_ > now)
+        {
+            placement_due_ = placement_due_ || task.not_before_ > now;
+            return false;
+        }
+        if (task.run_ >= run && !task.checkpoint_.empty())
+        {
+            checkpoint = task.checkpoint_;
+        }
+        run = std::max(run, task.run_);
+    }
+    std::uint32_t placed = 0;
+    for (; placed < state.tasks_.size(); ++placed)
+    {
+        auto* const worker = choose(job, shape, state, now);
+        if (worker == nullptr)
+        {
+            break;
+        }
+        task_place at{&job, &state, &shape, &state.tasks_[placed]};
+        at.task_->checkpoint_ = checkpoint;
+        assign({id, occurrence, step, placed}, at, *worker, run + 1, now);
+    }
+    if (placed == state.tasks_.size())
+    {
+        return true;
+    }
+    for (std::uint32_t i = 0; i < placed; ++i)
+    {
+        task_place at{&job, &state, &shape, &state.tasks_[i]};
+        at.task_->run_ = run;
+        release({id, occurrence, step, i}, at, now);
+    }
+    return false;
+}
+
+placement_view cell::view_of(worker_state const& worker, job_step const& shape,
+                             step_state const& step, time_point now) const
+{
+    std::uint32_t same = 0;
+    if (shape.per_worker_ != 0 || shape.lasting_)
+    {
+        for (auto const& task : step.tasks_)
+        {
+            same += task.worker_ == worker.entry_.id_ ? 1 : 0;
+        }
+    }
+    return {worker, shape, same, now};
+}
+
+worker_state* cell::choose(job_state const& job, job_step const& shape,
+                           step_state const& step, time_point now)
+{
+    worker_state* best = nullptr;
+    double best_score = 0;
+    for (auto const& name : pool_workers_[job.pool_])
+    {
+        auto const found = workers_.find(name);
+        if (found == workers_.end())
+        {
+            continue;
+        }
+        auto const view = view_of(found->second, shape, step, now);
+        if (broken_rule(view) != nullptr)
+        {
+            continue;
+        }
+        double const score = placement_score(view);
+        if (best == nullptr || score > best_score)
+        {
+            best = &found->second;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+void cell::assign(task_id const& task, task_place const& at,
+                  worker_state& worker, std::uint32_t run, time_point now)
+{
+    at.task_->run_ = run;
+    at.task_->phase_ = task_phase::placed;
+    at.task_->stop_sent_ = {};
+    at.task_->stop_accepted_ = false;
+    if (at.shape_->lasting_ && at.task_->away_since_ == time_point{})
+    {
+        at.task_->away_since_ = now;
+    }
+    occupy(task, at, worker.entry_.id_);
+    mark(*at.job_);
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/cell/cell_records.cpp
@@ -0,0 +1,391 @@
+#include "kernel/cell/cell.hpp"
+
+#include <algorithm>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// How often ended jobs are looked through.
+constexpr duration cleanup_interval = std::chrono::seconds{1};
+
+bool is_new(task_state const& task)
+{
+    return task.run_ == 0 && task.failures_ == 0 && task.checkpoint_.empty();
+}
+
+} // namespace
+
+void cell::mark(job_state& job)
+{
+    if (!job.dirty_)
+    {
+        job.dirty_ = true;
+        dirty_.push_back(job.request_->id_.text());
+    }
+}
+
+void cell::prepare(job_state& job, time_point now)
+{
+    job.core_seconds_left_ = run_times_.core_seconds(*job.request_);
+    job.lasting_ =
+        std::any_of(job.request_->steps_.begin(), job.request_->steps_.end(),
+                    [](job_step const& step) { return step.lasting_; });
+    if (job.request_->occurrences_ == 0)
+    {
+        add_occurrence(job);
+    }
+    if (job.arrived_ == time_point{})
+    {
+        job.arrived_ = now;
+    }
+}
+
+void cell::add_occurrence(job_state& job)
+{
+    occurrence_state occurrence;
+    for (auto const& shape : job.request_->steps_)
+    {
+        step_state step;
+        step.tasks_.resize(shape.tasks_);
+        step.waiting_ = shape.tasks_;
+        occurrence.steps_.push_back(std::move(step));
+    }
+    job.occurrences_.push_back(std::move(occurrence));
+}
+
+void cell::open_occurrences(job_state& job, calendar_time calendar)
+{
+    auto const& request = *job.request_;
+    while (job.occurrences_.size() < request.occurrences_)
+    {
+        auto const due = request.first_run_ +
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                             request.interval_) *
+                             static_cast<std::int64_t>(job.occurrences_.size());
+        if (calendar < due)
+        {
+            return;
+        }
+        add_occurrence(job);
+        placement_due_ = true;
+    }
+}
+
+job_progress cell::progress_of(job_state const& job) const
+{
+    job_progress progress;
+    progress.standing_ = job.standing_;
+    if (job.ended())
+    {
+        return progress;
+    }
+    for (std::uint32_t k = 0; k < job.occurrences_.size(); ++k)
+    {
+        auto const& steps = job.occurrences_[k].steps_;
+        for (std::uint32_t s = 0; s < steps.size(); ++s)
+        {
+            for (std::uint32_t i = 0; i < steps[s].tasks_.size(); ++i)
+            {
+                auto const& task = steps[s].tasks_[i];
+                if (is_new(task) && task.phase_ == task_phase::waiting)
+                {
+                    continue;
+                }
+                task_record record;
+                record.task_ = {job_id{}, k, s, i};
+                record.run_ = task.run_;
+                record.failures_ = task.failures_;
+                record.done_ = task.phase_ == task_phase::done;
+                record.worker_ = task.worker_;
+                record.checkpoint_ = record.done_ ? "" : task.checkpoint_;
+                progress.tasks_.push_back(std::move(record));
+            }
+        }
+    }
+    return progress;
+}
+
+std::optional<cell_batch> cell::next_batch()
+{
+    if (out_ || (dirty_.empty() && forgotten_.empty() && ends_read_.empty()))
+    {
+        return std::nullopt;
+    }
+    batch_effects effects;
+    for (auto const& name : ends_read_)
+    {
+        auto const worker = workers_.find(name);
+        if (worker != workers_.end())
+        {
+            effects.ends_[name] = worker->second.read_;
+        }
+    }
+    ends_read_.clear();
+    cell_batch batch;
+    batch.number_ = next_batch_++;
+    for (auto const& name : std::exchange(dirty_, {}))
+    {
+        auto& job = jobs_.at(name);
+        job.dirty_ = false;
+        job_id const id{name};
+        if (!job.request_written_ && !job.ended())
+        {
+            job.request_written_ = true;
+            batch.records_.push_back({id, true, job.request_, std::nullopt});
+        }
+        batch.records_.push_back({id, false, nullptr, progress_of(job)});
+        if (job.ended() && job.request_written_)
+        {
+            batch.records_.push_back({id, true, nullptr, std::nullopt});
+        }
+        effects.jobs_.push_back(id);
+        if (job.ended())
+        {
+            continue;
+        }
+        for (auto const& record : batch.records_.back().progress_->tasks_)
+        {
+            task_id task = record.task_;
+            task.job_ = id;
+            auto const at = find(task);
+            if (at && at.task_->phase_ == task_phase::placed)
+            {
+                effects.starts_.emplace_back(task, record.run_);
+            }
+        }
+    }
+    for (auto const& name : std::exchange(forgotten_, {}))
+    {
+        batch.records_.push_back({job_id{name}, false, nullptr, std::nullopt});
+    }
+    if (batch.records_.empty())
+    {
+        // Ends that change nothing need no record.
+        for (auto const& end : effects.ends_)
+        {
+            workers_.at(end.first).recorded_ = end.second;
+        }
+        return std::nullopt;
+    }
+    out_ = std::move(effects);
+    return batch;
+}
+
+void cell::batch_stored(time_point now)
+{
+    if (!out_)
+    {
+        return;
+    }
+    auto const effects = std::move(*out_);
+    out_.reset();
+    for (auto const& end : effects.ends_)
+    {
+        auto const worker = workers_.find(end.first);
+        if (worker != workers_.end())
+        {
+            worker->second.recorded_ = end.second;
+        }
+    }
+    for (auto const& id : effects.jobs_)
+    {
+        auto const found = jobs_.find(id.text());
+        if (found != jobs_.end())
+        {
+            auto& job = found->second;
+            job.stored_ = true;
+            // A change after the batch was made is in the next one.
+            if (!job.dirty_)
+            {
+                job.stored_standing_ = job.standing_;
+            }
+            settle_answers(job, now);
+        }
+    }
+    for (auto const& start : effects.starts_)
+    {
+        give_start(start.first, start.second, now);
+    }
+}
+
+void cell::settle_answers(job_state& job, time_point now)
+{
+    for (auto const exchange : std::exchange(job.accept_waits_, {}))
+    {
+        reply(exchange, answer(answer_kind::accepted, "stored"));
+    }
+    if (job.stored_standing_ == job_standing::queued)
+    {
+        return;
+    }
+    for (auto const exchange : std::exchange(job.cancel_waits_, {}))
+    {
+        reply(exchange, answer(answer_kind::accepted, "cancel_stored"));
+    }
+    repeat_stops(now);
+}
+
+void cell::give_start(task_id const& task, std::uint32_t run, time_point now)
+{
+    auto const at = find(task);
+    if (!at || at.task_->phase_ != task_phase::placed || at.task_->run_ != run)
+    {
+        return;
+    }
+    auto const found = workers_.find(at.task_->worker_);
+    bool const usable = found != workers_.end() && found->second.fenced_ &&
+                        !found->second.gone_ &&
+                        !found->second.entry_.draining_ && may_order(now) &&
+                        !at.job_->ended();
+    if (!usable)
+    {
+        release(task, at, now);
+        return;
+    }
+    auto& worker = found->second;
+    at.task_->phase_ = task_phase::starting;
+    at.task_->own_start_ = true;
+    at.task_->started_ = now;
+    at.task_->advanced_ = now;
+    at.job_->begun_ = true;
+    start_run order;
+    order.worker_ = worker.entry_.id_;
+    order.address_ = worker.entry_.address_;
+    order.task_ = task;
+    order.run_ = run;
+    order.job_ = at.job_->request_;
+    order.lease_until_ = lease_for(worker, now);
+    order.checkpoint_ = at.task_->checkpoint_;
+    actions_.emplace_back(std::move(order));
+}
+
+void cell::restore(job_definition request, time_point now)
+{
+    auto const name = request.id_.text();
+    auto& job = jobs_[name];
+    job.request_ = std::make_shared<job_definition const>(std::move(request));
+    job.route_ = job.request_->route_;
+    job.pool_ = job.request_->pool_;
+    job.request_written_ = true;
+    job.stored_ = true;
+    prepare(job, now);
+}
+
+void cell::restore(job_id const& id, job_progress const& progress,
+                   time_point now)
+{
+    auto& job = jobs_[id.text()];
+    job.stored_ = true;
+    job.standing_ = progress.standing_;
+    job.stored_standing_ = progress.standing_;
+    if (job.ended())
+    {
+        job.ended_ = now;
+        return;
+    }
+    if (!job.request_)
+    {
+        return;
+    }
+    for (auto const& record : progress.tasks_)
+    {
+        while (job.occurrences_.size() <= record.task_.occurrence_ &&
+               job.occurrences_.size() < job.request_->occurrences_)
+        {
+            add_occurrence(job);
+        }
+        task_id task = record.task_;
+        task.job_ = id;
+        auto const at = find(task);
+        if (!at)
+        {
+            continue;
+        }
+        at.task_->run_ = record.run_;
+        at.task_->failures_ = record.failures_;
+        at.task_->checkpoint_ = record.checkpoint_;
+        job.begun_ = job.begun_ || record.run_ > 0;
+        if (record.done_)
+        {
+            at.task_->phase_ = task_phase::done;
+            --at.step_->waiting_;
+            ++at.step_->done_;
+        }
+        else if (!record.worker_.empty())
+        {
+            ensure_worker(record.worker_, now);
+            occupy(task, at, record.worker_);
+            at.task_->phase_ = task_phase::unsettled;
+        }
+    }
+}
+
+void cell::restored(time_point now)
+{
+    for (auto place = jobs_.begin(); place != jobs_.end();)
+    {
+        auto& job = place->second;
+        bool const lost_request = !job.ended() && !job.request_;
+        if (lost_request)
+        {
+            note("record_ignored", place->first, "progress_without_request");
+            place = jobs_.erase(place);
+            continue;
+        }
+        if (!job.ended())
+        {
+            auto const* const route = config_.find_name(job.route_);
+            auto const chain = run_times_.chain(*job.request_);
+            job.objective_ =
+                now + chain +
+                (route != nullptr ? route->objective_ : duration{0});
+        }
+        else
+        {
+            job.request_.reset();
+        }
+        ++place;
+    }
+    set_config(fleet_config(config_));
+}
+
+void cell::forget_ended(time_point now)
+{
+    if (now < next_cleanup_)
+    {
+        return;
+    }
+    next_cleanup_ = now + cleanup_interval;
+    for (auto place = jobs_.begin(); place != jobs_.end();)
+    {
+        auto& job = place->second;
+        if (!job.ended() || job.dirty_ ||
+            job.ended_ + options_.keep_ended_ > now)
+        {
+            ++place;
+            continue;
+        }
+        bool const busy = std::any_of(
+            workers_.begin(), workers_.end(),
+            [&](auto const& worker)
+            {
+                return std::any_of(worker.second.tasks_.begin(),
+                                   worker.second.tasks_.end(),
+                                   [&](task_id const& task) {
+                                       return task.job_.text() == place->first;
+                                   });
+            });
+        if (busy)
+        {
+            ++place;
+            continue;
+        }
+        forgotten_.push_back(place->first);
+        place = jobs_.erase(place);
+    }
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -0,0 +1,230 @@
+#include "kernel/cell/cell.hpp"
+
+#include <algorithm>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// A lasting or failed task is not tried again sooner than this.
+constexpr duration restart_delay = std::chrono::milliseconds{50};
+/// Strikes after which a worker is avoided, and the first time of it; it
+/// doubles with each further strike.
+constexpr std::uint32_t strikes_allowed = 2;
+constexpr duration first_avoidance = std::chrono::seconds{2};
+constexpr std::uint32_t largest_avoidance_doubling = 3;
+
+} // namespace
+
+cell::task_place cell::find(task_id const& task)
+{
+    task_place at;
+    auto const found = jobs_.find(task.job_.text());
+    if (found == jobs_.end() || !found->second.request_ ||
+        task.occurrence_ >= found->second.occurrences_.size())
+    {
+        return at;
+    }
+    auto& job = found->second;
+    auto& steps = job.occurrences_[task.occurrence_].steps_;
+    if (task.step_ >= steps.size() ||
+        task.index_ >= steps[task.step_].tasks_.size())
+    {
+        return at;
+    }
+    at.job_ = &job;
+    at.step_ = &steps[task.step_];
+    at.shape_ = &job.request_->steps_[task.step_];
+    at.task_ = &at.step_->tasks_[task.index_];
+    return at;
+}
+
+worker_state& cell::ensure_worker(std::string const& worker, time_point now)
+{
+    auto const place = workers_.try_emplace(worker);
+    auto& state = place.first->second;
+    if (place.second)
+    {
+        // Until it is asked, it may hold what an earlier owner gave it.
+        state.entry_.id_ = worker;
+        state.gone_ = true;
+        state.answered_ = now;
+        state.lapses_ = began_ + options_.confirmation_limit_ +
+                        std::chrono::duration_cast<duration>(
+                            options_.longest_lease_ * 1.05);
+    }
+    return state;
+}
+
+void cell::occupy(task_id const& task, task_place const& at,
+                  std::string const& worker)
+{
+    at.task_->worker_ = worker;
+    --at.step_->waiting_;
+    auto& state = workers_.at(worker);
+    resource_amount need = at.shape_->each_;
+    need.cpu_milli_ = at.shape_->filler_ ? 0 : need.cpu_milli_;
+    state.used_ += need;
+    state.tasks_.insert(task);
+}
+
+void cell::release(task_id const& task, task_place const& at, time_point now)
+{
+    auto const found = workers_.find(at.task_->worker_);
+    if (found != workers_.end() && found->second.tasks_.erase(task) != 0)
+    {
+        resource_amount need = at.shape_->each_;
+        need.cpu_milli_ = at.shape_->filler_ ? 0 : need.cpu_milli_;
+        found->second.used_ -= need;
+    }
+    at.task_->worker_.clear();
+    at.task_->phase_ = task_phase::waiting;
+    at.task_->stop_accepted_ = false;
+    at.task_->stop_sent_ = {};
+    at.task_->own_start_ = false;
+    at.task_->percent_ = 0;
+    at.task_->pace_ = 100;
+    ++at.step_->waiting_;
+    if (at.task_->away_since_ == time_point{})
+    {
+        at.task_->away_since_ = now;
+    }
+    placement_due_ = true;
+}
+
+void cell::finish(task_id const& task, task_place const& at, time_point now)
+{
+    auto& job = *at.job_;
+    release(task, at, now);
+    at.task_->phase_ = task_phase::done;
+    --at.step_->waiting_;
+    ++at.step_->done_;
+    auto const left =
+        static_cast<double>(at.shape_->each_.cpu_milli_) / 1000 *
+        std::chrono::duration<double>(run_times_.expect(job.route_, *at.shape_))
+            .count();
+    job.core_seconds_left_ = std::max(0.0, job.core_seconds_left_ - left);
+    mark(job);
+    auto& occurrence = job.occurrences_[task.occurrence_];
+    occurrence.done_ =
+        std::all_of(occurrence.steps_.begin(), occurrence.steps_.end(),
+                    [](step_state const& step)
+                    { return step.done_ == step.tasks_.size(); });
+    auto const expected = std::max<std::size_t>(1, job.request_->occurrences_);
+    bool const whole =
+        job.occurrences_.size() == expected &&
+        std::all_of(job.occurrences_.begin(), job.occurrences_.end(),
+                    [](occurrence_state const& each) { return each.done_; });
+    if (whole && !job.ended())
+    {
+        job.standing_ = job_standing::completed;
+        job.ended_ = now;
+        note("job_completed", task.job_.text(),
+             "ms=" + std::to_string(
+                         std::chrono::duration_cast<std::chrono::milliseconds>(
+                             now - job.arrived_)
+                             .count()));
+    }
+}
+
+std::uint32_t cell::attempts_of(job_state const& job) const
+{
+    auto const* const route = config_.find_name(job.route_);
+    return route == nullptr ? 1 : route->max_attempts_;
+}
+
+void cell::fail_job(job_state& job, std::string const& why, time_point now)
+{
+    if (!job.ended())
+    {
+        job.standing_ = job_standing::failed;
+        job.ended_ = now;
+        note("job_failed", job.request_->id_.text(), why);
+        mark(job);
+    }
+}
+
+void cell::strike(worker_state& worker, time_point now)
+{
+    ++worker.strikes_;
+    if (worker.strikes_ >= strikes_allowed)
+    {
+        auto const doublings = std::min(worker.strikes_ - strikes_allowed,
+                                        largest_avoidance_doubling);
+        worker.avoided_until_ = now + first_avoidance * (1U << doublings);
+        note("worker_avoided", worker.entry_.id_,
+             "strikes=" + std::to_string(worker.strikes_));
+    }
+}
+
+void cell::take_failure(worker_state& worker, task_id const& task,
+                        task_place const& at, time_point now)
+{
+    ++at.task_->failures_;
+    strike(worker, now);
+    release(task, at, now);
+    at.task_->not_before_ = now + restart_delay;
+    mark(*at.job_);
+    std::uint32_t failures = at.task_->failures_;
+    if (at.shape_->gang_)
+    {
+        failures = 0;
+        for (auto const& member : at.step_->tasks_)
+        {
+            failures += member.failures_;
+        }
+    }
+    if (!at.shape_->lasting_ && failures >= attempts_of(*at.job_))
+    {
+        fail_job(*at.job_,
+                 describe(task) + " failures=" + std::to_string(failures), now);
+    }
+}
+
+void cell::take_end(worker_state& worker, end_report const& end, time_point now)
+{
+    auto const at = find(end.task_);
+    if (!at || at.task_->phase_ == task_phase::done ||
+        at.task_->worker_ != worker.entry_.id_ || at.task_->run_ != end.run_)
+    {
+        return;
+    }
+    if (at.shape_->checkpointing_ && !end.checkpoint_.empty())
+    {
+        at.task_->checkpoint_ = end.checkpoint_;
+    }
+    switch (end.how_)
+    {
+    case run_end::done:
+        if (at.shape_->lasting_)
+        {
+            release(end.task_, at, now);
+            mark(*at.job_);
+            return;
+        }
+        worker.strikes_ = 0;
+        if (at.task_->own_start_ && at.task_->checkpoint_.empty())
+        {
+            run_times_.observe(
+                at.job_->route_, *at.shape_,
+                std::chrono::duration_cast<duration>(now - at.task_->started_));
+        }
+        finish(end.task_, at, now);
+        return;
+    case run_end::failed:
+        take_failure(worker, end.task_, at, now);
+        return;
+    case run_end::stopped:
+    case run_end::lapsed:
+    case run_end::gang_broken:
+    case run_end::gang_incomplete:
+    case run_end::unknown:
+        release(end.task_, at, now);
+        mark(*at.job_);
+        return;
+    }
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -0,0 +1,317 @@
+#include "kernel/cell/fleet_plan.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// A refused or unanswered order is given again after this.
+constexpr duration retry_pause = std::chrono::milliseconds{300};
+
+} // namespace
+
+fleet_plan::fleet_plan(fleet_plan_options options, cell& jobs, time_point now)
+    : options_(options), jobs_(jobs), began_(now)
+{
+}
+
+void fleet_plan::set_waves(std::map<wave_number, wave_order> const& waves,
+                           time_point now)
+{
+    for (auto const& item : waves)
+    {
+        auto const place = waves_.try_emplace(item.first);
+        if (place.second)
+        {
+            place.first->second.began_ = now;
+            next_list_ = now;
+        }
+        place.first->second.order_ = item.second;
+    }
+}
+
+void fleet_plan::listed(std::vector<listed_vm> vms, time_point asked,
+                        time_point now)
+{
+    list_out_ = false;
+    list_known_ = true;
+    bool const busy =
+        !work_.empty() || std::any_of(waves_.begin(), waves_.end(),
+                                      [](auto const& wave)
+                                      { return !wave.second.completed_told_; });
+    next_list_ =
+        now + (busy ? options_.list_interval_ : options_.idle_list_interval_);
+    vms_.clear();
+    for (auto& vm : vms)
+    {
+        auto const id = vm.vm_;
+        vms_[id] = std::move(vm);
+    }
+    for (auto place = work_.begin(); place != work_.end();)
+    {
+        auto const found = vms_.find(place->first);
+        bool const back =
+            place->second.ordered_ &&
+            asked > place->second.ordered_at_ + options_.settle_time_ &&
+            found != vms_.end() && found->second.standing_ == vm_standing::up;
+        bool const removed = found == vms_.end();
+        if (back || removed)
+        {
+            jobs_.reserve(place->first, false);
+            place = work_.erase(place);
+        }
+        else
+        {
+            ++place;
+        }
+    }
+}
+
+void fleet_plan::list_failed(time_point now)
+{
+    list_out_ = false;
+    next_list_ = now + options_.list_interval_;
+}
+
+void fleet_plan::drop_work(vm_id const& vm)
+{
+    jobs_.reserve(vm, false);
+    work_.erase(vm);
+}
+
+void fleet_plan::maintained(vm_id const& vm, wave_number wave,
+                            vm_outcome outcome, time_point now)
+{
+    auto const found = work_.find(vm);
+    if (found == work_.end())
+    {
+        return;
+    }
+    auto& work = found->second;
+    work.order_out_ = false;
+    work.next_try_ = now + retry_pause;
+    switch (outcome)
+    {
+    case vm_outcome::done:
+        work.ordered_ = true;
+        work.ordered_at_ = now;
+        waves_[wave].maintained_.insert(vm);
+        actions_.emplace_back(note_decision{"vm_maintained", vm.text(),
+                                            "wave=" + std::to_string(wave)});
+        return;
+    case vm_outcome::refused:
+        actions_.emplace_back(note_decision{"maintenance_refused", vm.text(),
+                                            "wave=" + std::to_string(wave)});
+        waves_[wave].maintained_.insert(vm);
+        drop_work(vm);
+        return;
+    case vm_outcome::busy:
+    case vm_outcome::fenced:
+    case vm_outcome::later:
+    case vm_outcome::no_answer:
+        actions_.emplace_back(note_decision{
+            "maintenance_not_begun", vm.text(),
+            "outcome=" + std::to_string(static_cast<int>(outcome))});
+        return;
+    }
+}
+
+void fleet_plan::moved(vm_id const& vm, vm_outcome outcome, time_point now)
+{
+    auto const found = work_.find(vm);
+    if (found == work_.end())
+    {
+        return;
+    }
+    auto& work = found->second;
+    work.order_out_ = false;
+    work.next_try_ = now + retry_pause;
+    if (outcome == vm_outcome::done)
+    {
+        work.ordered_ = true;
+        work.ordered_at_ = now;
+        actions_.emplace_back(
+            note_decision{"vm_moved", vm.text(), work.target_->text()});
+    }
+    else if (outcome != vm_outcome::no_answer && outcome != vm_outcome::later)
+    {
+        drop_work(vm);
+    }
+}
+
+void fleet_plan::reported(wave_number wave, bool stored)
+{
+    auto const found = waves_.find(wave);
+    if (found == waves_.end())
+    {
+        return;
+    }
+    auto& state = found->second;
+    state.report_out_ = false;
+    if (stored)
+    {
+        (state.running_told_ ? state.completed_told_ : state.running_told_) =
+            true;
+    }
+}
+
+bool fleet_plan::is_standby(listed_vm const& vm) const
+{
+    auto const found = jobs_.config().pools_.find(vm.pool_);
+    return found != jobs_.config().pools_.end() && found->second.standby_;
+}
+
+/// Tasks that an order for the VM now would disturb.
+std::uint64_t fleet_plan::cost_of(vm_id const& vm) const
+{
+    return jobs_.tasks_on(vm);
+}
+
+std::uint32_t fleet_plan::down_in(wave_number wave) const
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        work_.begin(), work_.end(),
+        [&](auto const& item)
+        { return item.second.wave_ == wave && !item.second.target_; }));
+}
+
+void fleet_plan::pick(wave_state& wave, time_point now)
+{
+    std::vector<std::pair<std::uint64_t, vm_id>> candidates;
+    for (auto const& vm : wave.order_.vms_)
+    {
+        auto const found = vms_.find(vm);
+        if (found == vms_.end() || wave.maintained_.count(vm) != 0 ||
+            work_.count(vm) != 0 || found->second.standing_ != vm_standing::up)
+        {
+            continue;
+        }
+        auto const cost = is_standby(found->second) ? 0 : 1 + cost_of(vm);
+        candidates.emplace_back(cost, vm);
+    }
+    std::sort(candidates.begin(), candidates.end());
+    std::map<pool_name, std::uint32_t> taken;
+    std::map<pool_name, std::uint32_t> size;
+    for (auto const& vm : vms_)
+    {
+        ++size[vm.second.pool_];
+        taken[vm.second.pool_] +=
+            work_.count(vm.first) != 0 || vm.second.standing_ != vm_standing::up
+                ? 1
+                : 0;
+    }
+    auto down = down_in(wave.order_.number_);
+    for (auto const& candidate : candidates)
+    {
+        if (down >= wave.order_.most_at_once_)
+        {
+            return;
+        }
+        auto const& vm = vms_.at(candidate.second);
+        // A pool never loses more than a third at a time.
+        bool const spared =
+            !is_standby(vm) && (taken[vm.pool_] + 1) * 3 > size[vm.pool_];
+        if (spared)
+        {
+            continue;
+        }
+        ++taken[vm.pool_];
+        ++down;
+        vm_work work;
+        work.wave_ = wave.order_.number_;
+        work.reserved_ = now;
+        work_[candidate.second] = work;
+        jobs_.reserve(candidate.second, true);
+    }
+}
+
+void fleet_plan::report(wave_state& wave)
+{
+    if (wave.report_out_ || wave.completed_told_)
+    {
+        return;
+    }
+    bool const all = std::all_of(
+        wave.order_.vms_.begin(), wave.order_.vms_.end(),
+        [&](vm_id const& vm)
+        { return wave.maintained_.count(vm) != 0 || vms_.count(vm) == 0; });
+    if (!wave.running_told_ || all)
+    {
+        wave.report_out_ = true;
+        actions_.emplace_back(
+            report_wave{wave.order_.number_, wave.running_told_ && all});
+    }
+}
+
+void fleet_plan::drive_waves(time_point now)
+{
+    for (auto& item : waves_)
+    {
+        auto& wave = item.second;
+        if (!wave.completed_told_)
+        {
+            pick(wave, now);
+            report(wave);
+        }
+    }
+}
+
+void fleet_plan::drive_work(time_point now, bool may_order)
+{
+    for (auto& item : work_)
+    {
+        auto& work = item.second;
+        if (work.ordered_ || work.order_out_ || now < work.next_try_)
+        {
+            continue;
+        }
+        auto const tasks = jobs_.tasks_on(item.first);
+        if (tasks > 0)
+        {
+            jobs_.evacuate(item.first, now);
+        }
+        bool const patient = now - work.reserved_ < options_.drain_patience_;
+        bool const empty =
+            tasks == 0 || (!patient && !work.target_ &&
+                           jobs_.lasting_tasks_on(item.first) == 0);
+        if (!empty || !may_order)
+        {
+            continue;
+        }
+        work.order_out_ = true;
+        if (work.target_)
+        {
+            actions_.emplace_back(move_vm{item.first, *work.target_});
+        }
+        else
+        {
+            actions_.emplace_back(maintain_vm{item.first, work.wave_});
+        }
+    }
+}
+
+void fleet_plan::tick(time_point now, time_point confirmed)
+{
+    if (!list_out_ && now >= next_list_)
+    {
+        list_out_ = true;
+        actions_.emplace_back(list_vms{});
+    }
+    if (!list_known_ || now - began_ < options_.order_pause_)
+    {
+        return;
+    }
+    drive_waves(now);
+    drive_work(now, now - confirmed < options_.confirmation_limit_);
+}
+
+std::vector<fleet_action> fleet_plan::take_actions()
+{
+    return std::exchange(actions_, {});
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -0,0 +1,135 @@
+#ifndef CUMINFOLD_KERNEL_CELL_FLEET_PLAN_HPP
+#define CUMINFOLD_KERNEL_CELL_FLEET_PLAN_HPP
+
+#include "kernel/cell/cell.hpp"
+#include "kernel/cell/wave_order.hpp"
+#include "kernel/time.hpp"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cuminfold
+{
+
+struct fleet_plan_options
+{
+    /// A new owner gives no order for a VM for this long: the one before may
+    /// have given one just now.
+    duration order_pause_ = std::chrono::milliseconds{4200};
+    /// Orders are given only this long after a confirmation of the epoch.
+    duration confirmation_limit_ = std::chrono::milliseconds{1000};
+    /// A VM is taken for down for this long after an order, whatever lists
+    /// say.
+    duration settle_time_ = std::chrono::milliseconds{1000};
+    duration list_interval_ = std::chrono::milliseconds{400};
+    /// While nothing is to be done.
+    duration idle_list_interval_ = std::chrono::milliseconds{1500};
+    /// A VM that is not empty this long after it was reserved is maintained
+    /// all the same, unless lasting tasks are on it.
+    duration drain_patience_ = std::chrono::milliseconds{5000};
+};
+
+/// Ask for the list of VMs.
+struct list_vms
+{
+};
+
+struct maintain_vm
+{
+    vm_id vm_;
+    wave_number wave_ = 0;
+};
+
+struct move_vm
+{
+    vm_id vm_;
+    pool_name pool_;
+};
+
+struct report_wave
+{
+    wave_number wave_ = 0;
+    bool completed_ = false;
+};
+
+using fleet_action =
+    std::variant<list_vms, maintain_vm, move_vm, report_wave, note_decision>;
+
+/// Decides which VMs are maintained or moved, and when: reserves them in the
+/// cell, waits until they are empty, and gives the order.
+class fleet_plan
+{
+public:
+    fleet_plan(fleet_plan_options options, cell& jobs, time_point now);
+
+    void set_waves(std::map<wave_number, wave_order> const& waves,
+                   time_point now);
+    /// The list of VMs as it was at some time after `asked`.
+    void listed(std::vector<listed_vm> vms, time_point asked, time_point now);
+    void list_failed(time_point now);
+    void maintained(vm_id const& vm, wave_number wave, vm_outcome outcome,
+                    time_point now);
+    void moved(vm_id const& vm, vm_outcome outcome, time_point now);
+    void reported(wave_number wave, bool stored);
+
+    /// @param confirmed when the epoch was last confirmed
+    void tick(time_point now, time_point confirmed);
+
+    std::vector<fleet_action> take_actions();
+
+    std::map<vm_id, listed_vm> const& vms() const noexcept
+    {
+        return vms_;
+    }
+
+private:
+    struct vm_work
+    {
+        wave_number wave_ = 0;
+        std::optional<pool_name> target_;
+        time_point reserved_{};
+        bool ordered_ = false;
+        bool order_out_ = false;
+        time_point ordered_at_{};
+        time_point next_try_{};
+    };
+
+    struct wave_state
+    {
+        wave_order order_;
+        time_point began_{};
+        std::set<vm_id> maintained_;
+        bool running_told_ = false;
+        bool completed_told_ = false;
+        bool report_out_ = false;
+    };
+
+    void drive_waves(time_point now);
+    void pick(wave_state& wave, time_point now);
+    void drive_work(time_point now, bool may_order);
+    void drop_work(vm_id const& vm);
+    void report(wave_state& wave);
+    std::uint32_t down_in(wave_number wave) const;
+    bool is_standby(listed_vm const& vm) const;
+    std::uint64_t cost_of(vm_id const& vm) const;
+
+    fleet_plan_options options_;
+    cell& jobs_;
+    time_point began_;
+    std::map<vm_id, listed_vm> vms_;
+    std::map<wave_number, wave_state> waves_;
+    std::map<vm_id, vm_work> work_;
+    time_point next_list_{};
+    bool list_out_ = false;
+    bool list_known_ = false;
+    std::vector<fleet_action> actions_;
+};
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/kernel/cell/job_definition.hpp
@@ -0,0 +1,156 @@
+#ifndef CUMINFOLD_KERNEL_CELL_JOB_DEFINITION_HPP
+#define CUMINFOLD_KERNEL_CELL_JOB_DEFINITION_HPP
+
+#include "kernel/identifier.hpp"
+#include "kernel/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace cuminfold
+{
+
+/// Calendar time in milliseconds, at which repeated jobs are due.
+using calendar_time = std::chrono::time_point<std::chrono::system_clock,
+                                              std::chrono::milliseconds>;
+
+/// What one task needs, or what a worker has.
+struct resource_amount
+{
+    std::int64_t cpu_milli_ = 0; ///< thousandths of a core
+    std::int64_t memory_mb_ = 0;
+    std::int64_t accelerators_ = 0;
+
+    bool fits(resource_amount const& room) const noexcept
+    {
+        return cpu_milli_ <= room.cpu_milli_ && memory_mb_ <= room.memory_mb_ &&
+               accelerators_ <= room.accelerators_;
+    }
+    resource_amount& operator+=(resource_amount const& other) noexcept
+    {
+        cpu_milli_ += other.cpu_milli_;
+        memory_mb_ += other.memory_mb_;
+        accelerators_ += other.accelerators_;
+        return *this;
+    }
+    resource_amount& operator-=(resource_amount const& other) noexcept
+    {
+        cpu_milli_ -= other.cpu_milli_;
+        memory_mb_ -= other.memory_mb_;
+        accelerators_ -= other.accelerators_;
+        return *this;
+    }
+};
+
+/// A job's step: tasks of one shape that may run at the same time.
+struct job_step
+{
+    std::uint32_t tasks_ = 1;
+    resource_amount each_;
+    /// The client's guess of one task's run time.
+    duration estimate_{0};
+    /// Steps, by their place in the job, that must be done first.
+    std::vector<std::uint32_t> after_;
+    /// A label that the worker must carry; empty: none.
+    std::string label_;
+    /// The rack where the data lies; elsewhere tasks take longer.
+    std::string data_rack_;
+    std::string image_;
+    /// Tasks of the step that may share a worker; 0: any number.
+    std::uint32_t per_worker_ = 0;
+    /// Lasting tasks that planned work may take away at one time.
+    std::uint32_t max_unavailable_ = 0;
+    /// Bound on the tail of the response times of a lasting task; 0: none.
+    duration tail_target_{0};
+    bool checkpointing_ = false;
+    /// All tasks run together or not at all.
+    bool gang_ = false;
+    bool same_rack_ = false;
+    bool copies_allowed_ = false;
+    /// Runs until the job is cancelled.
+    bool lasting_ = false;
+    /// Takes processor time that others leave unused.
+    bool filler_ = false;
+};
+
+/// A job as a client handed it in; never changes.
+struct job_definition
+{
+    job_id id_;
+    std::string route_;
+    /// The queue's pool when the job was accepted.
+    pool_name pool_;
+    /// Handed to each task unchanged.
+    std::string text_;
+    std::vector<job_step> steps_;
+    /// Times that the steps run; 0: once, at once.
+    std::uint32_t occurrences_ = 0;
+    calendar_time first_run_{};
+    duration interval_{0};
+};
+
+/// Names one task of a job.
+struct task_id
+{
+    job_id job_;
+    std::uint32_t occurrence_ = 0;
+    std::uint32_t step_ = 0;
+    std::uint32_t index_ = 0;
+
+    friend bool operator==(task_id const& a, task_id const& b)
+    {
+        return a.job_ == b.job_ && a.occurrence_ == b.occurrence_ &&
+               a.step_ == b.step_ && a.index_ == b.index_;
+    }
+    friend bool operator<(task_id const& a, task_id const& b)
+    {
+        return std::tie(a.job_, a.occurrence_, a.step_, a.index_) <
+               std::tie(b.job_, b.occurrence_, b.step_, b.index_);
+    }
+};
+
+/// A task's name for logs: JOB.OCCURRENCE.STEP.INDEX.
+inline std::string describe(task_id const& task)
+{
+    return task.job_.text() + "." + std::to_string(task.occurrence_) + "." +
+           std::to_string(task.step_) + "." + std::to_string(task.index_);
+}
+
+/// How far a job is, as clients are told.
+enum class job_standing : std::uint8_t
+{
+    queued,
+    running,
+    completed,
+    failed,
+    cancelled
+};
+
+/// The part of a task's state that outlives its owner.
+struct task_record
+{
+    task_id task_; ///< the job's id is left empty in a record of that job
+    /// Number of its newest start; 0: never started.
+    std::uint32_t run_ = 0;
+    std::uint32_t failures_ = 0;
+    bool done_ = false;
+    /// The worker that may be running it; empty: none.
+    std::string worker_;
+    std::string checkpoint_;
+};
+
+/// The part of a job's state that outlives its owner.
+struct job_progress
+{
+    /// `queued` and `running` are told apart by the tasks.
+    job_standing standing_ = job_standing::queued;
+    /// Only tasks that differ from a new one.
+    std::vector<task_record> tasks_;
+};
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/kernel/cell/ownership.cpp
@@ -0,0 +1,242 @@
+#include "kernel/cell/ownership.hpp"
+
+#include "kernel/hash.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// The lower half of an epoch tells nodes and lives apart, the upper half
+/// counts takeovers. Together they fit a double exactly.
+constexpr unsigned unique_bits = 32;
+constexpr std::uint64_t unique_mask = (1ULL << unique_bits) - 1;
+/// Nodes of higher ranks wait no longer than this one.
+constexpr std::uint64_t last_rank = 8;
+
+} // namespace
+
+ownership::ownership(ownership_options options, time_point now)
+    : options_(std::move(options)), unchanged_since_(now)
+{
+}
+
+owner_epoch ownership::next_epoch() const
+{
+    auto const round = (highest_ >> unique_bits) + 1;
+    auto const unique = stable_hash(options_.node_, options_.life_);
+    return (round << unique_bits) | (unique & unique_mask);
+}
+
+ownership_step ownership::next(time_point now)
+{
+    if (owning_)
+    {
+        return ownership_step::nothing;
+    }
+    if (taking_ && !take_.out_ && now >= take_.due_)
+    {
+        if (epoch_ <= highest_)
+        {
+            epoch_ = next_epoch();
+        }
+        take_.out_ = true;
+        return ownership_step::take_over;
+    }
+    if (known_.epoch_ != 0 && !known_.address_.empty() && !ping_.out_ &&
+        now >= ping_.due_)
+    {
+        ping_.out_ = true;
+        return ownership_step::ping_owner;
+    }
+    if (suspecting_ && !taking_ && !read_.out_ && now >= read_.due_)
+    {
+        read_.out_ = true;
+        return ownership_step::read_record;
+    }
+    return ownership_step::nothing;
+}
+
+void ownership::follow(owner_record const& record, time_point now)
+{
+    highest_ = std::max(highest_, record.epoch_);
+    if (record.epoch_ <= known_.epoch_)
+    {
+        return;
+    }
+    known_ = record;
+    heard_ = now;
+    heard_once_ = true;
+    suspecting_ = false;
+    taking_ = false;
+    ping_ = {false, now};
+}
+
+void ownership::suspect(time_point now)
+{
+    if (!suspecting_)
+    {
+        suspecting_ = true;
+        record_seen_ = false;
+        unchanged_since_ = now;
+        read_.due_ = now;
+    }
+}
+
+void ownership::ping_answered(peer_ping const& answer, time_point now)
+{
+    ping_ = {false, now + options_.ping_interval_};
+    if (answer.epoch_ > known_.epoch_ && !answer.owner_address_.empty())
+    {
+        owner_record record;
+        record.epoch_ = answer.epoch_;
+        record.address_ = answer.owner_address_;
+        follow(record, now);
+        return;
+    }
+    if (!answer.owning_ || answer.epoch_ != known_.epoch_)
+    {
+        // It was restarted, or has handed over.
+        suspect(now);
+        return;
+    }
+    heard_ = now;
+    heard_once_ = true;
+    if (answer.unconfirmed_ > options_.store_patience_)
+    {
+        suspect(now);
+    }
+    else
+    {
+        suspecting_ = false;
+        taking_ = false;
+    }
+}
+
+void ownership::ping_failed(time_point now)
+{
+    ping_ = {false, now + options_.ping_interval_ / 2};
+    if (now - heard_ >= options_.patience_)
+    {
+        suspect(now);
+    }
+}
+
+std::uint64_t ownership::rank_among(std::set<std::string> const& nodes) const
+{
+    auto const round = std::to_string(highest_);
+    auto const own = rendezvous_weight(options_.node_, round);
+    std::uint64_t rank = 0;
+    for (auto const& node : nodes)
+    {
+        bool const ahead = node != options_.node_ && node != known_.node_ &&
+                           rendezvous_weight(node, round) > own;
+        rank += ahead ? 1 : 0;
+    }
+    return std::min(rank, last_rank);
+}
+
+void ownership::record_read(std::optional<owner_record> const& record,
+                            std::set<std::string> const& nodes, time_point now)
+{
+    read_ = {false, now + options_.read_interval_};
+    if (!suspecting_)
+    {
+        return;
+    }
+    auto const turn =
+        options_.rank_delay_ * static_cast<std::int64_t>(rank_among(nodes));
+    if (!record)
+    {
+        // Nobody has ever owned it.
+        taking_ = !leaving_ && now - unchanged_since_ >= turn;
+        take_.due_ = now;
+        return;
+    }
+    highest_ = std::max(highest_, record->epoch_);
+    bool const earlier_life = record->node_ == options_.node_;
+    if (record->epoch_ > known_.epoch_ && !record->resigned_ && !earlier_life)
+    {
+        follow(*record, now);
+        return;
+    }
+    if (record->epoch_ >= known_.epoch_)
+    {
+        bool const changed = !record_seen_ || record->beat_ != known_.beat_ ||
+                             record->resigned_ != known_.resigned_;
+        known_ = *record;
+        record_seen_ = true;
+        unchanged_since_ = changed ? now : unchanged_since_;
+    }
+    bool const over = known_.resigned_ || earlier_life;
+    auto const patience = over ? duration{0} : options_.record_patience_;
+    taking_ = !leaving_ && now - unchanged_since_ >= patience + turn;
+    take_.due_ = now;
+}
+
+void ownership::record_unreadable(time_point now)
+{
+    read_ = {false, now + options_.read_interval_};
+    record_seen_ = false;
+    unchanged_since_ = now;
+}
+
+void ownership::took_over(time_point now)
+{
+    take_.out_ = false;
+    taking_ = false;
+    suspecting_ = false;
+    owning_ = true;
+    highest_ = std::max(highest_, epoch_);
+    known_ = {};
+    known_.epoch_ = epoch_;
+    known_.node_ = options_.node_;
+    known_.address_ = options_.address_;
+    heard_ = now;
+    heard_once_ = true;
+}
+
+void ownership::takeover_failed(bool fenced, time_point now)
+{
+    take_ = {false, now + options_.read_interval_};
+    if (fenced)
+    {
+        highest_ = std::max(highest_, epoch_);
+        taking_ = false;
+        suspecting_ = false;
+        suspect(now);
+    }
+}
+
+void ownership::lost(time_point now)
+{
+    owning_ = false;
+    heard_once_ = false;
+    // The record of the next owner has a higher epoch; this one's is over.
+    known_.address_.clear();
+    known_.resigned_ = true;
+    suspecting_ = false;
+    suspect(now);
+}
+
+void ownership::leave(time_point now)
+{
+    leaving_ = true;
+    taking_ = false;
+    if (owning_)
+    {
+        lost(now);
+    }
+}
+
+bool ownership::reachable(time_point now) const
+{
+    return !owning_ && heard_once_ && !known_.address_.empty() &&
+           now - heard_ < options_.contact_limit_;
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/cell/placement_rule.cpp
@@ -0,0 +1,113 @@
+#include "kernel/cell/placement_rule.hpp"
+
+#include <array>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+bool is_listed(placement_view const& view)
+{
+    return !view.worker_.gone_;
+}
+
+bool is_fenced(placement_view const& view)
+{
+    return view.worker_.fenced_;
+}
+
+bool stays(placement_view const& view)
+{
+    return !view.worker_.entry_.draining_ && !view.worker_.reserved_;
+}
+
+bool answers(placement_view const& view)
+{
+    return view.worker_.silent_renewals_ == 0;
+}
+
+bool is_trusted(placement_view const& view)
+{
+    return view.now_ >= view.worker_.avoided_until_;
+}
+
+bool has_label(placement_view const& view)
+{
+    return view.shape_.label_.empty() ||
+           view.worker_.entry_.labels_.count(view.shape_.label_) != 0;
+}
+
+bool keeps_apart(placement_view const& view)
+{
+    return view.shape_.per_worker_ == 0 ||
+           view.same_step_ < view.shape_.per_worker_;
+}
+
+/// A run of an unknown job takes room of unknown size.
+bool has_no_strays(placement_view const& view)
+{
+    return view.worker_.strays_.empty();
+}
+
+bool has_room(placement_view const& view)
+{
+    resource_amount need = view.worker_.used_;
+    need += view.shape_.each_;
+    if (view.shape_.filler_)
+    {
+        need.cpu_milli_ = 0;
+    }
+    return need.fits(view.worker_.entry_.size_);
+}
+
+constexpr std::array<placement_rule, 9> rules = {{
+    {"worker_gone", is_listed},
+    {"worker_not_fenced", is_fenced},
+    {"worker_leaving", stays},
+    {"worker_silent", answers},
+    {"worker_failing", is_trusted},
+    {"label_missing", has_label},
+    {"anti_affinity", keeps_apart},
+    {"stray_run", has_no_strays},
+    {"no_room", has_room},
+}};
+
+} // namespace
+
+placement_rule const* broken_rule(placement_view const& view)
+{
+    for (auto const& rule : rules)
+    {
+        if (!rule.holds_(view))
+        {
+            return &rule;
+        }
+    }
+    return nullptr;
+}
+
+double placement_score(placement_view const& view)
+{
+    constexpr double near_data = 10;
+    constexpr double strike_cost = 0.3;
+    constexpr double same_step_cost = 0.5;
+    auto const& worker = view.worker_;
+    double const cores =
+        static_cast<double>(worker.entry_.size_.cpu_milli_) + 1;
+    double score = 1 - static_cast<double>(worker.used_.cpu_milli_) / cores;
+    score -= strike_cost * worker.strikes_;
+    if (!view.shape_.data_rack_.empty() &&
+        worker.entry_.labels_.count(view.shape_.data_rack_) != 0)
+    {
+        score += near_data;
+    }
+    if (view.shape_.lasting_)
+    {
+        score -= same_step_cost * view.same_step_;
+    }
+    return score;
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/cell/run_time_book.cpp
@@ -0,0 +1,80 @@
+#include "kernel/cell/run_time_book.hpp"
+
+#include <algorithm>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// Share of a new sample in the moving average.
+constexpr double learning_rate = 0.05;
+/// A single sample counts at most this many times its guess.
+constexpr double largest_ratio = 5.0;
+/// Guesses below this tell nothing about the ratio.
+constexpr duration least_guess = std::chrono::milliseconds{20};
+
+double seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+void run_time_book::observe(std::string const& route, job_step const& step,
+                            duration taken)
+{
+    if (step.lasting_ || step.estimate_ < least_guess)
+    {
+        return;
+    }
+    double const sample =
+        std::min(largest_ratio, seconds(taken) / seconds(step.estimate_));
+    auto const place = ratios_.try_emplace(route, 1.0).first;
+    place->second += learning_rate * (sample - place->second);
+}
+
+duration run_time_book::expect(std::string const& route,
+                               job_step const& step) const
+{
+    auto const found = ratios_.find(route);
+    double const ratio = found == ratios_.end() ? 1.0 : found->second;
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds(step.estimate_) * ratio));
+}
+
+duration run_time_book::chain(job_definition const& job) const
+{
+    std::vector<duration> ends(job.steps_.size(), duration{0});
+    duration longest{0};
+    for (std::size_t i = 0; i < job.steps_.size(); ++i)
+    {
+        duration begin{0};
+        for (auto const before : job.steps_[i].after_)
+        {
+            begin = std::max(begin, before < i ? ends[before] : duration{0});
+        }
+        ends[i] = begin + (job.steps_[i].lasting_
+                               ? duration{0}
+                               : expect(job.route_, job.steps_[i]));
+        longest = std::max(longest, ends[i]);
+    }
+    return longest;
+}
+
+double run_time_book::core_seconds(job_definition const& job) const
+{
+    double sum = 0;
+    for (auto const& step : job.steps_)
+    {
+        if (!step.lasting_)
+        {
+            sum += static_cast<double>(step.each_.cpu_milli_) / 1000 *
+                   step.tasks_ * seconds(expect(job.route_, step));
+        }
+    }
+    return sum;
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/cell/run_time_book.hpp
@@ -0,0 +1,37 @@
+#ifndef CUMINFOLD_KERNEL_CELL_RUN_TIME_BOOK_HPP
+#define CUMINFOLD_KERNEL_CELL_RUN_TIME_BOOK_HPP
+
+#include "kernel/cell/job_definition.hpp"
+#include "kernel/time.hpp"
+
+#include <map>
+#include <string>
+
+namespace cuminfold
+{
+
+/// Learns for each queue how run times relate to the clients' guesses.
+class run_time_book
+{
+public:
+    /// A good run of a task of that step took this long.
+    void observe(std::string const& route, job_step const& step,
+                 duration taken);
+
+    /// The expected run time of one task.
+    duration expect(std::string const& route, job_step const& step) const;
+
+    /// The expected time of the job's longest chain of steps.
+    duration chain(job_definition const& job) const;
+
+    /// The expected processor time of one occurrence in core-seconds; lasting
+    /// steps count nothing.
+    double core_seconds(job_definition const& job) const;
+
+private:
+    std::map<std::string, double> ratios_;
+};
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/node/config_follower.cpp
@@ -0,0 +1,119 @@
+#include "node/config_follower.hpp"
+
+#include "node/node_clock.hpp"
+#include "platform/body_codec.hpp"
+#include "platform/config_format.hpp"
+
+#include <string>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// How old the configuration may be; several of these fit the bound within
+/// which a change must be in force.
+constexpr duration config_wait = std::chrono::milliseconds{700};
+constexpr char const* config_key = "config";
+constexpr char const* wave_prefix = "wave/";
+
+} // namespace
+
+config_follower::config_follower(boost::asio::io_context& context,
+                                 platform::store_client& store,
+                                 decision_log& log,
+                                 std::function<void()> changed)
+    : log_(log), changed_(std::move(changed))
+{
+    topic_handler handler;
+    handler.whole_ = [this](auto const& records) { take(records); };
+    handler.change_ = [this](auto const& records) { take(records); };
+    handler.reach_ = [this](bool reachable)
+    {
+        log_.write(reachable ? "store_regained" : "store_lost",
+                   {{"topic", "operators"}}, node_now());
+    };
+    follower_ = std::make_shared<topic_follower>(
+        context, store, platform::store_topic::operators, config_wait,
+        std::move(handler));
+}
+
+void config_follower::start()
+{
+    follower_->start();
+}
+
+void config_follower::stop()
+{
+    follower_->stop();
+}
+
+void config_follower::take(std::vector<platform::keyed_record> const& records)
+{
+    for (auto const& record : records)
+    {
+        if (!record.value_)
+        {
+            continue;
+        }
+        if (record.key_ == config_key)
+        {
+            take_config(*record.value_);
+        }
+        else if (record.key_.rfind(wave_prefix, 0) == 0)
+        {
+            take_wave(record.key_, *record.value_);
+        }
+    }
+    changed_();
+}
+
+void config_follower::take_config(std::string const& bytes)
+{
+    try
+    {
+        std::size_t skipped = 0;
+        auto config = platform::read_config(bytes, skipped);
+        bool const newer = config.version_ > config_.version_;
+        log_.write("config_read",
+                   {{"version", std::to_string(config.version_)},
+                    {"routes", std::to_string(config.routes_.size())},
+                    {"skipped", std::to_string(skipped)},
+                    {"outcome", newer ? "in_force" : "not_newer"}},
+                   node_now());
+        if (newer)
+        {
+            config_ = std::move(config);
+        }
+    }
+    catch (platform::format_error const& error)
+    {
+        log_.write("config_unreadable", {{"error", error.what()}}, node_now());
+    }
+}
+
+void config_follower::take_wave(std::string const& key,
+                                std::string const& bytes)
+{
+    try
+    {
+        auto wave = platform::read_wave(bytes);
+        if (waves_.count(wave.number_) == 0)
+        {
+            log_.write("wave_read",
+                       {{"wave", std::to_string(wave.number_)},
+                        {"vms", std::to_string(wave.vms_.size())},
+                        {"at_once", std::to_string(wave.most_at_once_)}},
+                       node_now());
+        }
+        waves_[wave.number_] = std::move(wave);
+    }
+    catch (platform::format_error const& error)
+    {
+        log_.write("wave_unreadable", {{"key", key}, {"error", error.what()}},
+                   node_now());
+    }
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/node/decision_log.cpp
@@ -0,0 +1,43 @@
+#include "node/decision_log.hpp"
+
+#include <string>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// Lines a second of one kind of event.
+constexpr std::uint32_t lines_per_second = 60;
+
+} // namespace
+
+decision_log::decision_log(metrics& counters) : counters_(counters) {}
+
+void decision_log::write(char const* event,
+                         std::initializer_list<log_field> fields,
+                         time_point now)
+{
+    counters_.add("cuminfold_decisions_total", 1, "event", event);
+    auto& budget = budgets_[event];
+    if (now - budget.second_ >= std::chrono::seconds{1})
+    {
+        if (budget.left_out_ != 0)
+        {
+            write_log(
+                log_level::info, "lines_left_out",
+                {{"of", event}, {"count", std::to_string(budget.left_out_)}});
+        }
+        budget = {now, 0, 0};
+    }
+    if (budget.written_ >= lines_per_second)
+    {
+        ++budget.left_out_;
+        return;
+    }
+    ++budget.written_;
+    write_log(log_level::info, event, fields);
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/node/front.cpp
@@ -0,0 +1,356 @@
+#include "node/front.hpp"
+
+#include "node/node_clock.hpp"
+#include "node/peer_api.hpp"
+#include "platform/body_codec.hpp"
+#include "platform/client_format.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// A client is told this much before its wait ends that the outcome is not
+/// known, so that the answer still reaches it.
+constexpr duration answer_margin = std::chrono::milliseconds{60};
+/// A request waits this long for an owner to be found.
+constexpr duration owner_wait = std::chrono::milliseconds{2000};
+constexpr duration retry_pause = std::chrono::milliseconds{80};
+constexpr duration tick = std::chrono::milliseconds{40};
+/// Clients keep their connections while they are idle.
+constexpr duration client_idle_time = std::chrono::seconds{60};
+constexpr std::size_t client_connections = 2000;
+/// Above the platform's own bound on bodies, which is checked by the owner's
+/// configuration.
+constexpr std::size_t body_limit = 512 * 1024;
+
+http_server_limits client_limits()
+{
+    http_server_limits limits;
+    limits.connections_ = client_connections;
+    limits.body_bytes_ = body_limit;
+    limits.idle_time_ = client_idle_time;
+    return limits;
+}
+
+char const* verb_name(client_verb verb)
+{
+    switch (verb)
+    {
+    case client_verb::submit:
+        return "submit";
+    case client_verb::read:
+        return "read";
+    case client_verb::cancel:
+        return "cancel";
+    case client_verb::other:
+        return "other";
+    }
+    return "other";
+}
+
+char const* kind_name(answer_kind kind)
+{
+    switch (kind)
+    {
+    case answer_kind::accepted:
+        return "accepted";
+    case answer_kind::standing:
+        return "standing";
+    case answer_kind::pending:
+        return "pending";
+    case answer_kind::no_such_job:
+        return "no_such_job";
+    case answer_kind::no_such_queue:
+        return "no_such_queue";
+    case answer_kind::invalid:
+        return "invalid";
+    case answer_kind::too_large:
+        return "too_large";
+    case answer_kind::overloaded:
+        return "overloaded";
+    case answer_kind::unavailable:
+        return "unavailable";
+    case answer_kind::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+front::front(boost::asio::io_context& context, http_client& peers,
+             front_handler handler, decision_log& log, metrics& counters)
+    : peers_(peers), handler_(std::move(handler)), log_(log),
+      metrics_(counters), timer_(context),
+      server_(context, client_limits(),
+              {[this](std::uint64_t exchange, http_request request,
+                      http_responder respond)
+               { take(exchange, std::move(request), std::move(respond)); },
+               [this](std::uint64_t exchange) { open_.erase(exchange); },
+               nullptr,
+               [this](char const* what)
+               { metrics_.add("cuminfold_rejected_total", 1, "cause", what); }})
+{
+}
+
+void front::listen(std::string const& address)
+{
+    server_.listen(address);
+}
+
+void front::leave()
+{
+    server_.leave();
+}
+
+void front::stop(std::function<void()> done)
+{
+    timer_.cancel();
+    server_.stop(std::move(done));
+}
+
+void front::take(std::uint64_t exchange, http_request request,
+                 http_responder respond)
+{
+    auto const now = node_now();
+    auto& open = open_[exchange];
+    open.respond_ = std::move(respond);
+    open.began_ = now;
+    try
+    {
+        open.call_ = platform::read_client_call(request);
+    }
+    catch (platform::format_error const& error)
+    {
+        open.call_.path_ = request.path_;
+        client_answer answer;
+        answer.kind_ = answer_kind::invalid;
+        answer.why_ = error.what();
+        finish(exchange, answer);
+        return;
+    }
+    open.until_ = now + open.call_.time_left_ - answer_margin;
+    open.owner_until_ = std::min(open.until_, now + owner_wait);
+    attempt(exchange);
+    arm_timer();
+}
+
+void front::attempt(std::uint64_t exchange)
+{
+    auto& open = open_.at(exchange);
+    auto const now = node_now();
+    auto const owner = handler_.owner_();
+    if (!owner.reachable_)
+    {
+        open.next_ = now + retry_pause;
+        return;
+    }
+    open.out_ = true;
+    open.sent_to_ = owner.epoch_;
+    auto const number = ++open.attempt_;
+    open.call_.time_left_ =
+        std::max<duration>(open.until_ - now, std::chrono::milliseconds{1});
+    open.call_.config_floor_ =
+        std::max(config_floor_, handler_.config_version_());
+    if (owner.local_)
+    {
+        // A copy: the call may be repeated to another owner.
+        handler_.call_local_(open.call_,
+                             [this, exchange, number](client_answer answer) {
+                                 attempt_ended(exchange, number, answer, true);
+                             });
+        return;
+    }
+    open.peer_call_ = call_peer(
+        peers_, owner.address_, open.call_,
+        [this, exchange, number](std::optional<client_answer> const& answer,
+                                 peer_failure failure)
+        {
+            attempt_ended(exchange, number, answer,
+                          failure != peer_failure::not_sent);
+        });
+}
+
+void front::attempt_ended(std::uint64_t exchange, std::uint64_t attempt,
+                          std::optional<client_answer> const& answer,
+                          bool maybe_stored)
+{
+    auto const found = open_.find(exchange);
+    if (found == open_.end() || found->second.attempt_ != attempt)
+    {
+        return;
+    }
+    auto& open = found->second;
+    open.out_ = false;
+    open.peer_call_ = 0;
+    open.next_ = node_now() + retry_pause;
+    if (!answer || answer->kind_ == answer_kind::unknown)
+    {
+        open.maybe_stored_ = open.maybe_stored_ || maybe_stored;
+        return;
+    }
+    if (answer->kind_ == answer_kind::unavailable)
+    {
+        // It is tried again as long as the client may still profit from it.
+        return;
+    }
+    bool const not_run = answer->kind_ == answer_kind::overloaded;
+    if (not_run && open.maybe_stored_)
+    {
+        // An earlier owner may have stored what this one refuses.
+        client_answer open_outcome = *answer;
+        open_outcome.kind_ = answer_kind::unknown;
+        finish(exchange, open_outcome);
+        return;
+    }
+    finish(exchange, *answer);
+}
+
+void front::finish(std::uint64_t exchange, client_answer const& answer)
+{
+    auto const found = open_.find(exchange);
+    auto const open = std::move(found->second);
+    open_.erase(found);
+    config_floor_ = std::max(config_floor_, answer.config_version_);
+    auto const now = node_now();
+    metrics_.observe(std::string("cuminfold_request_") +
+                         verb_name(open.call_.verb_),
+                     now - open.began_);
+    metrics_.add("cuminfold_answers_total", 1, "kind", kind_name(answer.kind_));
+    bool const decides = open.call_.verb_ != client_verb::read ||
+                         (answer.kind_ != answer_kind::standing &&
+                          answer.kind_ != answer_kind::pending);
+    if (decides)
+    {
+        log_.write(
+            "request_answered",
+            {{"request", open.call_.path_},
+             {"verb", verb_name(open.call_.verb_)},
+             {"outcome", kind_name(answer.kind_)},
+             {"cause", answer.why_},
+             {"config", std::to_string(answer.config_version_)},
+             {"epoch", std::to_string(open.sent_to_)},
+             {"attempts", std::to_string(open.attempt_)},
+             {"ms", std::to_string(
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            now - open.began_)
+                            .count())}},
+            now);
+    }
+    open.respond_(platform::write_client_answer(answer));
+}
+
+void front::give_up(std::uint64_t exchange, char const* why)
+{
+    auto& open = open_.at(exchange);
+    if (open.peer_call_ != 0)
+    {
+        peers_.cancel(open.peer_call_);
+    }
+    ++open.attempt_;
+    client_answer answer;
+    bool const open_outcome = open.maybe_stored_ || open.out_;
+    answer.kind_ =
+        open_outcome ? answer_kind::unknown : answer_kind::unavailable;
+    answer.why_ = why;
+    answer.retry_after_ = std::chrono::seconds{1};
+    finish(exchange, answer);
+}
+
+void front::owner_changed()
+{
+    auto const owner = handler_.owner_();
+    std::vector<std::uint64_t> again;
+    for (auto& item : open_)
+    {
+        auto& open = item.second;
+        if (open.out_ && open.sent_to_ != owner.epoch_)
+        {
+            open.maybe_stored_ = true;
+            if (open.peer_call_ != 0)
+            {
+                peers_.cancel(open.peer_call_);
+                open.peer_call_ = 0;
+            }
+            open.out_ = false;
+            ++open.attempt_;
+        }
+        if (!open.out_)
+        {
+            again.push_back(item.first);
+        }
+    }
+    for (auto const exchange : again)
+    {
+        if (open_.count(exchange) != 0)
+        {
+            attempt(exchange);
+        }
+    }
+}
+
+void front::arm_timer()
+{
+    if (timer_armed_)
+    {
+        return;
+    }
+    timer_armed_ = true;
+    timer_.expires_after(tick);
+    timer_.async_wait(
+        [this](boost::system::error_code error)
+        {
+            timer_armed_ = false;
+            if (!error)
+            {
+                on_timer();
+            }
+        });
+}
+
+void front::on_timer()
+{
+    auto const now = node_now();
+    std::vector<std::uint64_t> due;
+    for (auto const& item : open_)
+    {
+        auto const& open = item.second;
+        if (now >= open.until_ || !open.out_)
+        {
+            due.push_back(item.first);
+        }
+    }
+    for (auto const exchange : due)
+    {
+        auto const found = open_.find(exchange);
+        if (found == open_.end())
+        {
+            continue;
+        }
+        auto const& open = found->second;
+        if (now >= open.until_)
+        {
+            give_up(exchange, "deadline_passed");
+        }
+        else if (!open.out_ && now >= open.owner_until_)
+        {
+            give_up(exchange, "no_owner");
+        }
+        else if (!open.out_ && now >= open.next_)
+        {
+            attempt(exchange);
+        }
+    }
+    if (!open_.empty())
+    {
+        arm_timer();
+    }
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/node/front.hpp
@@ -0,0 +1,107 @@
+#ifndef CUMINFOLD_NODE_FRONT_HPP
+#define CUMINFOLD_NODE_FRONT_HPP
+
+#include "kernel/cell/cell_action.hpp"
+#include "kernel/cell/client_call.hpp"
+#include "kernel/cell/owner_record.hpp"
+#include "node/decision_log.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cuminfold
+{
+
+/// Where the owner of the cell is.
+struct owner_place
+{
+    owner_epoch epoch_ = 0;
+    std::string address_;
+    /// This node is the owner.
+    bool local_ = false;
+    bool reachable_ = false;
+};
+
+/// What a front asks of the node around it.
+struct front_handler
+{
+    std::function<owner_place()> owner_;
+    std::function<void(client_call, std::function<void(client_answer)>)>
+        call_local_;
+    /// The newest version of the configuration that this node knows of.
+    std::function<std::uint64_t()> config_version_;
+};
+
+/// Takes clients' requests and hands them to the owner of the cell, again if
+/// the owner changes meanwhile. A job has an id, so a repeat is harmless.
+class front
+{
+public:
+    front(boost::asio::io_context& context, http_client& peers,
+          front_handler handler, decision_log& log, metrics& counters);
+
+    void listen(std::string const& address);
+    /// A new owner is there: what the earlier one has not answered is handed
+    /// to it.
+    void owner_changed();
+    /// Answers close their connections from now on.
+    void leave();
+    void stop(std::function<void()> done);
+
+    std::size_t open_requests() const noexcept
+    {
+        return open_.size();
+    }
+
+private:
+    struct open_request
+    {
+        client_call call_;
+        http_responder respond_;
+        time_point began_{};
+        time_point until_{};
+        /// Until here an owner is waited for.
+        time_point owner_until_{};
+        owner_epoch sent_to_ = 0;
+        std::uint64_t peer_call_ = 0;
+        std::uint64_t attempt_ = 0;
+        bool out_ = false;
+        /// An owner may have stored the job.
+        bool maybe_stored_ = false;
+        time_point next_{};
+    };
+
+    void take(std::uint64_t exchange, http_request request,
+              http_responder respond);
+    void attempt(std::uint64_t exchange);
+    void attempt_ended(std::uint64_t exchange, std::uint64_t attempt,
+                       std::optional<client_answer> const& answer,
+                       bool maybe_stored);
+    void finish(std::uint64_t exchange, client_answer const& answer);
+    void give_up(std::uint64_t exchange, char const* why);
+    void arm_timer();
+    void on_timer();
+
+    http_client& peers_;
+    front_handler handler_;
+    decision_log& log_;
+    metrics& metrics_;
+    boost::asio::steady_timer timer_;
+    std::map<std::uint64_t, open_request> open_;
+    /// The newest version that any answer rested on.
+    std::uint64_t config_floor_ = 0;
+    bool timer_armed_ = false;
+    http_server server_;
+};
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/node/node_server.cpp
@@ -0,0 +1,523 @@
+#include "node/node_server.hpp"
+
+#include "config/settings_file.hpp"
+#include "kernel/cell/ownership.hpp"
+#include "node/cell_owner.hpp"
+#include "node/config_follower.hpp"
+#include "node/front.hpp"
+#include "node/node_clock.hpp"
+#include "node/node_settings_file.hpp"
+#include "node/peer_api.hpp"
+#include "platform/machine_client.hpp"
+#include "platform/store_client.hpp"
+#include "platform/worker_client.hpp"
+#include "wire/cell_codec.hpp"
+#include "wire/decode_error.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <sys/stat.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+constexpr duration tick = std::chrono::milliseconds{50};
+constexpr duration settings_check = std::chrono::seconds{1};
+/// Connections to one address: starts of one round go to a worker at once.
+constexpr std::size_t connections_per_address = 24;
+constexpr char const* owner_key = "owner";
+constexpr char const* node_prefix = "node/";
+
+http_client_limits client_limits()
+{
+    http_client_limits limits;
+    limits.connections_ = connections_per_address;
+    limits.idle_time_ = std::chrono::seconds{60};
+    return limits;
+}
+
+/// Everything that one process runs.
+class node_server
+{
+public:
+    node_server(node_settings settings, std::string settings_path)
+        : settings_(std::move(settings)),
+          settings_path_(std::move(settings_path)), log_(metrics_),
+          http_(context_, client_limits()),
+          store_(http_, settings_.store_address_, settings_.store_timeout_),
+          workers_(http_, settings_.worker_timeout_),
+          machines_(http_, settings_.machines_address_, settings_.name_,
+                    settings_.store_timeout_),
+          config_(context_, store_, log_, [this] { config_changed(); }),
+          life_(draw_incarnation()), ownership_(make_ownership(), node_now()),
+          peers_(context_, make_peer_handler()),
+          front_(context_, http_, make_front_handler(), log_, metrics_),
+          health_(context_, {}, make_health_handler()), timer_(context_),
+          stop_timer_(context_), signals_(context_, SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    int run()
+    {
+        peers_.listen(settings_.peers_address_);
+        front_.listen(settings_.clients_address_);
+        health_.listen(settings_.health_address_);
+        write_log(log_level::info, "started",
+                  {{"node", settings_.name_},
+                   {"clients", settings_.clients_address_},
+                   {"store", settings_.store_address_},
+                   {"life", std::to_string(life_)}});
+        config_.start();
+        register_node();
+        await_signal();
+        arm_timer();
+        context_.run();
+        write_log(log_level::info, "stopped", {{"node", settings_.name_}});
+        return exit_fine;
+    }
+
+private:
+    ownership_options make_ownership() const
+    {
+        ownership_options options;
+        options.node_ = settings_.name_;
+        options.address_ = settings_.peers_address_;
+        options.life_ = life_;
+        return options;
+    }
+
+    peer_handler make_peer_handler()
+    {
+        peer_handler handler;
+        handler.ping_ = [this]
+        {
+            peer_ping ping;
+            ping.node_ = settings_.name_;
+            ping.life_ = life_;
+            ping.epoch_ = ownership_.owner().epoch_;
+            ping.owner_address_ = ownership_.owner().address_;
+            ping.owning_ = ownership_.owning() && owner_ != nullptr;
+            if (owner_)
+            {
+                ping.unconfirmed_ = node_now() - owner_->confirmed();
+            }
+            return ping;
+        };
+        handler.call_ =
+            [this](client_call call, std::function<void(client_answer)> done)
+        { call_owner(std::move(call), std::move(done)); };
+        handler.metrics_ = [this] { return metrics_.write(); };
+        return handler;
+    }
+
+    front_handler make_front_handler()
+    {
+        front_handler handler;
+        handler.owner_ = [this] { return place_of_owner(); };
+        handler.call_local_ =
+            [this](client_call call, std::function<void(client_answer)> done)
+        { call_owner(std::move(call), std::move(done)); };
+        handler.config_version_ = [this] { return config_.config().version_; };
+        return handler;
+    }
+
+    http_handler make_health_handler()
+    {
+        http_handler handler;
+        handler.request_ = [this](std::uint64_t, http_request const&,
+                                  http_responder const& respond)
+        {
+            bool const ready = is_ready();
+            if (ready != told_ready_)
+            {
+                told_ready_ = ready;
+                log_.write(
+                    ready ? "ready" : "not_ready",
+                    {{"epoch", std::to_string(ownership_.owner().epoch_)},
+                     {"config", std::to_string(config_.config().version_)}},
+                    node_now());
+            }
+            respond(make_response(ready ? 200 : 503, "text/plain", ""));
+        };
+        handler.gone_ = [](std::uint64_t) {};
+        return handler;
+    }
+
+    bool is_ready()
+    {
+        return !leaving_ && config_.config().version_ != 0 &&
+               place_of_owner().reachable_;
+    }
+
+    owner_place place_of_owner()
+    {
+        owner_place place;
+        place.epoch_ = ownership_.owner().epoch_;
+        place.address_ = ownership_.owner().address_;
+        place.local_ = owner_ != nullptr;
+        place.reachable_ = place.local_ || (ownership_.reachable(node_now()) &&
+                                            !ownership_.owning());
+        return place;
+    }
+
+    void call_owner(client_call call, std::function<void(client_answer)> done)
+    {
+        if (owner_)
+        {
+            owner_->call(std::move(call), std::move(done));
+            return;
+        }
+        client_answer answer;
+        answer.kind_ = answer_kind::unavailable;
+        answer.why_ = "not_owner";
+        done(answer);
+    }
+
+    void config_changed()
+    {
+        if (owner_)
+        {
+            owner_->config_changed();
+        }
+    }
+
+    /// Makes the node known to others, once.
+    void register_node()
+    {
+        platform::append_call call;
+        call.topic_ = platform::store_topic::owner;
+        call.records_.push_back(
+            {node_prefix + settings_.name_, settings_.peers_address_});
+        store_.append(call,
+                      [this](platform::append_result const& result) {
+                          registered_ = result.outcome_ ==
+                                        platform::append_outcome::stored;
+                      });
+    }
+
+    void arm_timer()
+    {
+        timer_.expires_after(tick);
+        timer_.async_wait(
+            [this](boost::system::error_code error)
+            {
+                if (!error)
+                {
+                    step();
+                    arm_timer();
+                }
+            });
+    }
+
+    void step()
+    {
+        auto const now = node_now();
+        if (now >= next_settings_check_)
+        {
+            next_settings_check_ = now + settings_check;
+            check_settings();
+            if (!registered_ && now - began_ > settings_check)
+            {
+                register_node();
+            }
+        }
+        for (auto step = ownership_.next(now); step != ownership_step::nothing;
+             step = ownership_.next(now))
+        {
+            switch (step)
+            {
+            case ownership_step::ping_owner:
+                ping();
+                break;
+            case ownership_step::read_record:
+                read_record();
+                break;
+            case ownership_step::take_over:
+                take_over();
+                break;
+            case ownership_step::nothing:
+                break;
+            }
+        }
+    }
+
+    void ping()
+    {
+        auto const epoch = ownership_.owner().epoch_;
+        ping_peer(http_, ownership_.owner().address_, settings_.peer_timeout_,
+                  [this, epoch](std::optional<peer_ping> const& answer)
+                  {
+                      if (ownership_.owner().epoch_ == epoch)
+                      {
+                          answer ? ownership_.ping_answered(*answer, node_now())
+                                 : ownership_.ping_failed(node_now());
+                          check_owner_change();
+                      }
+                  });
+    }
+
+    void read_record()
+    {
+        store_.read_newest(
+            platform::store_topic::owner,
+            [this](std::optional<platform::topic_content> const& content)
+            {
+                if (!content)
+                {
+                    ownership_.record_unreadable(node_now());
+                    return;
+                }
+                std::optional<owner_record> record;
+                std::set<std::string> nodes;
+                for (auto const& each : content->records_)
+                {
+                    if (each.key_.rfind(node_prefix, 0) == 0)
+                    {
+                        nodes.insert(
+                            each.key_.substr(std::string(node_prefix).size()));
+                    }
+                    else if (each.key_ == owner_key && each.value_)
+                    {
+                        record = decode(*each.value_);
+                    }
+                }
+                ownership_.record_read(record, nodes, node_now());
+                check_owner_change();
+            });
+    }
+
+    static std::optional<owner_record> decode(std::string const& bytes)
+    {
+        try
+        {
+            return decode_owner(bytes);
+        }
+        catch (decode_error const& error)
+        {
+            write_log(log_level::warning, "owner_record_unreadable",
+                      {{"error", error.what()}});
+            return std::nullopt;
+        }
+    }
+
+    /// Takes both partitions: the cell's decides, the owner's record is only
+    /// kept from writers of older epochs.
+    void take_over()
+    {
+        platform::append_call call;
+        call.topic_ = platform::store_topic::cell;
+        call.epoch_ = ownership_.epoch();
+        store_.append(call, [this](platform::append_result const& result)
+                      { on_takeover(result); });
+    }
+
+    void on_takeover(platform::append_result const& result)
+    {
+        auto const now = node_now();
+        auto const epoch = ownership_.epoch();
+        log_.write(
+            "takeover",
+            {{"epoch", std::to_string(epoch)},
+             {"outcome", result.outcome_ == platform::append_outcome::stored
+                             ? "stored"
+                             : result.detail_}},
+            now);
+        if (result.outcome_ == platform::append_outcome::fenced)
+        {
+            ownership_.takeover_failed(true, now);
+            return;
+        }
+        if (result.outcome_ != platform::append_outcome::stored)
+        {
+            ownership_.takeover_failed(false, now);
+            return;
+        }
+        if (leaving_)
+        {
+            return;
+        }
+        ownership_.took_over(now);
+        owner_record record;
+        record.epoch_ = epoch;
+        record.node_ = settings_.name_;
+        record.address_ = settings_.peers_address_;
+        owner_ = std::make_shared<cell_owner>(
+            cell_owner::parts{context_, settings_, store_, workers_, machines_,
+                              config_, log_, metrics_},
+            record, [this](char const*) { owner_lost(); });
+        owner_->start();
+        front_.owner_changed();
+    }
+
+    void owner_lost()
+    {
+        ownership_.lost(node_now());
+        // It is still on the stack.
+        boost::asio::post(context_, [kept = std::move(owner_)] {});
+        owner_.reset();
+    }
+
+    void check_owner_change()
+    {
+        auto const epoch = ownership_.owner().epoch_;
+        if (epoch != seen_epoch_)
+        {
+            seen_epoch_ = epoch;
+            log_.write("owner_known",
+                       {{"epoch", std::to_string(epoch)},
+                        {"address", ownership_.owner().address_}},
+                       node_now());
+            front_.owner_changed();
+        }
+    }
+
+    void await_signal()
+    {
+        signals_.async_wait(
+            [this](boost::system::error_code error, int signal)
+            {
+                if (error)
+                {
+                    return;
+                }
+                if (signal == SIGHUP)
+                {
+                    reload();
+                    await_signal();
+                    return;
+                }
+                leave();
+            });
+    }
+
+    /// The settings file may change without a signal, too.
+    void check_settings()
+    {
+        struct stat state
+        {
+        };
+        if (stat(settings_path_.c_str(), &state) != 0)
+        {
+            return;
+        }
+        auto const stamp = std::make_pair(state.st_mtim.tv_sec * 1'000'000'000 +
+                                              state.st_mtim.tv_nsec,
+                                          static_cast<long>(state.st_size));
+        if (settings_stamp_ && *settings_stamp_ != stamp)
+        {
+            reload();
+        }
+        settings_stamp_ = stamp;
+    }
+
+    void reload()
+    {
+        try
+        {
+            auto const settings = load_node_settings(settings_path_);
+            store_.set_address(settings.store_address_);
+            machines_.set_address(settings.machines_address_);
+            write_log(log_level::info, "reloaded",
+                      {{"store", settings.store_address_}});
+        }
+        catch (settings_error const& error)
+        {
+            write_log(log_level::error, "reload_failed",
+                      {{"error", error.what()}, {"outcome", "kept"}});
+        }
+    }
+
+    void leave()
+    {
+        leaving_ = true;
+        ownership_.leave(node_now());
+        write_log(log_level::info, "stopping",
+                  {{"open", std::to_string(front_.open_requests())}});
+        front_.leave();
+        if (owner_)
+        {
+            auto const owner = std::move(owner_);
+            owner_.reset();
+            owner->resign([owner] {});
+        }
+        stop_after_ = node_now() + settings_.stop_time_;
+        stop_limit_ = node_now() + settings_.stop_limit_;
+        await_last_answer();
+    }
+
+    /// Ends the process once the balancer has had time to turn away and every
+    /// request is answered, or the time for it is up.
+    void await_last_answer()
+    {
+        auto const now = node_now();
+        bool const done = now >= stop_after_ && front_.open_requests() == 0;
+        if (done || now >= stop_limit_)
+        {
+            front_.stop([] {});
+            context_.stop();
+            return;
+        }
+        stop_timer_.expires_after(tick);
+        stop_timer_.async_wait([this](boost::system::error_code)
+                               { await_last_answer(); });
+    }
+
+    node_settings settings_;
+    std::string settings_path_;
+    boost::asio::io_context context_{1};
+    metrics metrics_;
+    decision_log log_;
+    http_client http_;
+    platform::store_client store_;
+    platform::worker_client workers_;
+    platform::machine_client machines_;
+    config_follower config_;
+    std::uint64_t life_;
+    ownership ownership_;
+    std::shared_ptr<cell_owner> owner_;
+    peer_api peers_;
+    front front_;
+    http_server health_;
+    boost::asio::steady_timer timer_;
+    boost::asio::steady_timer stop_timer_;
+    time_point stop_after_{};
+    time_point stop_limit_{};
+    boost::asio::signal_set signals_;
+    time_point began_ = node_now();
+    time_point next_settings_check_{};
+    std::optional<std::pair<long, long>> settings_stamp_;
+    std::uint64_t seen_epoch_ = 0;
+    bool registered_ = false;
+    bool leaving_ = false;
+    bool told_ready_ = false;
+};
+
+} // namespace
+
+int run_node(server_arguments const& arguments)
+{
+    auto const settings = load_node_settings(arguments.config_);
+    start_log("cuminfold-node", settings.log_.format_, settings.log_.level_);
+    node_server server(settings, arguments.config_);
+    int const status = server.run();
+    // The log library's threads are not waited for: that may outlast the
+    // platform's patience.
+    std::cout.flush();
+    std::quick_exit(status);
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/node/node_settings.hpp
@@ -0,0 +1,44 @@
+#ifndef CUMINFOLD_NODE_NODE_SETTINGS_HPP
+#define CUMINFOLD_NODE_NODE_SETTINGS_HPP
+
+#include "kernel/cell/cell.hpp"
+#include "kernel/time.hpp"
+#include "transport/program.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace cuminfold
+{
+
+/// Settings of an entry VM's program.
+struct node_settings
+{
+    std::string name_;
+    std::string data_centre_;
+    std::string clients_address_; ///< `IP:PORT` for clients
+    std::string health_address_;  ///< `IP:PORT` for the balancer
+    std::string peers_address_;   ///< `IP:PORT` for other nodes
+    std::string store_address_;
+    std::string machines_address_;
+    log_settings log_;
+    /// A call to the store that is not answered within this is given up.
+    duration store_timeout_ = std::chrono::milliseconds{1500};
+    /// The same for a worker.
+    duration worker_timeout_ = std::chrono::milliseconds{700};
+    duration peer_timeout_ = std::chrono::milliseconds{400};
+    /// From SIGTERM on the node serves for this long, in which the balancer
+    /// turns away from it...
+    duration stop_time_ = std::chrono::milliseconds{2600};
+    /// ...and until all requests are answered, but no longer than this.
+    duration stop_limit_ = std::chrono::milliseconds{5300};
+    /// Bound on a lease, from the platform.
+    duration longest_lease_ = std::chrono::milliseconds{10'000};
+    duration order_pause_ = std::chrono::milliseconds{3000};
+    duration maintenance_time_ = std::chrono::milliseconds{2000};
+};
+
+} // namespace cuminfold
+
+#endif
--- /dev/null
+++ b/source/node/node_settings_file.cpp
@@ -0,0 +1,48 @@
+#include "node/node_settings_file.hpp"
+
+#include "config/settings_file.hpp"
+
+namespace cuminfold
+{
+
+namespace
+{
+
+void read_node(section_reader& in, node_settings& settings)
+{
+    constexpr duration shortest = std::chrono::milliseconds{1};
+    constexpr duration longest = std::chrono::minutes{10};
+    read_log_settings(in, settings.log_);
+    for (auto const* const key : {"name", "clients_address", "health_address",
+                                  "peers_address", "store_address"})
+    {
+        in.require(key);
+    }
+    in.read("name", settings.name_);
+    in.read("data_centre", settings.data_centre_);
+    in.read("clients_address", settings.clients_address_);
+    in.read("health_address", settings.health_address_);
+    in.read("peers_address", settings.peers_address_);
+    in.read("store_address", settings.store_address_);
+    in.read("machines_address", settings.machines_address_);
+    in.read("store_timeout", settings.store_timeout_, shortest, longest);
+    in.read("worker_timeout", settings.worker_timeout_, shortest, longest);
+    in.read("peer_timeout", settings.peer_timeout_, shortest, longest);
+    in.read("stop_time", settings.stop_time_, duration{0}, longest);
+    in.read("stop_limit", settings.stop_limit_, duration{0}, longest);
+    in.read("longest_lease", settings.longest_lease_, shortest, longest);
+    in.read("order_pause", settings.order_pause_, duration{0}, longest);
+    in.read("maintenance_time", settings.maintenance_time_, duration{0},
+            longest);
+}
+
+} // namespace
+
+node_settings load_node_settings(std::string const& path)
+{
+    node_settings settings;
+    read_settings(path, [&](section_reader& in) { read_node(in, settings); });
+    return settings;
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/node/peer_api.cpp
@@ -0,0 +1,148 @@
+#include "node/peer_api.hpp"
+
+#include "transport/logger.hpp"
+#include "wire/cell_codec.hpp"
+#include "wire/decode_error.hpp"
+
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+constexpr char const* ping_path = "/v1/peer/ping";
+constexpr char const* call_path = "/v1/peer/call";
+constexpr char const* metrics_path = "/metrics";
+constexpr char const* cbor_type = "application/cbor";
+/// Peers keep their connections while they are idle.
+constexpr duration peer_idle_time = std::chrono::minutes{5};
+
+http_server_limits peer_limits()
+{
+    http_server_limits limits;
+    limits.idle_time_ = peer_idle_time;
+    limits.connections_ = 512;
+    return limits;
+}
+
+} // namespace
+
+peer_api::peer_api(boost::asio::io_context& context, peer_handler handler)
+    : handler_(std::move(handler)),
+      server_(
+          context, peer_limits(),
+          {[this](std::uint64_t, http_request request, http_responder respond)
+           { serve(std::move(request), respond); },
+           [](std::uint64_t) {}, nullptr, nullptr})
+{
+}
+
+void peer_api::listen(std::string const& address)
+{
+    server_.listen(address);
+}
+
+void peer_api::stop(std::function<void()> done)
+{
+    server_.stop(std::move(done));
+}
+
+void peer_api::serve(http_request request, http_responder const& respond)
+{
+    if (request.path_ == ping_path)
+    {
+        respond(make_response(200, cbor_type, encode_ping(handler_.ping_())));
+    }
+    else if (request.path_ == metrics_path)
+    {
+        respond(make_response(200, "text/plain", handler_.metrics_()));
+    }
+    else if (request.path_ == call_path)
+    {
+        try
+        {
+            handler_.call_(decode_call(request.body_),
+                           [respond](client_answer const& answer) {
+                               respond(make_response(200, cbor_type,
+                                                     encode_answer(answer)));
+                           });
+        }
+        catch (decode_error const& error)
+        {
+            write_log(log_level::warning, "peer_call_unreadable",
+                      {{"error", error.what()}});
+            respond(make_response(400, "text/plain", error.what()));
+        }
+    }
+    else
+    {
+        respond(make_response(404, "text/plain", "no such path"));
+    }
+}
+
+void ping_peer(http_client& http, std::string const& address, duration timeout,
+               std::function<void(std::optional<peer_ping>)> done)
+{
+    http_call call;
+    call.address_ = address;
+    call.target_ = ping_path;
+    call.timeout_ = timeout;
+    http.start(std::move(call),
+               [done = std::move(done)](http_result const& result)
+               {
+                   std::optional<peer_ping> ping;
+                   if (result.end_ == http_end::whole &&
+                       result.response_.status_ == 200)
+                   {
+                       try
+                       {
+                           ping = decode_ping(result.response_.body_);
+                       }
+                       catch (decode_error const& error)
+                       {
+                           write_log(log_level::warning,
+                                     "peer_answer_unreadable",
+                                     {{"error", error.what()}});
+                       }
+                   }
+                   done(std::move(ping));
+               });
+}
+
+std::uint64_t
+call_peer(http_client& http, std::string const& address,
+          client_call const& call,
+          std::function<void(std::optional<client_answer>, peer_failure)> done)
+{
+    http_call out;
+    out.address_ = address;
+    out.target_ = call_path;
+    out.body_ = encode_call(call);
+    out.timeout_ = call.time_left_;
+    return http.start(
+        std::move(out),
+        [done = std::move(done)](http_result const& result)
+        {
+            std::optional<client_answer> answer;
+            if (result.end_ == http_end::whole &&
+                result.response_.status_ == 200)
+            {
+                try
+                {
+                    answer = decode_answer(result.response_.body_);
+                }
+                catch (decode_error const& error)
+                {
+                    write_log(log_level::warning, "peer_answer_unreadable",
+                              {{"error", error.what()}});
+                }
+            }
+            done(std::move(answer), result.end_ == http_end::not_sent
+                                        ? peer_failure::not_sent
+                                        : peer_failure::no_answer);
+        });
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/node/worker_follower.cpp
@@ -0,0 +1,125 @@
+#include "node/worker_follower.hpp"
+
+#include "node/node_clock.hpp"
+#include "platform/body_codec.hpp"
+#include "platform/worker_format.hpp"
+
+#include <set>
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// Workers' entries change all the time, so reads seldom wait this long.
+constexpr duration workers_wait = std::chrono::milliseconds{1000};
+
+} // namespace
+
+worker_follower::worker_follower(boost::asio::io_context& context,
+                                 platform::store_client& store,
+                                 decision_log& log, handler handler)
+    : log_(log), handler_(std::move(handler))
+{
+    topic_handler topic;
+    topic.whole_ = [this](auto const& records) { take_whole(records); };
+    topic.change_ = [this](auto const& records) { take(records); };
+    topic.reach_ = [this](bool reachable)
+    {
+        log_.write(reachable ? "store_regained" : "store_lost",
+                   {{"topic", "workers"}}, node_now());
+    };
+    follower_ = std::make_shared<topic_follower>(
+        context, store, platform::store_topic::workers, workers_wait,
+        std::move(topic));
+}
+
+worker_follower::~worker_follower()
+{
+    follower_->stop();
+}
+
+void worker_follower::start()
+{
+    follower_->start();
+}
+
+void worker_follower::take_whole(
+    std::vector<platform::keyed_record> const& records)
+{
+    std::set<std::string> listed;
+    for (auto const& record : records)
+    {
+        listed.insert(record.key_);
+    }
+    std::vector<std::string> dropped;
+    for (auto const& item : known_)
+    {
+        if (listed.count(item.first) == 0)
+        {
+            dropped.push_back(item.first);
+        }
+    }
+    for (auto const& id : dropped)
+    {
+        known_.erase(id);
+        handler_.unlisted_(id);
+    }
+    take(records);
+    if (!ready_)
+    {
+        ready_ = true;
+        handler_.ready_();
+    }
+}
+
+void worker_follower::take(std::vector<platform::keyed_record> const& records)
+{
+    for (auto const& record : records)
+    {
+        if (record.value_)
+        {
+            take_entry(record.key_, *record.value_);
+        }
+        else if (known_.erase(record.key_) != 0)
+        {
+            handler_.unlisted_(record.key_);
+        }
+    }
+}
+
+void worker_follower::take_entry(std::string const& id,
+                                 std::string const& bytes)
+{
+    try
+    {
+        auto entry = platform::read_worker_entry(id, bytes);
+        auto const known = known_.find(id);
+        bool const same =
+            known != known_.end() && known->second.address_ == entry.address_ &&
+            known->second.pool_ == entry.pool_ &&
+            known->second.draining_ == entry.draining_ &&
+            known->second.labels_ == entry.labels_ &&
+            known->second.size_.cpu_milli_ == entry.size_.cpu_milli_ &&
+            known->second.size_.memory_mb_ == entry.size_.memory_mb_ &&
+            known->second.size_.accelerators_ == entry.size_.accelerators_;
+        if (!same)
+        {
+            known_[id] = entry;
+            handler_.listed_(std::move(entry));
+        }
+    }
+    catch (platform::format_error const& error)
+    {
+        log_.write("worker_entry_skipped",
+                   {{"worker", id}, {"error", error.what()}}, node_now());
+        if (known_.erase(id) != 0)
+        {
+            handler_.unlisted_(id);
+        }
+    }
+}
+
+} // namespace cuminfold
--- a/source/platform/main.cpp
+++ b/source/platform_stand_in/main.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_server.hpp"
+#include "platform_stand_in/platform_server.hpp"
 
 int main(int argc, char** argv)
 {
--- a/source/platform/platform_log.cpp
+++ b/source/platform_stand_in/platform_log.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_log.hpp"
+#include "platform_stand_in/platform_log.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/source/platform/platform_server.cpp
+++ b/source/platform_stand_in/platform_server.cpp
@@ -1,8 +1,8 @@
-#include "platform/platform_server.hpp"
+#include "platform_stand_in/platform_server.hpp"
 
 #include "config/settings_file.hpp"
-#include "platform/platform_log.hpp"
-#include "platform/platform_vms.hpp"
+#include "platform_stand_in/platform_log.hpp"
+#include "platform_stand_in/platform_vms.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
 #include "transport/io_thread.hpp"
--- a/source/platform/platform_vms.cpp
+++ b/source/platform_stand_in/platform_vms.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_vms.hpp"
+#include "platform_stand_in/platform_vms.hpp"
 
 namespace cuminfold
 {
--- a/source/transport/program.cpp
+++ b/source/transport/program.cpp
@@ -43,7 +43,10 @@
     {
         arguments.listen_ = given["listen"].as<std::string>();
     }
-    block_stop_signals();
+    if (!program.takes_signals_)
+    {
+        block_stop_signals();
+    }
     return program.run_(arguments);
 }
 
--- a/source/transport/program.hpp
+++ b/source/transport/program.hpp
@@ -40,6 +40,9 @@
     char const* purpose_;
     /// Runs until it is asked to stop; returns the exit status.
     std::function<int(server_arguments const&)> run_;
+    /// The program takes its signals itself; otherwise they are blocked for
+    /// `wait_for_stop_signal()`.
+    bool takes_signals_ = false;
 };
 
 /// Reads the command line, answers `--help` and `--version`, runs the program
