fleet: Move free VMs to the pools that lack workers

Cause: demand comes in turns of five times a queue's mean, more than its pool holds, while the other pools idle. Free VMs now go to the pool with the largest lack, standby pools first; accepted work and refusals are counted in worker-seconds, since memory binds as often as processors.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -2,10 +2,12 @@
 #define CUMINFOLD_KERNEL_CELL_CELL_HPP
 
 #include "kernel/cell/cell_action.hpp"
+#include "kernel/cell/demand_meter.hpp"
 #include "kernel/cell/fleet_config.hpp"
 #include "kernel/cell/job_definition.hpp"
 #include "kernel/cell/job_state.hpp"
 #include "kernel/cell/placement_rule.hpp"
+#include "kernel/cell/pool_plan.hpp"
 #include "kernel/cell/run_time_book.hpp"
 #include "kernel/cell/worker_state.hpp"
 #include "kernel/time.hpp"
@@ -128,6 +130,12 @@
     /// Evacuates lasting tasks from a VM, as far as their steps allow.
     void evacuate(vm_id const& vm, time_point now);
 
+    /// What each configured pool has and what is asked of it; without its VMs
+    /// that are on their way.
+    std::vector<pool_load> loads(time_point now) const;
+    /// VMs that are on their way to a pool; they count for what is accepted.
+    void set_incoming(std::map<pool_name, std::uint32_t> incoming);
+
 private:
     /// What may be done once the batch that is out is stored.
     struct batch_effects
@@ -157,8 +165,10 @@
     bool admit(queue_route const& route, job_definition const& request,
                duration objective, time_point now,
                client_answer& refusal) const;
-    /// Processor time in core-seconds that the job still needs.
-    double work_left(job_state const& job) const;
+    /// Work in worker-seconds that the job still needs.
+    double work_left(job_state const& job, resource_amount const& worker) const;
+    /// Size of the pool's workers; of any worker if it has none.
+    resource_amount typical_worker(pool_name const& pool) const;
     std::uint64_t count_pending(std::string const& route) const;
 
     // cell_records.cpp
@@ -201,6 +211,7 @@
     void repeat_stops(time_point now);
     void drop_lapsed(time_point now);
     void end_life(worker_state& worker, char const* why, time_point now);
+    bool is_usable(worker_state const& worker, time_point now) const;
     bool is_at_work(task_state const& task) const;
     void stop_stalled(time_point now);
 
@@ -225,6 +236,8 @@
     time_point confirmed_{};
     fleet_config config_;
     run_time_book run_times_;
+    demand_meter demand_;
+    std::map<pool_name, std::uint32_t> incoming_;
     std::unordered_map<std::string, job_state> jobs_;
     std::map<std::string, worker_state> workers_;
     std::map<pool_name, std::vector<std::string>> pool_workers_;
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -8,9 +8,11 @@
 namespace
 {
 
-/// Share of a job's objective that the prediction may use up; the rest covers
-/// its error.
-constexpr double admission_margin = 1.0;
+/// Share of the workers' time that tasks can use: the rest is lost to sizes
+/// that do not fit together and to the time between two tasks.
+constexpr double packing_share = 0.85;
+/// Until a VM that is on its way takes tasks.
+constexpr duration incoming_delay = std::chrono::milliseconds{1200};
 /// Least and longest time that a refused client is told to stay away.
 constexpr duration least_retry = std::chrono::milliseconds{200};
 constexpr duration longest_retry = std::chrono::seconds{5};
@@ -67,6 +69,8 @@
     auto const chain = run_times_.chain(request);
     auto const objective =
         from_seconds(seconds(chain) * route.stretch_) + route.objective_;
+    demand_.add(route.pool_, request.id_,
+                run_times_.work(request, typical_worker(route.pool_)), now);
     client_answer refusal = answer(answer_kind::overloaded, "");
     if (!admit(route, request, objective, now, refusal))
     {
@@ -86,35 +90,50 @@
     placement_due_ = true;
 }
 
+resource_amount cell::typical_worker(pool_name const& pool) const
+{
+    resource_amount any{1000, 1, 1};
+    for (auto const& item : workers_)
+    {
+        if (item.second.entry_.pool_ == pool)
+        {
+            return item.second.entry_.size_;
+        }
+        any = item.second.entry_.size_;
+    }
+    return any;
+}
+
 bool cell::admit(queue_route const& route, job_definition const& request,
                  duration objective, time_point now,
                  client_answer& refusal) const
 {
-    double cores = 0;
-    resource_amount largest;
+    double workers = 0;
+    double lasting = 0;
+    auto const typical = typical_worker(route.pool_);
     auto const pool = pool_workers_.find(route.pool_);
     if (pool != pool_workers_.end())
     {
         for (auto const& name : pool->second)
         {
             auto const found = workers_.find(name);
-            if (found == workers_.end() || found->second.gone_ ||
-                found->second.entry_.draining_)
-            {
-                continue;
-            }
-            auto const& size = found->second.entry_.size_;
-            cores += static_cast<double>(size.cpu_milli_) / 1000;
-            largest.cpu_milli_ = std::max(largest.cpu_milli_, size.cpu_milli_);
+            workers += found != workers_.end() && is_usable(found->second, now)
+                           ? 1
+                           : 0;
         }
     }
-    if (cores <= 0)
+    auto const coming = incoming_.find(route.pool_);
+    double const incoming = coming == incoming_.end() ? 0 : coming->second;
+    if (workers + incoming <= 0)
     {
         refusal.why_ = "no_worker";
         refusal.retry_after_ = std::chrono::seconds{1};
         return false;
     }
-    if (request.occurrences_ > 0)
+    bool const lasts =
+        std::any_of(request.steps_.begin(), request.steps_.end(),
+                    [](job_step const& step) { return step.lasting_; });
+    if (request.occurrences_ > 0 || lasts)
     {
         return true;
     }
@@ -122,66 +141,64 @@
     for (auto const& item : jobs_)
     {
         auto const& job = item.second;
-        if (job.ended() || job.pool_ != route.pool_)
+        if (job.ended() || job.pool_ != route.pool_ || !job.request_)
         {
             continue;
         }
-        // Jobs that are late already let this one pass.
-        ahead += job.objective_ < now ? 0 : work_left(job);
         if (job.lasting_)
         {
-            // Lasting tasks keep their cores.
             for (auto const& step : job.request_->steps_)
             {
-                cores -= step.filler_
-                             ? 0
-                             : static_cast<double>(step.each_.cpu_milli_) /
-                                   1000 * step.tasks_;
+                lasting += worker_share(step.each_, typical) * step.tasks_;
             }
         }
+        // Jobs that are late already let this one pass.
+        ahead += job.objective_ < now ? 0 : work_left(job, typical);
     }
-    bool const lasting =
-        std::any_of(request.steps_.begin(), request.steps_.end(),
-                    [](job_step const& step) { return step.lasting_; });
-    if (lasting)
-    {
-        return true;
-    }
-    cores = std::max(cores, 1.0);
-    auto const chain = run_times_.chain(request);
-    double const own = run_times_.core_seconds(request);
-    double const spread = std::max(seconds(chain), (ahead + own) / cores);
-    double const limit = seconds(objective) * admission_margin;
-    if (spread <= limit)
+    double const time = seconds(objective);
+    double const room =
+        packing_share *
+        (std::max(workers - lasting, 0.0) * time +
+         incoming * std::max(time - seconds(incoming_delay), 0.0));
+    double const own = run_times_.work(request, typical);
+    if (ahead + own <= room && seconds(run_times_.chain(request)) <= time)
     {
         return true;
     }
     refusal.why_ = "objective_out_of_reach";
-    refusal.retry_after_ =
-        std::clamp(from_seconds(spread - limit), least_retry, longest_retry);
+    refusal.retry_after_ = std::clamp(
+        from_seconds((ahead + own - room) / std::max(1.0, workers - lasting)),
+        least_retry, longest_retry);
     return false;
 }
 
-double cell::work_left(job_state const& job) const
+bool cell::is_usable(worker_state const& worker, time_point now) const
+{
+    return !worker.gone_ && !worker.entry_.draining_ && !worker.reserved_ &&
+           worker.silent_renewals_ == 0 && now >= worker.avoided_until_;
+}
+
+double cell::work_left(job_state const& job,
+                       resource_amount const& worker) const
 {
-    double left = job.core_seconds_left_;
-    for (std::uint32_t k = 0; k < job.occurrences_.size(); ++k)
+    double left = 0;
+    auto const& request = *job.request_;
+    for (auto const& occurrence : job.occurrences_)
     {
-        auto const& steps = job.occurrences_[k].steps_;
-        for (std::size_t s = 0; s < steps.size(); ++s)
+        for (std::size_t s = 0; s < occurrence.steps_.size(); ++s)
         {
-            auto const& shape = job.request_->steps_[s];
-            if (shape.lasting_ || steps[s].waiting_ == steps[s].tasks_.size())
+            auto const& shape = request.steps_[s];
+            auto const& step = occurrence.steps_[s];
+            if (shape.lasting_ || step.done_ == step.tasks_.size())
             {
                 continue;
             }
-            double const each = static_cast<double>(shape.each_.cpu_milli_) /
-                                1000 *
-                                seconds(run_times_.expect(job.route_, shape));
-            for (auto const& task : steps[s].tasks_)
+            double const each = run_times_.task_work(job.route_, shape, worker);
+            left += each * static_cast<double>(step.tasks_.size() - step.done_);
+            for (auto const& task : step.tasks_)
             {
                 left -= task.phase_ == task_phase::running
-                            ? each * task.percent_ / 100
+                            ? each * std::min(100U, task.percent_) / 100
                             : 0;
             }
         }
@@ -189,6 +206,55 @@
     return std::max(0.0, left);
 }
 
+std::vector<pool_load> cell::loads(time_point now) const
+{
+    std::map<pool_name, pool_load> by_pool;
+    for (auto const& pool : config_.pools_)
+    {
+        auto& load = by_pool[pool.first];
+        load.pool_ = pool.first;
+        load.standby_ = pool.second.standby_;
+        load.rate_ = demand_.rate(pool.first, now);
+    }
+    for (auto const& item : workers_)
+    {
+        auto const& worker = item.second;
+        auto const load = by_pool.find(worker.entry_.pool_);
+        if (load == by_pool.end() || worker.gone_ || worker.entry_.draining_ ||
+            worker.reserved_)
+        {
+            continue;
+        }
+        ++load->second.workers_;
+        load->second.fixed_ += worker.lasting_tasks_ > 0 ? 1 : 0;
+        if (worker.tasks_.empty() && worker.strays_.empty() && worker.fenced_ &&
+            !worker.entry_.vm_.empty())
+        {
+            load->second.free_.push_back(worker.entry_.vm_);
+        }
+    }
+    for (auto const& item : jobs_)
+    {
+        auto const& job = item.second;
+        auto const load = by_pool.find(job.pool_);
+        if (load != by_pool.end() && !job.ended() && job.request_)
+        {
+            load->second.backlog_ += work_left(job, typical_worker(job.pool_));
+        }
+    }
+    std::vector<pool_load> result;
+    for (auto& item : by_pool)
+    {
+        result.push_back(std::move(item.second));
+    }
+    return result;
+}
+
+void cell::set_incoming(std::map<pool_name, std::uint32_t> incoming)
+{
+    incoming_ = std::move(incoming);
+}
+
 void cell::query(std::uint64_t exchange, job_id const& job)
 {
     auto const found = jobs_.find(job.text());
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -29,7 +29,6 @@
 
 void cell::prepare(job_state& job, time_point now)
 {
-    job.core_seconds_left_ = run_times_.core_seconds(*job.request_);
     job.lasting_ =
         std::any_of(job.request_->steps_.begin(), job.request_->steps_.end(),
                     [](job_step const& step) { return step.lasting_; });
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -68,6 +68,7 @@
     need.cpu_milli_ = at.shape_->filler_ ? 0 : need.cpu_milli_;
     state.used_ += need;
     state.tasks_.insert(task);
+    state.lasting_tasks_ += at.shape_->lasting_ ? 1 : 0;
 }
 
 void cell::release(task_id const& task, task_place const& at, time_point now)
@@ -78,6 +79,7 @@
         resource_amount need = at.shape_->each_;
         need.cpu_milli_ = at.shape_->filler_ ? 0 : need.cpu_milli_;
         found->second.used_ -= need;
+        found->second.lasting_tasks_ -= at.shape_->lasting_ ? 1 : 0;
     }
     at.task_->worker_.clear();
     at.task_->phase_ = task_phase::waiting;
@@ -101,11 +103,6 @@
     at.task_->phase_ = task_phase::done;
     --at.step_->waiting_;
     ++at.step_->done_;
-    auto const left =
-        static_cast<double>(at.shape_->each_.cpu_milli_) / 1000 *
-        std::chrono::duration<double>(run_times_.expect(job.route_, *at.shape_))
-            .count();
-    job.core_seconds_left_ = std::max(0.0, job.core_seconds_left_ - left);
     mark(job);
     auto& occurrence = job.occurrences_[task.occurrence_];
     occurrence.done_ =
--- /dev/null
+++ b/source/kernel/cell/demand_meter.hpp
@@ -0,0 +1,43 @@
+#ifndef CUMINFOLD_KERNEL_CELL_DEMAND_METER_HPP
+#define CUMINFOLD_KERNEL_CELL_DEMAND_METER_HPP
+
+#include "kernel/identifier.hpp"
+#include "kernel/time.hpp"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace cuminfold
+{
+
+/// Measures how much work clients ask of each pool, whether it is taken or
+/// refused. Work is counted in worker-seconds.
+class demand_meter
+{
+public:
+    /// A job was handed in. One that was refused lately counts once, however
+    /// often its client repeats it.
+    void add(pool_name const& pool, job_id const& job, double work,
+             time_point now);
+
+    /// Worker-seconds a second that are asked of the pool now.
+    double rate(pool_name const& pool, time_point now) const;
+
+private:
+    struct pool_rate
+    {
+        double rate_ = 0;
+        time_point at_{};
+    };
+
+    void forget(time_point now);
+
+    std::map<pool_name, pool_rate> rates_;
+    std::unordered_map<std::string, time_point> seen_;
+    time_point next_forget_{};
+};
+
+} // namespace cuminfold
+
+#endif
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -260,6 +260,64 @@
     }
 }
 
+void fleet_plan::balance(time_point now)
+{
+    std::map<pool_name, std::uint32_t> incoming;
+    for (auto const& item : work_)
+    {
+        if (item.second.target_)
+        {
+            ++incoming[*item.second.target_];
+        }
+    }
+    jobs_.set_incoming(incoming);
+    if (now < next_balance_)
+    {
+        return;
+    }
+    next_balance_ = now + options_.balance_interval_;
+    auto loads = jobs_.loads(now);
+    for (auto& load : loads)
+    {
+        load.incoming_ = incoming[load.pool_];
+        load.free_.erase(std::remove_if(load.free_.begin(), load.free_.end(),
+                                        [&](vm_id const& vm)
+                                        {
+                                            auto const found = vms_.find(vm);
+                                            return work_.count(vm) != 0 ||
+                                                   found == vms_.end() ||
+                                                   found->second.standing_ !=
+                                                       vm_standing::up;
+                                        }),
+                         load.free_.end());
+        if (load.standby_)
+        {
+            // VMs on standby run no worker.
+            for (auto const& vm : vms_)
+            {
+                if (vm.second.pool_ == load.pool_ &&
+                    vm.second.standing_ == vm_standing::up &&
+                    work_.count(vm.first) == 0)
+                {
+                    load.free_.push_back(vm.first);
+                }
+            }
+            load.workers_ = static_cast<std::uint32_t>(load.free_.size());
+        }
+    }
+    for (auto const& move : plan_moves(loads))
+    {
+        vm_work work;
+        work.target_ = move.to_;
+        work.reserved_ = now;
+        work_[move.vm_] = work;
+        jobs_.reserve(move.vm_, true);
+        actions_.emplace_back(
+            note_decision{"move_planned", move.vm_.text(),
+                          move.from_.text() + ">" + move.to_.text()});
+    }
+}
+
 void fleet_plan::drive_work(time_point now, bool may_order)
 {
     for (auto& item : work_)
@@ -306,6 +364,7 @@
         return;
     }
     drive_waves(now);
+    balance(now);
     drive_work(now, now - confirmed < options_.confirmation_limit_);
 }
 
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -32,6 +32,7 @@
     /// A VM that is not empty this long after it was reserved is maintained
     /// all the same, unless lasting tasks are on it.
     duration drain_patience_ = std::chrono::milliseconds{5000};
+    duration balance_interval_ = std::chrono::milliseconds{100};
 };
 
 /// Ask for the list of VMs.
@@ -110,6 +111,7 @@
     };
 
     void drive_waves(time_point now);
+    void balance(time_point now);
     void pick(wave_state& wave, time_point now);
     void drive_work(time_point now, bool may_order);
     void drop_work(vm_id const& vm);
@@ -125,6 +127,7 @@
     std::map<wave_number, wave_state> waves_;
     std::map<vm_id, vm_work> work_;
     time_point next_list_{};
+    time_point next_balance_{};
     bool list_out_ = false;
     bool list_known_ = false;
     std::vector<fleet_action> actions_;
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -88,8 +88,6 @@
     time_point ended_{};
     /// The time by which the job is on time.
     time_point objective_{};
-    /// Predicted processor time of what is not done yet, in core-seconds.
-    double core_seconds_left_ = 0;
     std::vector<occurrence_state> occurrences_;
     /// Requests that wait for the job's acceptance or cancelling to be stored.
     std::vector<std::uint64_t> accept_waits_;
--- a/source/kernel/cell/placement_rule.cpp
+++ b/source/kernel/cell/placement_rule.cpp
@@ -1,5 +1,6 @@
 #include "kernel/cell/placement_rule.hpp"
 
+#include <algorithm>
 #include <array>
 
 namespace cuminfold
@@ -91,23 +92,42 @@
 double placement_score(placement_view const& view)
 {
     constexpr double near_data = 10;
-    constexpr double strike_cost = 0.3;
-    constexpr double same_step_cost = 0.5;
+    constexpr double strike_cost = 2;
+    constexpr double beside_lasting = 1;
     auto const& worker = view.worker_;
-    double const cores =
-        static_cast<double>(worker.entry_.size_.cpu_milli_) + 1;
-    double score = 1 - static_cast<double>(worker.used_.cpu_milli_) / cores;
+    // The fullest worker that has room goes first: those left empty may be
+    // moved to another pool.
+    double score = worker_share(worker.used_, worker.entry_.size_);
     score -= strike_cost * worker.strikes_;
     if (!view.shape_.data_rack_.empty() &&
         worker.entry_.labels_.count(view.shape_.data_rack_) != 0)
     {
         score += near_data;
     }
+    if (worker.lasting_tasks_ > 0)
+    {
+        score += beside_lasting;
+    }
     if (view.shape_.lasting_)
     {
+        constexpr double same_step_cost = 5;
         score -= same_step_cost * view.same_step_;
     }
     return score;
 }
 
+double worker_share(resource_amount const& need, resource_amount const& size)
+{
+    auto const share = [](std::int64_t part, std::int64_t whole)
+    {
+        return part <= 0
+                   ? 0.0
+                   : static_cast<double>(part) /
+                         static_cast<double>(std::max<std::int64_t>(1, whole));
+    };
+    return std::max({share(need.cpu_milli_, size.cpu_milli_),
+                     share(need.memory_mb_, size.memory_mb_),
+                     share(need.accelerators_, size.accelerators_)});
+}
+
 } // namespace cuminfold
--- a/source/kernel/cell/placement_rule.hpp
+++ b/source/kernel/cell/placement_rule.hpp
@@ -31,6 +31,10 @@
 /// The first rule that keeps the task off the worker; null if it may go there.
 placement_rule const* broken_rule(placement_view const& view);
 
+/// The part of a worker that the scarcest of its resources leaves for nothing
+/// else: 1 is all of it.
+double worker_share(resource_amount const& need, resource_amount const& size);
+
 /// Preference among the workers that may take a task; the highest goes first.
 double placement_score(placement_view const& view);
 
--- /dev/null
+++ b/source/kernel/cell/pool_plan.cpp
@@ -0,0 +1,91 @@
+#include "kernel/cell/pool_plan.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// Room beside the measured demand, for what does not fit together and for
+/// its changes.
+constexpr double headroom = 1.25;
+/// Accepted work should be done within this many seconds.
+constexpr double backlog_seconds = 1.5;
+/// Every pool that serves keeps this many workers, for jobs that come before
+/// a VM could.
+constexpr std::uint32_t least_workers = 3;
+
+} // namespace
+
+std::uint32_t wanted_workers(pool_load const& load)
+{
+    if (load.standby_)
+    {
+        return 0;
+    }
+    double const busy =
+        std::max(load.rate_ * headroom, load.backlog_ / backlog_seconds);
+    return std::max(load.fixed_, least_workers) +
+           static_cast<std::uint32_t>(std::ceil(busy));
+}
+
+std::vector<planned_move> plan_moves(std::vector<pool_load> const& loads)
+{
+    struct lack
+    {
+        pool_load const* load_;
+        std::uint32_t vms_;
+    };
+    struct surplus
+    {
+        pool_load const* load_;
+        std::uint32_t vms_;
+        std::size_t next_ = 0;
+    };
+    std::vector<lack> lacks;
+    std::vector<surplus> surpluses;
+    for (auto const& load : loads)
+    {
+        auto const wanted = wanted_workers(load);
+        auto const has = load.workers_ + load.incoming_;
+        if (wanted > has)
+        {
+            lacks.push_back({&load, wanted - has});
+        }
+        else if (load.workers_ > wanted)
+        {
+            surpluses.push_back({&load, load.workers_ - wanted});
+        }
+    }
+    std::sort(lacks.begin(), lacks.end(),
+              [](lack const& a, lack const& b) { return a.vms_ > b.vms_; });
+    std::sort(surpluses.begin(), surpluses.end(),
+              [](surplus const& a, surplus const& b)
+              {
+                  return a.load_->standby_ != b.load_->standby_
+                             ? a.load_->standby_
+                             : a.vms_ > b.vms_;
+              });
+    std::vector<planned_move> moves;
+    for (auto& lack : lacks)
+    {
+        for (auto& from : surpluses)
+        {
+            while (lack.vms_ > 0 && from.vms_ > 0 &&
+                   from.next_ < from.load_->free_.size())
+            {
+                moves.push_back({from.load_->free_[from.next_++],
+                                 from.load_->pool_, lack.load_->pool_});
+                --from.vms_;
+                --lack.vms_;
+            }
+        }
+    }
+    return moves;
+}
+
+} // namespace cuminfold
--- a/source/kernel/cell/run_time_book.cpp
+++ b/source/kernel/cell/run_time_book.cpp
@@ -1,5 +1,7 @@
 #include "kernel/cell/run_time_book.hpp"
 
+#include "kernel/cell/placement_rule.hpp"
+
 #include <algorithm>
 
 namespace cuminfold
@@ -63,16 +65,21 @@
     return longest;
 }
 
-double run_time_book::core_seconds(job_definition const& job) const
+double run_time_book::task_work(std::string const& route, job_step const& step,
+                                resource_amount const& worker) const
+{
+    return worker_share(step.each_, worker) * seconds(expect(route, step));
+}
+
+double run_time_book::work(job_definition const& job,
+                           resource_amount const& worker) const
 {
     double sum = 0;
     for (auto const& step : job.steps_)
     {
-        if (!step.lasting_)
-        {
-            sum += static_cast<double>(step.each_.cpu_milli_) / 1000 *
-                   step.tasks_ * seconds(expect(job.route_, step));
-        }
+        sum += step.lasting_
+                   ? 0
+                   : step.tasks_ * task_work(job.route_, step, worker);
     }
     return sum;
 }
--- a/source/kernel/cell/run_time_book.hpp
+++ b/source/kernel/cell/run_time_book.hpp
@@ -24,9 +24,13 @@
     /// The expected time of the job's longest chain of steps.
     duration chain(job_definition const& job) const;
 
-    /// The expected processor time of one occurrence in core-seconds; lasting
-    /// steps count nothing.
-    double core_seconds(job_definition const& job) const;
+    /// The expected work of one task in worker-seconds.
+    double task_work(std::string const& route, job_step const& step,
+                     resource_amount const& worker) const;
+
+    /// The expected work of one occurrence in worker-seconds; lasting steps
+    /// count nothing.
+    double work(job_definition const& job, resource_amount const& worker) const;
 
 private:
     std::map<std::string, double> ratios_;
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -118,6 +118,7 @@
 
     resource_amount used_;
     std::set<task_id> tasks_;
+    std::uint32_t lasting_tasks_ = 0;
     /// Runs there that no job asks for any more; they hold room till they end.
     std::map<task_id, std::uint32_t> strays_;
 
