cell: Take the platform's list for what life a VM has

Cause: on a takeover the store still held entries of earlier lives. Entries carry no order of lives; the list of VMs names the present one.

Stray runs were stopped anew with every event; now once in repeat_gap.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -78,6 +78,9 @@
     /// @name Workers
     /// @{
     void worker_listed(worker_registration entry, time_point now);
+    /// The platform lists that worker as the present life on a VM.
+    void vm_listed(vm_id const& vm, std::string const& worker,
+                   time_point asked, time_point now);
     void worker_unlisted(std::string const& worker, time_point now);
     void start_answered(std::string const& worker, task_id const& task,
                         std::uint32_t run, call_outcome outcome,
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -51,6 +51,7 @@
         state.entry_.id_ = worker;
         state.gone_ = true;
         state.answered_ = now;
+        state.first_seen_ = now;
         state.lapses_ = began_ + options_.confirmation_limit_ +
                         std::chrono::duration_cast<duration>(
                             options_.longest_lease_ * 1.05);
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -48,17 +48,8 @@
 
 void cell::worker_listed(worker_registration entry, time_point now)
 {
-    for (auto& item : workers_)
-    {
-        auto& other = item.second;
-        if (item.first != entry.id_ && !entry.vm_.empty() &&
-            other.entry_.vm_ == entry.vm_ && !other.gone_)
-        {
-            end_life(other, "vm_has_new_life", now);
-        }
-    }
     auto& worker = ensure_worker(entry.id_, now);
-    worker.gone_ = false;
+    worker.gone_ = worker.life_over_;
     worker.reserved_ = reserved_.count(entry.vm_) != 0;
     auto& members = pool_workers_[entry.pool_];
     if (std::find(members.begin(), members.end(), entry.id_) == members.end())
@@ -73,6 +64,22 @@
     placement_due_ = true;
 }
 
+void cell::vm_listed(vm_id const& vm, std::string const& worker,
+                     time_point asked, time_point now)
+{
+    for (auto& item : workers_)
+    {
+        auto& other = item.second;
+        // One that was seen only after the list was asked for may be newer.
+        bool const older = item.first != worker && !worker.empty() &&
+                           other.entry_.vm_ == vm && other.first_seen_ < asked;
+        if (older && !other.life_over_)
+        {
+            end_life(other, "vm_has_new_life", now);
+        }
+    }
+}
+
 void cell::worker_unlisted(std::string const& name, time_point now)
 {
     auto const found = workers_.find(name);
@@ -189,6 +196,7 @@
     worker.tasks_.clear();
     worker.strays_.clear();
     worker.gone_ = true;
+    worker.life_over_ = true;
     worker.lapses_ = now;
 }
 
@@ -531,10 +539,9 @@
                      ended ? "job_ended" : "not_wanted_there");
             }
         }
-        bool const due = now - worker.answered_ < options_.repeat_gap_ ||
-                         worker.silent_renewals_ == 0;
-        if (due && now - worker.renewal_sent_ >= options_.repeat_gap_ / 2)
+        if (now - worker.strays_stopped_ >= options_.repeat_gap_)
         {
+            worker.strays_stopped_ = now;
             for (auto const& stray : worker.strays_)
             {
                 stop(worker, stray.first, stray.second, "stray_run");
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -97,6 +97,9 @@
     bool fenced_ = false;
     /// Its entry was removed from the store.
     bool gone_ = false;
+    /// Another life runs on its VM, or answers at its address.
+    bool life_over_ = false;
+    time_point first_seen_{};
     /// Nothing new is placed on it: it is to be moved or maintained.
     bool reserved_ = false;
 
@@ -121,6 +124,7 @@
     std::uint32_t lasting_tasks_ = 0;
     /// Runs there that no job asks for any more; they hold room till they end.
     std::map<task_id, std::uint32_t> strays_;
+    time_point strays_stopped_{};
 
     /// Failed or stalled runs since the last good one.
     std::uint32_t strikes_ = 0;
