--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -79,8 +79,8 @@
     /// @{
     void worker_listed(worker_registration entry, time_point now);
     /// The platform lists that worker as the present life on a VM.
-    void vm_listed(vm_id const& vm, std::string const& worker,
-                   time_point asked, time_point now);
+    void vm_listed(vm_id const& vm, std::string const& worker, time_point asked,
+                   time_point now);
     void worker_unlisted(std::string const& worker, time_point now);
     void start_answered(std::string const& worker, task_id const& task,
                         std::uint32_t run, call_outcome outcome,
@@ -214,6 +214,8 @@
     void repeat_stops(time_point now);
     void drop_lapsed(time_point now);
     void end_life(worker_state& worker, char const* why, time_point now);
+    void evacuate(worker_state& worker, bool all, time_point now);
+    void leave_draining(time_point now);
     bool is_usable(worker_state const& worker, time_point now) const;
     bool is_at_work(task_state const& task) const;
     void stop_stalled(time_point now);
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -12,6 +12,8 @@
 constexpr double slowest_clock = 0.98;
 /// Added to a computed lapse for the time that a worker needs to act on it.
 constexpr duration lapse_margin = std::chrono::milliseconds{150};
+/// A draining worker's lasting tasks leave one by one for this long, then all.
+constexpr duration evacuation_time = std::chrono::milliseconds{1200};
 /// A worker that did not answer is asked again after this.
 constexpr duration silent_gap = std::chrono::milliseconds{150};
 
@@ -59,6 +61,7 @@
     if (entry.draining_ && !worker.entry_.draining_)
     {
         note("worker_draining", entry.id_, "entry");
+        worker.draining_since_ = now;
     }
     worker.entry_ = std::move(entry);
     placement_due_ = true;
@@ -311,11 +314,15 @@
             });
         if (worker.fenced_)
         {
-            order.lease_until_ = lease_for(worker, now);
-            order.wait_ = settled && worker.silent_renewals_ == 0 &&
-                                  !worker.tasks_.empty()
-                              ? options_.renewal_wait_
-                              : duration{0};
+            // A renewal without an answer may have been carried out: a silent
+            // worker is only asked, so that its leases end.
+            if (worker.silent_renewals_ == 0)
+            {
+                order.lease_until_ = lease_for(worker, now);
+                order.wait_ = settled && !worker.tasks_.empty()
+                                  ? options_.renewal_wait_
+                                  : duration{0};
+            }
         }
         worker.renewal_out_ = true;
         worker.renewal_sent_ = now;
@@ -610,33 +617,49 @@
 {
     for (auto& item : workers_)
     {
-        auto& worker = item.second;
-        if (worker.entry_.vm_ != vm)
+        if (item.second.entry_.vm_ == vm)
+        {
+            evacuate(item.second, false, now);
+        }
+    }
+}
+
+void cell::evacuate(worker_state& worker, bool all, time_point now)
+{
+    auto const tasks = worker.tasks_;
+    for (auto const& task : tasks)
+    {
+        auto const at = find(task);
+        if (!at || !at.shape_->lasting_ ||
+            at.task_->phase_ != task_phase::running)
         {
             continue;
         }
-        auto const tasks = worker.tasks_;
-        for (auto const& task : tasks)
+        std::uint32_t away = 0;
+        for (auto const& other : at.step_->tasks_)
         {
-            auto const at = find(task);
-            if (!at || !at.shape_->lasting_ ||
-                at.task_->phase_ != task_phase::running)
-            {
-                continue;
-            }
-            std::uint32_t away = 0;
-            for (auto const& other : at.step_->tasks_)
-            {
-                away += is_at_work(other) ? 0 : 1;
-            }
-            bool const free =
-                away < std::max<std::uint32_t>(1, at.shape_->max_unavailable_);
-            if (free)
-            {
-                note("task_evacuated", describe(task), item.first);
-                at.task_->phase_ = task_phase::stopping;
-                at.task_->away_since_ = now;
-            }
+            away += is_at_work(other) ? 0 : 1;
+        }
+        bool const free = all || away < std::max<std::uint32_t>(
+                                            1, at.shape_->max_unavailable_);
+        if (free)
+        {
+            note("task_evacuated", describe(task), worker.entry_.id_);
+            at.task_->phase_ = task_phase::stopping;
+            at.task_->away_since_ = now;
+        }
+    }
+}
+
+void cell::leave_draining(time_point now)
+{
+    for (auto& item : workers_)
+    {
+        auto& worker = item.second;
+        if (worker.entry_.draining_ && !worker.gone_)
+        {
+            evacuate(worker, now - worker.draining_since_ > evacuation_time,
+                     now);
         }
     }
 }
@@ -653,6 +676,7 @@
     }
     drop_lapsed(now);
     stop_stalled(now);
+    leave_draining(now);
     repeat_stops(now);
     if (placement_due_)
     {
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -126,6 +126,7 @@
     std::map<task_id, std::uint32_t> strays_;
     time_point strays_stopped_{};
 
+    time_point draining_since_{};
     /// Failed or stalled runs since the last good one.
     std::uint32_t strikes_ = 0;
     time_point avoided_until_{};
