node: Keep two owners' orders for a VM apart under slow links

Cause: an order may be on its way for as long as its call is waited for, and a call that is given up was still delivered after a cut healed. Calls that are given up reset their connection; the pause counts the call's time; the age of the epoch is looked at once more right before the order.

--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -34,7 +34,7 @@
 
 /// Added to the pause between two owners' orders for one VM, for orders that
 /// were on their way.
-constexpr duration order_margin = std::chrono::milliseconds{300};
+constexpr duration order_margin = std::chrono::milliseconds{200};
 
 /// Keys in the cell's partition.
 constexpr char const* job_prefix = "j";
@@ -53,7 +53,8 @@
 {
     fleet_plan_options options;
     options.order_pause_ =
-        settings.order_pause_ + options.confirmation_limit_ + order_margin;
+        settings.order_pause_ + options.confirmation_limit_ +
+        settings.vm_order_timeout_ + order_margin;
     return options;
 }
 
@@ -578,6 +579,13 @@
     }
 }
 
+/// Looked at once more right before an order: the process may have been
+/// suspended since the order was decided.
+bool cell_owner::may_order_vms() const
+{
+    return node_now() - confirmed_ < fleet_plan_options{}.confirmation_limit_;
+}
+
 void cell_owner::run(list_vms const&)
 {
     auto const asked = node_now();
@@ -597,6 +605,11 @@
 
 void cell_owner::run(maintain_vm const& action)
 {
+    if (!may_order_vms())
+    {
+        fleet_.maintained(action.vm_, action.wave_, vm_outcome::later, node_now());
+        return;
+    }
     parts_.machines_.maintain(
         action.vm_, action.wave_,
         [self = shared_from_this(), action](vm_outcome outcome)
@@ -612,6 +625,11 @@
 
 void cell_owner::run(move_vm const& action)
 {
+    if (!may_order_vms())
+    {
+        fleet_.moved(action.vm_, vm_outcome::later, node_now());
+        return;
+    }
     parts_.machines_.move(
         action.vm_, action.pool_,
         [self = shared_from_this(), action](vm_outcome outcome)
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -100,6 +100,7 @@
     void run(renew_worker const& action);
     void run(pace_run const& action);
     void run(note_decision const& action);
+    bool may_order_vms() const;
     void run(list_vms const& action);
     void run(maintain_vm const& action);
     void run(move_vm const& action);
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -61,7 +61,7 @@
           store_(http_, settings_.store_address_, settings_.store_timeout_),
           workers_(http_, settings_.worker_timeout_),
           machines_(http_, settings_.machines_address_, settings_.name_,
-                    settings_.store_timeout_),
+                    settings_.vm_order_timeout_),
           config_(context_, store_, log_, [this] { config_changed(); }),
           life_(draw_incarnation()), ownership_(make_ownership(), node_now()),
           peers_(context_, make_peer_handler()),
--- a/source/node/node_settings.hpp
+++ b/source/node/node_settings.hpp
@@ -35,6 +35,9 @@
     duration stop_limit_ = std::chrono::milliseconds{5300};
     /// Bound on a lease, from the platform.
     duration longest_lease_ = std::chrono::milliseconds{10'000};
+    /// An order for a VM that is not answered within this is given up.
+    duration vm_order_timeout_ = std::chrono::milliseconds{700};
+    /// Two owners' orders for one VM keep this apart; from the platform.
     duration order_pause_ = std::chrono::milliseconds{3000};
     duration maintenance_time_ = std::chrono::milliseconds{2000};
 };
--- a/source/node/node_settings_file.cpp
+++ b/source/node/node_settings_file.cpp
@@ -31,6 +31,7 @@
     in.read("stop_time", settings.stop_time_, duration{0}, longest);
     in.read("stop_limit", settings.stop_limit_, duration{0}, longest);
     in.read("longest_lease", settings.longest_lease_, shortest, longest);
+    in.read("vm_order_timeout", settings.vm_order_timeout_, shortest, longest);
     in.read("order_pause", settings.order_pause_, duration{0}, longest);
     in.read("maintenance_time", settings.maintenance_time_, duration{0},
             longest);
--- a/source/transport/http_client.cpp
+++ b/source/transport/http_client.cpp
@@ -439,6 +439,10 @@
     {
         if (open->stream_)
         {
+            // A reset: what was not delivered yet must not be later.
+            beast::error_code ignored;
+            open->stream_->socket().set_option(tcp::socket::linger(true, 0),
+                                               ignored);
             open->stream_->close();
             release(open->call_.address_);
             // Handlers that are still to come keep the stream's memory.
