fleet: Pause only for VMs with orders on record; take over sooner

Cause: after each takeover no VM was ordered about for 4.9 s, so pools kept what they had through a turn of demand; and a node cut from the store alone kept its cell for as long as its peers reached it. Intended orders are now records of the cell, so a new owner waits only for those VMs; what a wave has maintained is kept, too.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -111,6 +111,12 @@
 
     std::vector<cell_action> take_actions();
 
+    /// Adds a record to the next batch.
+    /// @return its number, for `kept()`
+    std::uint64_t keep(cell_record record);
+    /// That record was stored.
+    bool kept(std::uint64_t number) const;
+
     /// Keeps new work off a VM, or lets it come again.
     void reserve(vm_id const& vm, bool reserved);
     /// Tasks on a VM's workers, whatever their phase.
@@ -146,6 +152,13 @@
         std::vector<std::pair<task_id, std::uint32_t>> starts_;
         std::vector<job_id> jobs_;
         std::map<std::string, std::uint64_t> ends_;
+        std::vector<std::uint64_t> notes_;
+    };
+
+    struct numbered_record
+    {
+        std::uint64_t number_ = 0;
+        cell_record record_;
     };
 
     struct task_place
@@ -250,6 +263,9 @@
     std::vector<std::string> dirty_;
     std::vector<std::string> forgotten_;
     std::set<std::string> ends_read_;
+    std::vector<numbered_record> notes_;
+    std::set<std::uint64_t> notes_stored_;
+    std::uint64_t next_note_ = 1;
     std::optional<batch_effects> out_;
     std::uint64_t next_batch_ = 1;
     std::vector<cell_action> actions_;
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -104,15 +104,24 @@
 using cell_action = std::variant<answer_client, start_run, stop_run,
                                  renew_worker, pace_run, note_decision>;
 
-/// One record of a cell's partition. Without content it ends the record's
-/// key.
+/// What a record of a cell's partition is about.
+enum class record_kind : std::uint8_t
+{
+    request,  ///< a job as it was handed in
+    progress, ///< how far a job is
+    vm_order, ///< an order for a VM may be given or on its way
+    wave      ///< the VMs that a wave has maintained
+};
+
+/// One record of a cell's partition. Without content it ends its key.
 struct cell_record
 {
-    job_id job_;
-    /// A record of the request; otherwise of the progress.
-    bool request_record_ = false;
+    record_kind kind_ = record_kind::progress;
+    /// Of a job, a VM or a wave.
+    std::string name_;
     std::shared_ptr<job_definition const> request_;
     std::optional<job_progress> progress_;
+    std::optional<std::string> text_;
 };
 
 /// Records that are appended together, and what may be done after that.
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -109,7 +109,8 @@
 
 std::optional<cell_batch> cell::next_batch()
 {
-    if (out_ || (dirty_.empty() && forgotten_.empty() && ends_read_.empty()))
+    if (out_ || (dirty_.empty() && forgotten_.empty() && ends_read_.empty() &&
+                 notes_.empty()))
     {
         return std::nullopt;
     }
@@ -133,12 +134,15 @@
         if (!job.request_written_ && !job.ended())
         {
             job.request_written_ = true;
-            batch.records_.push_back({id, true, job.request_, std::nullopt});
+            batch.records_.push_back({record_kind::request, name, job.request_,
+                                      std::nullopt, std::nullopt});
         }
-        batch.records_.push_back({id, false, nullptr, progress_of(job)});
+        batch.records_.push_back({record_kind::progress, name, nullptr,
+                                  progress_of(job), std::nullopt});
         if (job.ended() && job.request_written_)
         {
-            batch.records_.push_back({id, true, nullptr, std::nullopt});
+            batch.records_.push_back({record_kind::request, name, nullptr,
+                                      std::nullopt, std::nullopt});
         }
         effects.jobs_.push_back(id);
         if (job.ended())
@@ -158,7 +162,13 @@
     }
     for (auto const& name : std::exchange(forgotten_, {}))
     {
-        batch.records_.push_back({job_id{name}, false, nullptr, std::nullopt});
+        batch.records_.push_back(
+            {record_kind::progress, name, nullptr, std::nullopt, std::nullopt});
+    }
+    for (auto& note : std::exchange(notes_, {}))
+    {
+        effects.notes_.push_back(note.number_);
+        batch.records_.push_back(std::move(note.record_));
     }
     if (batch.records_.empty())
     {
@@ -204,12 +214,25 @@
             settle_answers(job, now);
         }
     }
+    notes_stored_.insert(effects.notes_.begin(), effects.notes_.end());
     for (auto const& start : effects.starts_)
     {
         give_start(start.first, start.second, now);
     }
 }
 
+std::uint64_t cell::keep(cell_record record)
+{
+    auto const number = next_note_++;
+    notes_.push_back({number, std::move(record)});
+    return number;
+}
+
+bool cell::kept(std::uint64_t number) const
+{
+    return notes_stored_.count(number) != 0;
+}
+
 void cell::settle_answers(job_state& job, time_point now)
 {
     for (auto const exchange : std::exchange(job.accept_waits_, {}))
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -1,6 +1,7 @@
 #include "kernel/cell/fleet_plan.hpp"
 
 #include <algorithm>
+#include <sstream>
 #include <utility>
 
 namespace cuminfold
@@ -14,8 +15,8 @@
 
 } // namespace
 
-fleet_plan::fleet_plan(fleet_plan_options options, cell& jobs, time_point now)
-    : options_(options), jobs_(jobs), began_(now)
+fleet_plan::fleet_plan(fleet_plan_options options, cell& jobs)
+    : options_(options), jobs_(jobs)
 {
 }
 
@@ -24,13 +25,12 @@
 {
     for (auto const& item : waves)
     {
-        auto const place = waves_.try_emplace(item.first);
-        if (place.second)
+        auto& wave = waves_[item.first];
+        if (wave.order_.vms_.empty())
         {
-            place.first->second.began_ = now;
             next_list_ = now;
         }
-        place.first->second.order_ = item.second;
+        wave.order_ = item.second;
     }
 }
 
@@ -78,6 +78,63 @@
     next_list_ = now + options_.list_interval_;
 }
 
+void fleet_plan::restore_order(vm_id const& vm, time_point now)
+{
+    held_[vm] = now + options_.order_pause_;
+}
+
+void fleet_plan::restore_wave(wave_number wave, std::string const& maintained)
+{
+    std::istringstream lines(maintained);
+    std::string vm;
+    while (std::getline(lines, vm))
+    {
+        waves_[wave].maintained_.insert(vm_id{vm});
+    }
+}
+
+void fleet_plan::keep_wave(wave_state const& wave)
+{
+    cell_record record;
+    record.kind_ = record_kind::wave;
+    record.name_ = std::to_string(wave.order_.number_);
+    record.text_ = std::string();
+    for (auto const& vm : wave.maintained_)
+    {
+        *record.text_ += vm.text() + "\n";
+    }
+    jobs_.keep(std::move(record));
+}
+
+void fleet_plan::begin_work(vm_id const& vm, vm_work work)
+{
+    cell_record record;
+    record.kind_ = record_kind::vm_order;
+    record.name_ = vm.text();
+    record.text_ = "1";
+    work.record_ = jobs_.keep(std::move(record));
+    work_[vm] = work;
+    jobs_.reserve(vm, true);
+}
+
+/// Ends the records of orders that are long over.
+void fleet_plan::drop_old_orders(time_point now)
+{
+    for (auto place = held_.begin(); place != held_.end();)
+    {
+        if (now < place->second || work_.count(place->first) != 0)
+        {
+            ++place;
+            continue;
+        }
+        cell_record record;
+        record.kind_ = record_kind::vm_order;
+        record.name_ = place->first.text();
+        jobs_.keep(std::move(record));
+        place = held_.erase(place);
+    }
+}
+
 void fleet_plan::drop_work(vm_id const& vm)
 {
     jobs_.reserve(vm, false);
@@ -225,8 +282,7 @@
         vm_work work;
         work.wave_ = wave.order_.number_;
         work.reserved_ = now;
-        work_[candidate.second] = work;
-        jobs_.reserve(candidate.second, true);
+        begin_work(candidate.second, work);
     }
 }
 
@@ -253,7 +309,7 @@
     for (auto& item : waves_)
     {
         auto& wave = item.second;
-        if (!wave.completed_told_)
+        if (!wave.completed_told_ && !wave.order_.vms_.empty())
         {
             pick(wave, now);
             report(wave);
@@ -311,8 +367,7 @@
         vm_work work;
         work.target_ = move.to_;
         work.reserved_ = now;
-        work_[move.vm_] = work;
-        jobs_.reserve(move.vm_, true);
+        begin_work(move.vm_, work);
         actions_.emplace_back(
             note_decision{"move_planned", move.vm_.text(),
                           move.from_.text() + ">" + move.to_.text()});
@@ -337,11 +392,18 @@
         bool const empty =
             tasks == 0 || (!patient && !work.target_ &&
                            jobs_.lasting_tasks_on(item.first) == 0);
-        if (!empty || !may_order)
+        auto const held = held_.find(item.first);
+        bool const by_earlier_owner = held != held_.end() &&
+                                      !own_orders_.count(item.first) &&
+                                      now < held->second;
+        if (!empty || !may_order || by_earlier_owner ||
+            !jobs_.kept(work.record_))
         {
             continue;
         }
         work.order_out_ = true;
+        own_orders_.insert(item.first);
+        held_[item.first] = now + options_.order_pause_;
         if (work.target_)
         {
             actions_.emplace_back(move_vm{item.first, *work.target_});
@@ -360,10 +422,11 @@
         list_out_ = true;
         actions_.emplace_back(list_vms{});
     }
-    if (!list_known_ || now - began_ < options_.order_pause_)
+    if (!list_known_)
     {
         return;
     }
+    drop_old_orders(now);
     drive_waves(now);
     balance(now);
     drive_work(now, now - confirmed < options_.confirmation_limit_);
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -18,8 +18,8 @@
 
 struct fleet_plan_options
 {
-    /// A new owner gives no order for a VM for this long: the one before may
-    /// have given one just now.
+    /// A new owner gives no order for this long for a VM that an earlier one
+    /// may have given an order for just now.
     duration order_pause_ = std::chrono::milliseconds{4200};
     /// Orders are given only this long after a confirmation of the epoch.
     duration confirmation_limit_ = std::chrono::milliseconds{1000};
@@ -66,7 +66,14 @@
 class fleet_plan
 {
 public:
-    fleet_plan(fleet_plan_options options, cell& jobs, time_point now);
+    fleet_plan(fleet_plan_options options, cell& jobs);
+
+    /// @name Recovery, before the first tick
+    /// @{
+    /// An earlier owner may have given an order for that VM just now.
+    void restore_order(vm_id const& vm, time_point now);
+    void restore_wave(wave_number wave, std::string const& maintained);
+    /// @}
 
     void set_waves(std::map<wave_number, wave_order> const& waves,
                    time_point now);
@@ -94,6 +101,8 @@
         wave_number wave_ = 0;
         std::optional<pool_name> target_;
         time_point reserved_{};
+        /// The record that says an order may be given; see `cell::keep()`.
+        std::uint64_t record_ = 0;
         bool ordered_ = false;
         bool order_out_ = false;
         time_point ordered_at_{};
@@ -103,7 +112,6 @@
     struct wave_state
     {
         wave_order order_;
-        time_point began_{};
         std::set<vm_id> maintained_;
         bool running_told_ = false;
         bool completed_told_ = false;
@@ -114,7 +122,10 @@
     void balance(time_point now);
     void pick(wave_state& wave, time_point now);
     void drive_work(time_point now, bool may_order);
+    void begin_work(vm_id const& vm, vm_work work);
     void drop_work(vm_id const& vm);
+    void keep_wave(wave_state const& wave);
+    void drop_old_orders(time_point now);
     void report(wave_state& wave);
     std::uint32_t down_in(wave_number wave) const;
     bool is_standby(listed_vm const& vm) const;
@@ -122,10 +133,14 @@
 
     fleet_plan_options options_;
     cell& jobs_;
-    time_point began_;
     std::map<vm_id, listed_vm> vms_;
     std::map<wave_number, wave_state> waves_;
     std::map<vm_id, vm_work> work_;
+    /// VMs that are not ordered about before then: orders of earlier owners,
+    /// and our own whose records are not dropped yet.
+    std::map<vm_id, time_point> held_;
+    /// VMs that this owner has given an order for.
+    std::set<vm_id> own_orders_;
     time_point next_list_{};
     time_point next_balance_{};
     bool list_out_ = false;
--- a/source/kernel/cell/ownership.cpp
+++ b/source/kernel/cell/ownership.cpp
@@ -72,6 +72,7 @@
     heard_ = now;
     heard_once_ = true;
     suspecting_ = false;
+    owner_cut_ = false;
     taking_ = false;
     ping_ = {false, now};
 }
@@ -106,7 +107,8 @@
     }
     heard_ = now;
     heard_once_ = true;
-    if (answer.unconfirmed_ > options_.store_patience_)
+    owner_cut_ = answer.unconfirmed_ > options_.store_patience_;
+    if (owner_cut_)
     {
         suspect(now);
     }
@@ -172,7 +174,7 @@
         record_seen_ = true;
         unchanged_since_ = changed ? now : unchanged_since_;
     }
-    bool const over = known_.resigned_ || earlier_life;
+    bool const over = known_.resigned_ || earlier_life || owner_cut_;
     auto const patience = over ? duration{0} : options_.record_patience_;
     taking_ = !leaving_ && now - unchanged_since_ >= patience + turn;
     take_.due_ = now;
--- a/source/kernel/cell/ownership.hpp
+++ b/source/kernel/cell/ownership.hpp
@@ -21,14 +21,14 @@
     std::uint64_t life_ = 0;
     duration ping_interval_ = std::chrono::milliseconds{250};
     /// An owner that answers no ping for this long is suspected.
-    duration patience_ = std::chrono::milliseconds{600};
+    duration patience_ = std::chrono::milliseconds{450};
     /// So is one that has not reached the store for this long.
-    duration store_patience_ = std::chrono::milliseconds{1500};
+    duration store_patience_ = std::chrono::milliseconds{1100};
     /// How often the owner's record is read while it is suspected.
-    duration read_interval_ = std::chrono::milliseconds{250};
+    duration read_interval_ = std::chrono::milliseconds{200};
     /// A suspected owner whose record does not change for this long is taken
     /// for dead; several times the interval at which owners renew it.
-    duration record_patience_ = std::chrono::milliseconds{1200};
+    duration record_patience_ = std::chrono::milliseconds{900};
     /// A node of rank r waits r times this, so that one tries at a time.
     duration rank_delay_ = std::chrono::milliseconds{150};
     /// Without a sign of the owner for this long it cannot be reached.
@@ -121,6 +121,8 @@
     bool heard_once_ = false;
     /// The record was read since the owner is suspected, and first so then.
     bool record_seen_ = false;
+    /// The owner itself said that it does not reach the store.
+    bool owner_cut_ = false;
     time_point unchanged_since_{};
 };
 
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -24,8 +24,8 @@
 constexpr duration first_batch_pause = std::chrono::milliseconds{40};
 constexpr duration longest_batch_pause = std::chrono::milliseconds{400};
 /// An idle owner confirms its epoch this often.
-constexpr duration confirm_interval = std::chrono::milliseconds{700};
-constexpr duration beat_interval = std::chrono::milliseconds{400};
+constexpr duration confirm_interval = std::chrono::milliseconds{500};
+constexpr duration beat_interval = std::chrono::milliseconds{300};
 /// Older knowledge of the configuration does not answer that a queue is not
 /// there.
 constexpr duration config_age_limit = std::chrono::milliseconds{1500};
@@ -39,8 +39,26 @@
 /// Keys in the cell's partition.
 constexpr char const* job_prefix = "j";
 constexpr char const* progress_prefix = "p";
+constexpr char const* vm_order_prefix = "v";
+constexpr char const* wave_prefix = "w";
 constexpr char const* owner_key = "owner";
 
+char const* key_prefix(record_kind kind)
+{
+    switch (kind)
+    {
+    case record_kind::request:
+        return job_prefix;
+    case record_kind::progress:
+        return progress_prefix;
+    case record_kind::vm_order:
+        return vm_order_prefix;
+    case record_kind::wave:
+        return wave_prefix;
+    }
+    return progress_prefix;
+}
+
 cell_options make_options(node_settings const& settings)
 {
     cell_options options;
@@ -52,9 +70,8 @@
 fleet_plan_options make_fleet_options(node_settings const& settings)
 {
     fleet_plan_options options;
-    options.order_pause_ =
-        settings.order_pause_ + options.confirmation_limit_ +
-        settings.vm_order_timeout_ + order_margin;
+    options.order_pause_ = settings.order_pause_ + options.confirmation_limit_ +
+                           settings.vm_order_timeout_ + order_margin;
     return options;
 }
 
@@ -64,8 +81,7 @@
                        std::function<void(char const*)> lost)
     : parts_(parts), record_(std::move(record)), lost_(std::move(lost)),
       cell_(make_options(parts.settings_), node_now()),
-      fleet_(make_fleet_options(parts.settings_), cell_, node_now()),
-      timer_(parts.context_)
+      fleet_(make_fleet_options(parts.settings_), cell_), timer_(parts.context_)
 {
     parts_.workers_.set_token(record_.epoch_);
     parts_.machines_.set_token(record_.epoch_);
@@ -179,8 +195,16 @@
             {
                 progress[id] = *record.value_;
             }
+            else if (record.key_.rfind(vm_order_prefix, 0) == 0)
+            {
+                fleet_.restore_order(vm_id{id}, now);
+            }
+            else if (record.key_.rfind(wave_prefix, 0) == 0)
+            {
+                fleet_.restore_wave(std::stoll(id), *record.value_);
+            }
         }
-        catch (decode_error const& error)
+        catch (std::exception const& error)
         {
             parts_.log_.write("record_skipped",
                               {{"key", record.key_}, {"error", error.what()}},
@@ -309,8 +333,7 @@
     for (auto const& record : batch->records_)
     {
         platform::keyed_record out;
-        out.key_ = (record.request_record_ ? job_prefix : progress_prefix) +
-                   record.job_.text();
+        out.key_ = key_prefix(record.kind_) + record.name_;
         if (record.request_)
         {
             out.value_ = encode_job(*record.request_);
@@ -319,6 +342,10 @@
         {
             out.value_ = encode_progress(*record.progress_);
         }
+        else if (record.text_)
+        {
+            out.value_ = *record.text_;
+        }
         batch_.records_.push_back(std::move(out));
     }
     batch_out_ = true;
@@ -607,7 +634,8 @@
 {
     if (!may_order_vms())
     {
-        fleet_.maintained(action.vm_, action.wave_, vm_outcome::later, node_now());
+        fleet_.maintained(action.vm_, action.wave_, vm_outcome::later,
+                          node_now());
         return;
     }
     parts_.machines_.maintain(
