admission: Check the deadlines of accepted work, count what may run now

Cause: all accepted work was held against a new job, also what waits for earlier steps or is due later; pools refused with a third of their workers idle, and kept VMs for work that could not run yet. A job is now taken if it makes nothing late by the earliest-deadline order, or if it can begin at once; a pool wants workers for what may run now. An unreachable store refuses at once, and a job that was not sent to it is withdrawn.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -42,6 +42,11 @@
     /// The platform's bound on a lease; what an earlier owner gave.
     duration longest_lease_ = std::chrono::milliseconds{3000};
     /// Time that ended jobs stay known.
+    /// A store that takes this long for a batch is taken for unreachable:
+    /// nothing new is accepted.
+    duration stall_time_ = std::chrono::milliseconds{700};
+    /// A job cannot be stored in less time than this.
+    duration least_time_ = std::chrono::milliseconds{50};
     duration keep_ended_ = std::chrono::seconds{130};
     /// A task without progress for this share of its expected run time, and
     /// for no less than the floor, is stopped and tried elsewhere.
@@ -93,8 +98,9 @@
 
     /// @name Clients; each is answered once by an `answer_client`
     /// @{
+    /// @param time_left how long the client waits for the answer
     void submit(std::uint64_t exchange, queue_route const& route,
-                job_definition request, time_point now);
+                job_definition request, duration time_left, time_point now);
     void query(std::uint64_t exchange, job_id const& job);
     void cancel(std::uint64_t exchange, job_id const& job, time_point now);
     void count(std::uint64_t exchange, queue_route const& route);
@@ -105,7 +111,7 @@
     void tick(time_point now, calendar_time calendar);
 
     /// The records to append next; none if there is nothing or a batch is out.
-    std::optional<cell_batch> next_batch();
+    std::optional<cell_batch> next_batch(time_point now);
     /// The batch that is out was stored.
     void batch_stored(time_point now);
 
@@ -161,6 +167,16 @@
         cell_record record_;
     };
 
+    /// What a job still needs, in worker-seconds.
+    struct remaining_work
+    {
+        double all_ = 0;
+        /// Of steps that may run now.
+        double ready_ = 0;
+        /// Of tasks that may run now and do not.
+        double waiting_ = 0;
+    };
+
     struct task_place
     {
         job_state* job_ = nullptr;
@@ -174,6 +190,9 @@
         }
     };
 
+    static bool is_ready(job_step const& shape,
+                         occurrence_state const& occurrence);
+
     // cell_clients.cpp
     client_answer answer(answer_kind kind, char const* why) const;
     void reply(std::uint64_t exchange, client_answer answer);
@@ -181,10 +200,14 @@
     bool admit(queue_route const& route, job_definition const& request,
                duration objective, time_point now,
                client_answer& refusal) const;
-    /// Work in worker-seconds that the job still needs.
-    double work_left(job_state const& job, resource_amount const& worker) const;
+    remaining_work work_left(job_state const& job,
+                             resource_amount const& worker) const;
     /// Size of the pool's workers; of any worker if it has none.
     resource_amount typical_worker(pool_name const& pool) const;
+    duration waited(queue_route const& route, duration time_left);
+    bool store_stalled(time_point now) const;
+    void withdraw_unsent(time_point now);
+    void release_all(job_state& job, time_point now);
     std::uint64_t count_pending(std::string const& route) const;
 
     // cell_records.cpp
@@ -267,6 +290,9 @@
     std::set<std::uint64_t> notes_stored_;
     std::uint64_t next_note_ = 1;
     std::optional<batch_effects> out_;
+    time_point out_since_{};
+    /// The longest that clients of a queue wait, by its name.
+    std::map<std::string, duration> longest_waits_;
     std::uint64_t next_batch_ = 1;
     std::vector<cell_action> actions_;
     bool placement_due_ = true;
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -38,6 +38,8 @@
     std::uint64_t pending_ = 0;
     /// When to come back; 0: not said.
     duration retry_after_{0};
+    /// Another owner may answer otherwise, soon.
+    bool ask_again_ = false;
     /// What decided it, for the log.
     std::string why_;
     /// Version of the configuration that decided it.
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -1,5 +1,7 @@
 #include "kernel/cell/cell.hpp"
 
+#include "kernel/cell/admission_check.hpp"
+
 #include <algorithm>
 
 namespace cuminfold
@@ -8,11 +10,6 @@
 namespace
 {
 
-/// Share of the workers' time that tasks can use: the rest is lost to sizes
-/// that do not fit together and to the time between two tasks.
-constexpr double packing_share = 0.85;
-/// Until a VM that is on its way takes tasks.
-constexpr duration incoming_delay = std::chrono::milliseconds{1200};
 /// Least and longest time that a refused client is told to stay away.
 constexpr duration least_retry = std::chrono::milliseconds{200};
 constexpr duration longest_retry = std::chrono::seconds{5};
@@ -50,8 +47,20 @@
         note_decision{event, std::move(subject), std::move(why)});
 }
 
+duration cell::waited(queue_route const& route, duration time_left)
+{
+    auto& longest = longest_waits_[route.name_];
+    longest = std::max(longest, time_left);
+    return longest - time_left;
+}
+
+bool cell::store_stalled(time_point now) const
+{
+    return out_ && now - out_since_ > options_.stall_time_;
+}
+
 void cell::submit(std::uint64_t exchange, queue_route const& route,
-                  job_definition request, time_point now)
+                  job_definition request, duration time_left, time_point now)
 {
     auto const known = jobs_.find(request.id_.text());
     if (known != jobs_.end())
@@ -66,11 +75,22 @@
         }
         return;
     }
-    auto const chain = run_times_.chain(request);
-    auto const objective =
-        from_seconds(seconds(chain) * route.stretch_) + route.objective_;
+    auto const already_waited = waited(route, time_left);
     demand_.add(route.pool_, request.id_,
                 run_times_.work(request, typical_worker(route.pool_)), now);
+    if (store_stalled(now) || time_left < options_.least_time_)
+    {
+        client_answer refusal =
+            answer(answer_kind::unavailable,
+                   store_stalled(now) ? "store_stalled" : "too_little_time");
+        refusal.retry_after_ = std::chrono::seconds{1};
+        reply(exchange, refusal);
+        return;
+    }
+    auto const chain = run_times_.chain(request);
+    // Counted from when the client first asked.
+    auto const objective = from_seconds(seconds(chain) * route.stretch_) +
+                           route.objective_ - already_waited;
     client_answer refusal = answer(answer_kind::overloaded, "");
     if (!admit(route, request, objective, now, refusal))
     {
@@ -108,23 +128,25 @@
                  duration objective, time_point now,
                  client_answer& refusal) const
 {
-    double workers = 0;
-    double lasting = 0;
     auto const typical = typical_worker(route.pool_);
+    pool_room room;
     auto const pool = pool_workers_.find(route.pool_);
     if (pool != pool_workers_.end())
     {
         for (auto const& name : pool->second)
         {
             auto const found = workers_.find(name);
-            workers += found != workers_.end() && is_usable(found->second, now)
-                           ? 1
-                           : 0;
+            if (found != workers_.end() && is_usable(found->second, now))
+            {
+                ++room.workers_;
+                room.free_ += 1 - worker_share(found->second.used_,
+                                               found->second.entry_.size_);
+            }
         }
     }
     auto const coming = incoming_.find(route.pool_);
-    double const incoming = coming == incoming_.end() ? 0 : coming->second;
-    if (workers + incoming <= 0)
+    room.incoming_ = coming == incoming_.end() ? 0 : coming->second;
+    if (room.workers_ + room.incoming_ <= 0)
     {
         refusal.why_ = "no_worker";
         refusal.retry_after_ = std::chrono::seconds{1};
@@ -137,7 +159,8 @@
     {
         return true;
     }
-    double ahead = 0;
+    std::vector<dated_work> ahead;
+    bool waiting = false;
     for (auto const& item : jobs_)
     {
         auto const& job = item.second;
@@ -149,26 +172,34 @@
         {
             for (auto const& step : job.request_->steps_)
             {
-                lasting += worker_share(step.each_, typical) * step.tasks_;
+                room.lasting_ += worker_share(step.each_, typical) *
+                                 static_cast<double>(step.tasks_);
             }
+            continue;
         }
+        auto const left = work_left(job, typical);
+        waiting = waiting || left.waiting_ > 0;
         // Jobs that are late already let this one pass.
-        ahead += job.objective_ < now ? 0 : work_left(job, typical);
+        if (job.objective_ >= now)
+        {
+            ahead.push_back({seconds(job.objective_ - now), left.all_});
+        }
     }
-    double const time = seconds(objective);
-    double const room =
-        packing_share *
-        (std::max(workers - lasting, 0.0) * time +
-         incoming * std::max(time - seconds(incoming_delay), 0.0));
     double const own = run_times_.work(request, typical);
-    if (ahead + own <= room && seconds(run_times_.chain(request)) <= time)
+    double const first = worker_share(request.steps_[0].each_, typical) *
+                         request.steps_[0].tasks_;
+    bool const begins_now = !waiting && first <= room.free_ * packing_share;
+    auto const chain = run_times_.chain(request);
+    double const time = seconds(std::max(objective, chain));
+    double const excess = excess_work(std::move(ahead), {time, own}, room);
+    if (begins_now || excess <= 0)
     {
         return true;
     }
     refusal.why_ = "objective_out_of_reach";
-    refusal.retry_after_ = std::clamp(
-        from_seconds((ahead + own - room) / std::max(1.0, workers - lasting)),
-        least_retry, longest_retry);
+    refusal.retry_after_ =
+        std::clamp(from_seconds(excess / std::max(1.0, room.workers_)),
+                   least_retry, longest_retry);
     return false;
 }
 
@@ -178,10 +209,10 @@
            worker.silent_renewals_ == 0 && now >= worker.avoided_until_;
 }
 
-double cell::work_left(job_state const& job,
-                       resource_amount const& worker) const
+cell::remaining_work cell::work_left(job_state const& job,
+                                     resource_amount const& worker) const
 {
-    double left = 0;
+    remaining_work left;
     auto const& request = *job.request_;
     for (auto const& occurrence : job.occurrences_)
     {
@@ -194,16 +225,25 @@
                 continue;
             }
             double const each = run_times_.task_work(job.route_, shape, worker);
-            left += each * static_cast<double>(step.tasks_.size() - step.done_);
+            double const untouched = each * step.waiting_;
+            double running = 0;
             for (auto const& task : step.tasks_)
             {
-                left -= task.phase_ == task_phase::running
-                            ? each * std::min(100U, task.percent_) / 100
-                            : 0;
+                bool const held = task.phase_ != task_phase::waiting &&
+                                  task.phase_ != task_phase::done;
+                running +=
+                    held ? each * (100 - std::min(100U, task.percent_)) / 100
+                         : 0;
+            }
+            left.all_ += untouched + running;
+            if (is_ready(shape, occurrence))
+            {
+                left.waiting_ += untouched;
+                left.ready_ += untouched + running;
             }
         }
     }
-    return std::max(0.0, left);
+    return left;
 }
 
 std::vector<pool_load> cell::loads(time_point now) const
@@ -239,7 +279,8 @@
         auto const load = by_pool.find(job.pool_);
         if (load != by_pool.end() && !job.ended() && job.request_)
         {
-            load->second.backlog_ += work_left(job, typical_worker(job.pool_));
+            load->second.backlog_ +=
+                work_left(job, typical_worker(job.pool_)).ready_;
         }
     }
     std::vector<pool_load> result;
@@ -255,6 +296,59 @@
     incoming_ = std::move(incoming);
 }
 
+void cell::withdraw_unsent(time_point now)
+{
+    if (!store_stalled(now))
+    {
+        return;
+    }
+    std::vector<std::string> kept;
+    for (auto const& name : dirty_)
+    {
+        auto const found = jobs_.find(name);
+        auto& job = found->second;
+        if (job.request_written_ || job.stored_ ||
+            now - job.arrived_ < options_.stall_time_)
+        {
+            kept.push_back(name);
+            continue;
+        }
+        client_answer refusal =
+            answer(answer_kind::unavailable, "store_stalled");
+        refusal.retry_after_ = std::chrono::seconds{1};
+        for (auto const exchange : job.accept_waits_)
+        {
+            reply(exchange, refusal);
+        }
+        for (auto const exchange : job.cancel_waits_)
+        {
+            reply(exchange, answer(answer_kind::no_such_job, "never_stored"));
+        }
+        release_all(job, now);
+        jobs_.erase(found);
+    }
+    dirty_ = std::move(kept);
+}
+
+void cell::release_all(job_state& job, time_point now)
+{
+    for (std::uint32_t k = 0; k < job.occurrences_.size(); ++k)
+    {
+        auto& steps = job.occurrences_[k].steps_;
+        for (std::uint32_t s = 0; s < steps.size(); ++s)
+        {
+            for (std::uint32_t i = 0; i < steps[s].tasks_.size(); ++i)
+            {
+                task_id const task{job.request_->id_, k, s, i};
+                if (!steps[s].tasks_[i].worker_.empty())
+                {
+                    release(task, find(task), now);
+                }
+            }
+        }
+    }
+}
+
 void cell::query(std::uint64_t exchange, job_id const& job)
 {
     auto const found = jobs_.find(job.text());
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -21,7 +21,9 @@
     return std::make_tuple(late, !job.lasting_, priority, job.objective_);
 }
 
-bool is_ready(job_step const& shape, occurrence_state const& occurrence)
+} // namespace
+
+bool cell::is_ready(job_step const& shape, occurrence_state const& occurrence)
 {
     return std::all_of(shape.after_.begin(), shape.after_.end(),
                        [&](std::uint32_t before)
@@ -31,8 +33,6 @@
                        });
 }
 
-} // namespace
-
 void cell::place(time_point now)
 {
     if (!may_order(now))
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -107,7 +107,7 @@
     return progress;
 }
 
-std::optional<cell_batch> cell::next_batch()
+std::optional<cell_batch> cell::next_batch(time_point now)
 {
     if (out_ || (dirty_.empty() && forgotten_.empty() && ends_read_.empty() &&
                  notes_.empty()))
@@ -180,6 +180,7 @@
         return std::nullopt;
     }
     out_ = std::move(effects);
+    out_since_ = now;
     return batch;
 }
 
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -674,6 +674,7 @@
             open_occurrences(item.second, calendar);
         }
     }
+    withdraw_unsent(now);
     drop_lapsed(now);
     stop_stalled(now);
     leave_draining(now);
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -13,6 +13,20 @@
 /// A refused or unanswered order is given again after this.
 constexpr duration retry_pause = std::chrono::milliseconds{300};
 
+/// Each pool's load is logged this often.
+constexpr duration load_note_interval = std::chrono::seconds{1};
+
+std::string describe(pool_load const& load)
+{
+    std::ostringstream text;
+    text.precision(3);
+    text << "workers=" << load.workers_ << " incoming=" << load.incoming_
+         << " fixed=" << load.fixed_ << " free=" << load.free_.size()
+         << " wanted=" << wanted_workers(load) << " backlog=" << load.backlog_
+         << " rate=" << load.rate_;
+    return text.str();
+}
+
 } // namespace
 
 fleet_plan::fleet_plan(fleet_plan_options options, cell& jobs)
@@ -362,6 +376,15 @@
             load.workers_ = static_cast<std::uint32_t>(load.free_.size());
         }
     }
+    if (now >= next_note_)
+    {
+        next_note_ = now + load_note_interval;
+        for (auto const& load : loads)
+        {
+            actions_.emplace_back(
+                note_decision{"pool_load", load.pool_.text(), describe(load)});
+        }
+    }
     for (auto const& move : plan_moves(loads))
     {
         vm_work work;
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -143,6 +143,7 @@
     std::set<vm_id> own_orders_;
     time_point next_list_{};
     time_point next_balance_{};
+    time_point next_note_{};
     bool list_out_ = false;
     bool list_known_ = false;
     std::vector<fleet_action> actions_;
--- a/source/kernel/cell/pool_plan.hpp
+++ b/source/kernel/cell/pool_plan.hpp
@@ -21,7 +21,7 @@
     std::uint32_t incoming_ = 0;
     /// Workers that hold lasting tasks, and so stay.
     std::uint32_t fixed_ = 0;
-    /// Work of accepted jobs that are still on time, in worker-seconds.
+    /// Work of accepted jobs that may be done now, in worker-seconds.
     double backlog_ = 0;
     /// Work that clients ask for, in worker-seconds a second.
     double rate_ = 0;
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -321,7 +321,7 @@
     {
         return;
     }
-    auto const batch = cell_.next_batch();
+    auto const batch = cell_.next_batch(node_now());
     if (!batch)
     {
         return;
@@ -504,6 +504,7 @@
     if (kind == answer_kind::unavailable)
     {
         answer.retry_after_ = std::chrono::seconds{1};
+        answer.ask_again_ = true;
     }
     return answer;
 }
@@ -573,7 +574,8 @@
         call.job_.id_ = job;
         call.job_.route_ = route->name_;
         call.job_.pool_ = route->pool_;
-        cell_.submit(exchange, *route, std::move(call.job_), now);
+        cell_.submit(exchange, *route, std::move(call.job_), call.time_left_,
+                     now);
         return;
     case client_verb::read:
         if (job.empty())
--- a/source/node/front.cpp
+++ b/source/node/front.cpp
@@ -17,7 +17,7 @@
 
 /// A client is told this much before its wait ends that the outcome is not
 /// known, so that the answer still reaches it.
-constexpr duration answer_margin = std::chrono::milliseconds{60};
+constexpr duration answer_margin = std::chrono::milliseconds{20};
 /// A request waits this long for an owner to be found.
 constexpr duration owner_wait = std::chrono::milliseconds{2000};
 constexpr duration retry_pause = std::chrono::milliseconds{80};
@@ -195,12 +195,12 @@
         open.maybe_stored_ = open.maybe_stored_ || maybe_stored;
         return;
     }
-    if (answer->kind_ == answer_kind::unavailable)
+    if (answer->ask_again_)
     {
-        // It is tried again as long as the client may still profit from it.
         return;
     }
-    bool const not_run = answer->kind_ == answer_kind::overloaded;
+    bool const not_run = answer->kind_ == answer_kind::overloaded ||
+                         answer->kind_ == answer_kind::unavailable;
     if (not_run && open.maybe_stored_)
     {
         // An earlier owner may have stored what this one refuses.
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -184,6 +184,7 @@
         client_answer answer;
         answer.kind_ = answer_kind::unavailable;
         answer.why_ = "not_owner";
+        answer.ask_again_ = true;
         done(answer);
     }
 
--- a/source/wire/cell_fields.hpp
+++ b/source/wire/cell_fields.hpp
@@ -153,6 +153,7 @@
     v("standing", x.standing_);
     v("pending", x.pending_);
     v("retry", x.retry_after_);
+    v("again", x.ask_again_);
     v("why", x.why_);
     v("config", x.config_version_);
 }
