--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -35,7 +35,8 @@
     duration renewal_wait_ = std::chrono::milliseconds{1000};
     /// Least time between two renewals of one worker, so that ends gather.
     duration renewal_gap_ = std::chrono::milliseconds{30};
-    duration repeat_gap_ = std::chrono::milliseconds{250};
+    /// A stop without an acknowledgement is repeated after this.
+    duration repeat_gap_ = std::chrono::milliseconds{150};
     /// Without a confirmation of its epoch an owner gives no orders for longer
     /// than this after its last one.
     duration confirmation_limit_ = std::chrono::milliseconds{5000};
@@ -92,8 +93,11 @@
                         time_point now);
     void stop_answered(std::string const& worker, task_id const& task,
                        std::uint32_t run, call_outcome outcome, time_point now);
-    void renewal_answered(std::string const& worker, call_outcome outcome,
-                          worker_report const& report, time_point now);
+    /// @param extra of a `renew_worker` that was extra
+    /// @param sent when the worker was asked
+    void renewal_answered(std::string const& worker, bool extra,
+                          call_outcome outcome, worker_report const& report,
+                          time_point sent, time_point now);
     /// @}
 
     /// @name Clients; each is answered once by an `answer_client`
@@ -246,6 +250,7 @@
     void stop(worker_state& worker, task_id const& task, std::uint32_t run,
               char const* why);
     void renew_due(time_point now);
+    void look_for_overdue(worker_state& worker, time_point now);
     bool needs_renewal(worker_state const& worker) const;
     void repeat_stops(time_point now);
     void drop_lapsed(time_point now);
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -83,6 +83,8 @@
     std::uint64_t acknowledge_ = 0;
     /// The worker may wait this long for an end.
     duration wait_{0};
+    /// Asked beside a renewal that is out.
+    bool extra_ = false;
 };
 
 /// Lets a task work at a share of its speed.
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -14,6 +14,11 @@
 constexpr duration lapse_margin = std::chrono::milliseconds{150};
 /// A draining worker's lasting tasks leave one by one for this long, then all.
 constexpr duration evacuation_time = std::chrono::milliseconds{1200};
+/// A run that takes longer than this share of its expected time, and as much
+/// longer as the time below, is asked for while a renewal still waits: that
+/// renewal may be lost.
+constexpr std::int64_t overdue_share_percent = 150;
+constexpr duration overdue_time = std::chrono::milliseconds{200};
 /// A worker that did not answer is asked again after this.
 constexpr duration silent_gap = std::chrono::milliseconds{150};
 
@@ -289,15 +294,49 @@
            !worker.strays_.empty() || worker.recorded_ > worker.acknowledged_;
 }
 
+void cell::look_for_overdue(worker_state& worker, time_point now)
+{
+    if (worker.looked_ || now - worker.renewal_sent_ < overdue_time)
+    {
+        return;
+    }
+    bool const overdue = std::any_of(
+        worker.tasks_.begin(), worker.tasks_.end(),
+        [&](task_id const& task)
+        {
+            auto const at = find(task);
+            return at && at.task_->phase_ == task_phase::running &&
+                   !at.shape_->lasting_ &&
+                   now - at.task_->started_ >
+                       run_times_.expect(at.job_->route_, *at.shape_) *
+                               overdue_share_percent / 100 +
+                           overdue_time;
+        });
+    if (overdue)
+    {
+        worker.looked_ = true;
+        renew_worker order;
+        order.worker_ = worker.entry_.id_;
+        order.address_ = worker.entry_.address_;
+        order.acknowledge_ = worker.recorded_;
+        order.extra_ = true;
+        actions_.emplace_back(std::move(order));
+    }
+}
+
 void cell::renew_due(time_point now)
 {
     for (auto& item : workers_)
     {
         auto& worker = item.second;
-        if (worker.renewal_out_ || worker.entry_.address_.empty() ||
-            now < worker.next_renewal_ || !needs_renewal(worker) ||
-            !may_order(now))
+        if (worker.entry_.address_.empty() || now < worker.next_renewal_ ||
+            !needs_renewal(worker) || !may_order(now))
+        {
+            continue;
+        }
+        if (worker.renewal_out_)
         {
+            look_for_overdue(worker, now);
             continue;
         }
         renew_worker order;
@@ -325,21 +364,26 @@
             }
         }
         worker.renewal_out_ = true;
+        worker.looked_ = false;
         worker.renewal_sent_ = now;
         actions_.emplace_back(std::move(order));
     }
 }
 
-void cell::renewal_answered(std::string const& name, call_outcome outcome,
-                            worker_report const& report, time_point now)
+void cell::renewal_answered(std::string const& name, bool extra,
+                            call_outcome outcome, worker_report const& report,
+                            time_point sent, time_point now)
 {
     auto const found = workers_.find(name);
-    if (found == workers_.end())
+    if (found == workers_.end() || (extra && outcome != call_outcome::accepted))
     {
         return;
     }
     auto& worker = found->second;
-    worker.renewal_out_ = false;
+    if (!extra)
+    {
+        worker.renewal_out_ = false;
+    }
     if (outcome == call_outcome::other_life)
     {
         end_life(worker, "another_life_answered", now);
@@ -351,7 +395,9 @@
         {
             note("worker_silent", name, "renewal");
         }
-        worker.next_renewal_ = now + silent_gap;
+        // The answer alone may have been lost: the first repeat comes at once.
+        worker.next_renewal_ =
+            now + (worker.silent_renewals_ == 1 ? duration{0} : silent_gap);
         return;
     }
     if (worker.silent_renewals_ > 0)
@@ -381,7 +427,11 @@
     {
         ends_read_.insert(name);
     }
-    compare(worker, report, worker.renewal_sent_, now);
+    compare(worker, report, sent, now);
+    if (extra)
+    {
+        return;
+    }
     bool const settled = worker.strays_.empty();
     worker.next_renewal_ =
         now + (settled ? options_.renewal_gap_ : options_.repeat_gap_);
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -110,6 +110,8 @@
     time_point answered_{};
 
     bool renewal_out_ = false;
+    /// It was asked once more while that renewal waits.
+    bool looked_ = false;
     time_point renewal_sent_{};
     time_point next_renewal_{};
     std::uint32_t silent_renewals_ = 0;
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -749,17 +749,19 @@
 
 void cell_owner::run(renew_worker const& action)
 {
-    parts_.workers_.renew(action,
-                          [self = shared_from_this(), worker = action.worker_](
-                              call_outcome outcome, worker_report const& report)
-                          {
-                              if (!self->stopped_)
-                              {
-                                  self->cell_.renewal_answered(
-                                      worker, outcome, report, node_now());
-                                  self->pump_soon();
-                              }
-                          });
+    parts_.workers_.renew(
+        action,
+        [self = shared_from_this(), worker = action.worker_,
+         extra = action.extra_,
+         sent = node_now()](call_outcome outcome, worker_report const& report)
+        {
+            if (!self->stopped_)
+            {
+                self->cell_.renewal_answered(worker, extra, outcome, report,
+                                             sent, node_now());
+                self->pump_soon();
+            }
+        });
 }
 
 void cell_owner::run(pace_run const& action)
