fleet: Expect of a surge what the last one asked for

Cause: demand was a moving average, so a pool got its VMs two seconds into a turn of four; VMs that were on their way were planned again, since the filter missed those that are emptied. A moved VM is used once its worker registers, not once a list shows it.

--- a/source/kernel/cell/admission_check.cpp
+++ b/source/kernel/cell/admission_check.cpp
@@ -9,7 +9,7 @@
 {
 
 /// Seconds until a VM that is on its way takes tasks.
-constexpr double incoming_delay = 1.2;
+constexpr double incoming_delay = 1.4;
 
 double capacity(pool_room const& room, double seconds)
 {
--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -132,6 +132,8 @@
     /// Tasks on a VM's workers, whatever their phase.
     std::size_t tasks_on(vm_id const& vm) const;
     std::size_t lasting_tasks_on(vm_id const& vm) const;
+    /// A worker of that VM was first seen after that time.
+    bool has_new_life(vm_id const& vm, time_point since) const;
 
     std::map<std::string, worker_state> const& workers() const noexcept
     {
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -249,6 +249,7 @@
 std::vector<pool_load> cell::loads(time_point now) const
 {
     std::map<pool_name, pool_load> by_pool;
+    std::map<pool_name, std::vector<std::pair<std::size_t, vm_id>>> emptying;
     for (auto const& pool : config_.pools_)
     {
         auto& load = by_pool[pool.first];
@@ -267,11 +268,20 @@
         }
         ++load->second.workers_;
         load->second.fixed_ += worker.lasting_tasks_ > 0 ? 1 : 0;
-        if (worker.tasks_.empty() && worker.strays_.empty() && worker.fenced_ &&
-            !worker.entry_.vm_.empty())
+        if (worker.entry_.vm_.empty() || !worker.fenced_ ||
+            !worker.strays_.empty() || worker.lasting_tasks_ > 0)
+        {
+            continue;
+        }
+        if (worker.tasks_.empty())
         {
             load->second.free_.push_back(worker.entry_.vm_);
         }
+        else
+        {
+            emptying[worker.entry_.pool_].emplace_back(worker.tasks_.size(),
+                                                       worker.entry_.vm_);
+        }
     }
     for (auto const& item : jobs_)
     {
@@ -279,8 +289,17 @@
         auto const load = by_pool.find(job.pool_);
         if (load != by_pool.end() && !job.ended() && job.request_)
         {
-            load->second.backlog_ +=
-                work_left(job, typical_worker(job.pool_)).ready_;
+            auto const work = work_left(job, typical_worker(job.pool_)).ready_;
+            (job.objective_ < now ? load->second.late_backlog_
+                                  : load->second.backlog_) += work;
+        }
+    }
+    for (auto& item : emptying)
+    {
+        std::sort(item.second.begin(), item.second.end());
+        for (auto& vm : item.second)
+        {
+            by_pool[item.first].emptying_.push_back(std::move(vm.second));
         }
     }
     std::vector<pool_load> result;
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -161,6 +161,17 @@
     return count;
 }
 
+bool cell::has_new_life(vm_id const& vm, time_point since) const
+{
+    return std::any_of(workers_.begin(), workers_.end(),
+                       [&](auto const& item)
+                       {
+                           return item.second.entry_.vm_ == vm &&
+                                  !item.second.gone_ &&
+                                  item.second.first_seen_ > since;
+                       });
+}
+
 void cell::read_clock(worker_state& worker, worker_clock clock, time_point now)
 {
     if (clock > worker.clock_)
--- a/source/kernel/cell/demand_meter.cpp
+++ b/source/kernel/cell/demand_meter.cpp
@@ -1,5 +1,6 @@
 #include "kernel/cell/demand_meter.hpp"
 
+#include <algorithm>
 #include <cmath>
 
 namespace cuminfold
@@ -11,6 +12,17 @@
 /// Time constant of the moving average: short, since queues change between
 /// much and little within seconds.
 constexpr double smoothing_seconds = 0.6;
+/// That many jobs within that time make a surge.
+constexpr std::size_t surge_jobs = 4;
+constexpr duration surge_time = std::chrono::milliseconds{500};
+/// A surge's rate is taken from its start for this long; then the moving
+/// average has caught up.
+constexpr double settled_surge_seconds = 0.9;
+constexpr double least_surge_seconds = 0.25;
+/// Time constant with which an earlier surge is forgotten, and the share of it
+/// that is expected of the next one.
+constexpr double peak_seconds = 60;
+constexpr double peak_share = 0.8;
 /// Clients repeat a refused job no longer than this.
 constexpr duration repeat_time = std::chrono::seconds{6};
 
@@ -32,8 +44,44 @@
         return;
     }
     auto& entry = rates_[pool];
-    entry.rate_ = rate(pool, now) + work / smoothing_seconds;
+    double const fade = std::exp(-seconds(now - entry.at_) / peak_seconds);
+    entry.rate_ = faded(entry, now) + work / smoothing_seconds;
     entry.at_ = now;
+    bool const surged = surging(entry, now);
+    entry.arrivals_.push_back(now);
+    while (entry.arrivals_.size() > surge_jobs)
+    {
+        entry.arrivals_.pop_front();
+    }
+    if (surging(entry, now))
+    {
+        if (!surged)
+        {
+            entry.surge_began_ = entry.arrivals_.front();
+            entry.surge_work_ = entry.rate_ * smoothing_seconds;
+        }
+        else
+        {
+            entry.surge_work_ += work;
+        }
+        auto const time = seconds(now - entry.surge_began_);
+        if (time > settled_surge_seconds)
+        {
+            entry.peak_ = std::max(entry.peak_ * fade, entry.rate_);
+        }
+    }
+}
+
+double demand_meter::faded(pool_rate const& entry, time_point now)
+{
+    return entry.rate_ *
+           std::exp(-seconds(now - entry.at_) / smoothing_seconds);
+}
+
+bool demand_meter::surging(pool_rate const& entry, time_point now)
+{
+    return entry.arrivals_.size() == surge_jobs &&
+           now - entry.arrivals_.front() < surge_time;
 }
 
 double demand_meter::rate(pool_name const& pool, time_point now) const
@@ -43,8 +91,17 @@
     {
         return 0;
     }
-    double const age = seconds(now - found->second.at_);
-    return found->second.rate_ * std::exp(-age / smoothing_seconds);
+    auto const& entry = found->second;
+    double const rate = faded(entry, now);
+    if (!surging(entry, now))
+    {
+        return rate;
+    }
+    auto const time =
+        std::max(seconds(now - entry.surge_began_), least_surge_seconds);
+    double const early =
+        time < settled_surge_seconds ? entry.surge_work_ / time : 0;
+    return std::max({rate, early, entry.peak_ * peak_share});
 }
 
 void demand_meter::forget(time_point now)
--- a/source/kernel/cell/demand_meter.hpp
+++ b/source/kernel/cell/demand_meter.hpp
@@ -4,6 +4,7 @@
 #include "kernel/identifier.hpp"
 #include "kernel/time.hpp"
 
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -21,7 +22,8 @@
     void add(pool_name const& pool, job_id const& job, double work,
              time_point now);
 
-    /// Worker-seconds a second that are asked of the pool now.
+    /// Worker-seconds a second that are asked of the pool now. While jobs come
+    /// thick and fast it is no less than what such a time asked for before.
     double rate(pool_name const& pool, time_point now) const;
 
 private:
@@ -29,8 +31,17 @@
     {
         double rate_ = 0;
         time_point at_{};
+        /// The highest rate of late, which fades slowly.
+        double peak_ = 0;
+        /// When the last jobs came.
+        std::deque<time_point> arrivals_;
+        /// Since when jobs come thick and fast, and their work.
+        time_point surge_began_{};
+        double surge_work_ = 0;
     };
 
+    static double faded(pool_rate const& entry, time_point now);
+    static bool surging(pool_rate const& entry, time_point now);
     void forget(time_point now);
 
     std::map<pool_name, pool_rate> rates_;
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -23,7 +23,7 @@
     text << "workers=" << load.workers_ << " incoming=" << load.incoming_
          << " fixed=" << load.fixed_ << " free=" << load.free_.size()
          << " wanted=" << wanted_workers(load) << " backlog=" << load.backlog_
-         << " rate=" << load.rate_;
+         << " late=" << load.late_backlog_ << " rate=" << load.rate_;
     return text.str();
 }
 
@@ -237,6 +237,14 @@
     return found != jobs_.config().pools_.end() && found->second.standby_;
 }
 
+/// An earlier owner may have given an order for the VM just now.
+bool fleet_plan::is_held(vm_id const& vm, time_point now) const
+{
+    auto const held = held_.find(vm);
+    return held != held_.end() && own_orders_.count(vm) == 0 &&
+           now < held->second;
+}
+
 /// Tasks that an order for the VM now would disturb.
 std::uint64_t fleet_plan::cost_of(vm_id const& vm) const
 {
@@ -258,7 +266,8 @@
     {
         auto const found = vms_.find(vm);
         if (found == vms_.end() || wave.maintained_.count(vm) != 0 ||
-            work_.count(vm) != 0 || found->second.standing_ != vm_standing::up)
+            work_.count(vm) != 0 || is_held(vm, now) ||
+            found->second.standing_ != vm_standing::up)
         {
             continue;
         }
@@ -331,17 +340,37 @@
     }
 }
 
+void fleet_plan::end_finished_work()
+{
+    std::vector<vm_id> finished;
+    for (auto const& item : work_)
+    {
+        if (item.second.ordered_ &&
+            jobs_.has_new_life(item.first, item.second.ordered_at_))
+        {
+            finished.push_back(item.first);
+        }
+    }
+    for (auto const& vm : finished)
+    {
+        drop_work(vm);
+    }
+}
+
 void fleet_plan::balance(time_point now)
 {
     std::map<pool_name, std::uint32_t> incoming;
+    std::map<pool_name, std::uint32_t> moving;
     for (auto const& item : work_)
     {
         if (item.second.target_)
         {
             ++incoming[*item.second.target_];
+            moving[*item.second.target_] += item.second.ordered_ ? 1 : 0;
         }
     }
-    jobs_.set_incoming(incoming);
+    // Those that are still to become empty may take long.
+    jobs_.set_incoming(moving);
     if (now < next_balance_)
     {
         return;
@@ -351,24 +380,24 @@
     for (auto& load : loads)
     {
         load.incoming_ = incoming[load.pool_];
-        load.free_.erase(std::remove_if(load.free_.begin(), load.free_.end(),
-                                        [&](vm_id const& vm)
-                                        {
-                                            auto const found = vms_.find(vm);
-                                            return work_.count(vm) != 0 ||
-                                                   found == vms_.end() ||
-                                                   found->second.standing_ !=
-                                                       vm_standing::up;
-                                        }),
-                         load.free_.end());
+        auto const cannot_move = [&](vm_id const& vm)
+        {
+            auto const found = vms_.find(vm);
+            return work_.count(vm) != 0 || found == vms_.end() ||
+                   found->second.standing_ != vm_standing::up ||
+                   is_held(vm, now);
+        };
+        for (auto* const vms : {&load.free_, &load.emptying_})
+        {
+            vms->erase(std::remove_if(vms->begin(), vms->end(), cannot_move),
+                       vms->end());
+        }
         if (load.standby_)
         {
             // VMs on standby run no worker.
             for (auto const& vm : vms_)
             {
-                if (vm.second.pool_ == load.pool_ &&
-                    vm.second.standing_ == vm_standing::up &&
-                    work_.count(vm.first) == 0)
+                if (vm.second.pool_ == load.pool_ && !cannot_move(vm.first))
                 {
                     load.free_.push_back(vm.first);
                 }
@@ -415,11 +444,7 @@
         bool const empty =
             tasks == 0 || (!patient && !work.target_ &&
                            jobs_.lasting_tasks_on(item.first) == 0);
-        auto const held = held_.find(item.first);
-        bool const by_earlier_owner = held != held_.end() &&
-                                      !own_orders_.count(item.first) &&
-                                      now < held->second;
-        if (!empty || !may_order || by_earlier_owner ||
+        if (!empty || !may_order || is_held(item.first, now) ||
             !jobs_.kept(work.record_))
         {
             continue;
@@ -450,6 +475,7 @@
         return;
     }
     drop_old_orders(now);
+    end_finished_work();
     drive_waves(now);
     balance(now);
     drive_work(now, now - confirmed < options_.confirmation_limit_);
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -22,11 +22,11 @@
     /// may have given an order for just now.
     duration order_pause_ = std::chrono::milliseconds{4200};
     /// Orders are given only this long after a confirmation of the epoch.
-    duration confirmation_limit_ = std::chrono::milliseconds{1000};
+    duration confirmation_limit_ = std::chrono::milliseconds{700};
     /// A VM is taken for down for this long after an order, whatever lists
     /// say.
     duration settle_time_ = std::chrono::milliseconds{1000};
-    duration list_interval_ = std::chrono::milliseconds{400};
+    duration list_interval_ = std::chrono::milliseconds{500};
     /// While nothing is to be done.
     duration idle_list_interval_ = std::chrono::milliseconds{1500};
     /// A VM that is not empty this long after it was reserved is maintained
@@ -120,6 +120,8 @@
 
     void drive_waves(time_point now);
     void balance(time_point now);
+    void end_finished_work();
+    bool is_held(vm_id const& vm, time_point now) const;
     void pick(wave_state& wave, time_point now);
     void drive_work(time_point now, bool may_order);
     void begin_work(vm_id const& vm, vm_work work);
--- a/source/kernel/cell/pool_plan.cpp
+++ b/source/kernel/cell/pool_plan.cpp
@@ -15,6 +15,8 @@
 constexpr double headroom = 1.25;
 /// Accepted work should be done within this many seconds.
 constexpr double backlog_seconds = 1.5;
+/// Late work earns little, and may take this long.
+constexpr double late_backlog_seconds = 10;
 /// Every pool that serves keeps this many workers, for jobs that come before
 /// a VM could.
 constexpr std::uint32_t least_workers = 3;
@@ -28,7 +30,8 @@
         return 0;
     }
     double const busy =
-        std::max(load.rate_ * headroom, load.backlog_ / backlog_seconds);
+        std::max(load.rate_ * headroom, load.backlog_ / backlog_seconds) +
+        load.late_backlog_ / late_backlog_seconds;
     return std::max(load.fixed_, least_workers) +
            static_cast<std::uint32_t>(std::ceil(busy));
 }
@@ -44,6 +47,8 @@
     {
         pool_load const* load_;
         std::uint32_t vms_;
+        /// Free ones first.
+        std::vector<vm_id> vms_to_give_;
         std::size_t next_ = 0;
     };
     std::vector<lack> lacks;
@@ -58,7 +63,11 @@
         }
         else if (load.workers_ > wanted)
         {
-            surpluses.push_back({&load, load.workers_ - wanted});
+            surplus from{&load, load.workers_ - wanted, load.free_};
+            from.vms_to_give_.insert(from.vms_to_give_.end(),
+                                     load.emptying_.begin(),
+                                     load.emptying_.end());
+            surpluses.push_back(std::move(from));
         }
     }
     std::sort(lacks.begin(), lacks.end(),
@@ -76,9 +85,9 @@
         for (auto& from : surpluses)
         {
             while (lack.vms_ > 0 && from.vms_ > 0 &&
-                   from.next_ < from.load_->free_.size())
+                   from.next_ < from.vms_to_give_.size())
             {
-                moves.push_back({from.load_->free_[from.next_++],
+                moves.push_back({from.vms_to_give_[from.next_++],
                                  from.load_->pool_, lack.load_->pool_});
                 --from.vms_;
                 --lack.vms_;
--- a/source/kernel/cell/pool_plan.hpp
+++ b/source/kernel/cell/pool_plan.hpp
@@ -21,12 +21,16 @@
     std::uint32_t incoming_ = 0;
     /// Workers that hold lasting tasks, and so stay.
     std::uint32_t fixed_ = 0;
-    /// Work of accepted jobs that may be done now, in worker-seconds.
+    /// Work that may be done now, in worker-seconds: of jobs that are still on
+    /// time, and of late ones.
     double backlog_ = 0;
+    double late_backlog_ = 0;
     /// Work that clients ask for, in worker-seconds a second.
     double rate_ = 0;
-    /// VMs without any task that may go elsewhere.
+    /// VMs that may go elsewhere: without any task, and with tasks that end
+    /// soon, the fewest first.
     std::vector<vm_id> free_;
+    std::vector<vm_id> emptying_;
 };
 
 /// One VM's move.
--- a/source/node/node_settings.hpp
+++ b/source/node/node_settings.hpp
@@ -36,7 +36,7 @@
     /// Bound on a lease, from the platform.
     duration longest_lease_ = std::chrono::milliseconds{10'000};
     /// An order for a VM that is not answered within this is given up.
-    duration vm_order_timeout_ = std::chrono::milliseconds{700};
+    duration vm_order_timeout_ = std::chrono::milliseconds{400};
     /// Two owners' orders for one VM keep this apart; from the platform.
     duration order_pause_ = std::chrono::milliseconds{3000};
     duration maintenance_time_ = std::chrono::milliseconds{2000};
