--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -505,10 +505,13 @@
             state.advanced_ = now;
         }
         constexpr std::uint32_t at_work = 100;
-        if (at.shape_->lasting_ && report->percent_ >= at_work &&
-            state.phase_ == task_phase::running)
+        if (at.shape_->lasting_ && state.phase_ == task_phase::running)
         {
-            state.away_since_ = {};
+            bool const works = report->percent_ >= at_work;
+            state.away_since_ = works ? time_point{}
+                                : state.away_since_ == time_point{}
+                                    ? now
+                                    : state.away_since_;
         }
         state.figure_ = report->figure_;
         if (at.shape_->checkpointing_ && !report->checkpoint_.empty())
--- a/source/transport/http_client.cpp
+++ b/source/transport/http_client.cpp
@@ -198,6 +198,9 @@
             return;
         }
         open->stream_->socket().set_option(tcp::no_delay(true), error);
+        // Closed by a reset, also by the stream's own timer: a call that is
+        // given up must not be delivered later.
+        open->stream_->socket().set_option(tcp::socket::linger(true, 0), error);
         write(open);
     }
 
@@ -439,10 +442,6 @@
     {
         if (open->stream_)
         {
-            // A reset: what was not delivered yet must not be later.
-            beast::error_code ignored;
-            open->stream_->socket().set_option(tcp::socket::linger(true, 0),
-                                               ignored);
             open->stream_->close();
             release(open->call_.address_);
             // Handlers that are still to come keep the stream's memory.
