--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -422,6 +422,11 @@
     if (!worker.fenced_)
     {
         worker.fenced_ = true;
+        // Earlier owners can give it no more leases.
+        worker.lapses_ = now +
+                         std::chrono::duration_cast<duration>(
+                             options_.longest_lease_ / slowest_clock) +
+                         lapse_margin;
         placement_due_ = true;
     }
     bool ended = false;
--- /dev/null
+++ b/tests/kernel/cell/cell_test.cpp
@@ -0,0 +1,224 @@
+#include "kernel/cell/cell_world.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace cuminfold;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+std::vector<job_step> two_steps()
+{
+    auto first = cell_world::make_step(3, 1000, 500ms);
+    auto second = cell_world::make_step(2, 1000, 500ms);
+    second.after_ = {0};
+    return {first, second};
+}
+
+/// A situation that must end with the job completed and no rule broken.
+struct situation
+{
+    char const* name_;
+    void (*happen_)(cell_world&);
+};
+
+situation const situations[] = {
+    {"nothing happens", [](cell_world&) {}},
+    {"the owner is replaced before its first append is stored",
+     [](cell_world& world)
+     {
+         world.take_over();
+         world.submit("a", two_steps());
+     }},
+    {"the owner is replaced while the first step runs",
+     [](cell_world& world)
+     {
+         world.run_for(200ms);
+         world.take_over();
+     }},
+    {"the owner is replaced between the end of a step and its record",
+     [](cell_world& world)
+     {
+         world.run_for(520ms);
+         world.take_over();
+     }},
+    {"a worker falls silent and another life begins",
+     [](cell_world& world)
+     {
+         world.run_for(200ms);
+         world.crash(0);
+         world.crash(1);
+     }},
+    {"all workers are cut off and come back after their leases",
+     [](cell_world& world)
+     {
+         world.run_for(100ms);
+         for (std::uint32_t i = 0; i < 4; ++i)
+         {
+             world.cut(i, true);
+         }
+         world.run_for(6000ms);
+         for (std::uint32_t i = 0; i < 4; ++i)
+         {
+             world.cut(i, false);
+         }
+     }},
+    {"a new owner cannot reach the worker that runs a task",
+     [](cell_world& world)
+     {
+         world.run_for(100ms);
+         for (std::uint32_t i = 0; i < 4; ++i)
+         {
+             world.cut(i, true);
+         }
+         world.take_over();
+         world.run_for(3000ms);
+         for (std::uint32_t i = 0; i < 4; ++i)
+         {
+             world.cut(i, false);
+         }
+     }},
+    {"the store is down for five seconds",
+     [](cell_world& world)
+     {
+         world.run_for(100ms);
+         world.store_down_ = true;
+         world.run_for(5000ms);
+         world.store_down_ = false;
+     }},
+    {"every second start is carried out without an answer",
+     [](cell_world& world) { world.faults_.answers_lost_ = 50; }},
+    {"every second start is lost",
+     [](cell_world& world) { world.faults_.calls_lost_ = 50; }},
+    {"every third order is carried out seconds later",
+     [](cell_world& world) { world.faults_.calls_late_ = 33; }},
+};
+
+} // namespace
+
+TEST_CASE("a job of two steps ends whole and once")
+{
+    for (auto const& each : situations)
+    {
+        CAPTURE(std::string(each.name_));
+        cell_world world(7);
+        world.run_for(50ms);
+        world.submit("a", two_steps());
+        each.happen_(world);
+        world.run_for(3000ms);
+        world.faults_ = {};
+        world.run_for(30'000ms);
+        CHECK(world.answered("a", answer_kind::accepted));
+        CHECK(world.standing("a") == job_standing::completed);
+        CHECK(world.breaches() == "");
+    }
+}
+
+TEST_CASE("a silent worker's tasks start elsewhere once its lease has ended")
+{
+    cell_world world(3, 2);
+    world.run_for(50ms);
+    world.submit("a", {cell_world::make_step(1, 1000, 20'000ms)});
+    world.run_for(300ms);
+    REQUIRE(world.runs_of("a") == 1);
+    std::uint32_t const holder = world.worker(0).running_.empty() ? 1 : 0;
+    world.cut(holder, true);
+    world.run_for(2500ms);
+    CHECK(world.runs_of("a") == 1);
+    world.run_for(4000ms);
+    CHECK(world.runs_of("a") == 2);
+    CHECK(world.breaches() == "");
+}
+
+TEST_CASE("no run of a cancelled job is left, not even one that starts late")
+{
+    cell_world world(5);
+    world.run_for(50ms);
+    world.faults_.calls_late_ = 60;
+    world.submit("a", {cell_world::make_step(12, 1000, 60'000ms)});
+    world.run_for(100ms);
+    world.cancel("a");
+    world.run_for(500ms);
+    CHECK(world.answered("cancel a", answer_kind::accepted));
+    world.faults_ = {};
+    world.run_for(12'000ms);
+    for (std::uint32_t i = 0; i < 4; ++i)
+    {
+        CHECK(world.worker(i).running_.empty());
+    }
+    CHECK(world.standing("a") == job_standing::cancelled);
+}
+
+TEST_CASE("a job whose task always fails is given up after its attempts")
+{
+    cell_world world(9);
+    world.failing_.insert("a");
+    world.run_for(50ms);
+    world.submit("a", {cell_world::make_step(1, 1000, 100ms)});
+    world.run_for(20'000ms);
+    CHECK(world.standing("a") == job_standing::failed);
+    CHECK(world.runs_of("a") == 3);
+    CHECK(world.breaches() == "");
+}
+
+TEST_CASE("a store that does not answer refuses new jobs at once")
+{
+    cell_world world(11);
+    world.run_for(50ms);
+    world.store_down_ = true;
+    world.submit("first", {cell_world::make_step(1, 1000, 100ms)});
+    world.submit("second", {cell_world::make_step(1, 1000, 100ms)});
+    world.run_for(1000ms);
+    world.submit("third", {cell_world::make_step(1, 1000, 100ms)});
+    CHECK(world.answered("third", answer_kind::unavailable));
+    // It was never sent to the store, so it never runs.
+    CHECK(world.answered("second", answer_kind::unavailable));
+    // It was sent: only the store knows.
+    CHECK(!world.answered("first", answer_kind::unavailable));
+    world.store_down_ = false;
+    world.run_for(3000ms);
+    CHECK(world.standing("first") == job_standing::completed);
+    CHECK(world.runs_of("second") == 0);
+    CHECK(world.runs_of("third") == 0);
+}
+
+TEST_CASE("a draining worker gets nothing new and its lasting tasks leave")
+{
+    cell_world world(13, 3);
+    world.run_for(50ms);
+    auto step = cell_world::make_step(1, 1000, 1000ms);
+    step.lasting_ = true;
+    step.max_unavailable_ = 1;
+    world.submit("a", {step});
+    world.run_for(500ms);
+    std::uint32_t holder = 0;
+    while (world.worker(holder).running_.empty())
+    {
+        ++holder;
+    }
+    world.drain(holder);
+    world.run_for(1500ms);
+    CHECK(world.worker(holder).running_.empty());
+    CHECK(world.runs_of("a") == 2);
+    CHECK(world.breaches() == "");
+}
+
+TEST_CASE("an entry of an earlier life does not end the present one")
+{
+    cell_world world(17, 1);
+    world.run_for(50ms);
+    world.crash(0);
+    world.run_for(600ms);
+    world.submit("a", {cell_world::make_step(1, 1000, 3000ms)});
+    world.run_for(200ms);
+    // The store still holds the entry of the life before.
+    auto old = world.worker(0).entry_;
+    old.id_ = "w0-0";
+    old.address_ = "w0-0";
+    world.owner().worker_listed(old, world.now());
+    world.list_vms();
+    world.run_for(5000ms);
+    CHECK(world.runs_of("a") == 1);
+    CHECK(world.standing("a") == job_standing::completed);
+}
--- /dev/null
+++ b/tests/kernel/cell/cell_world.cpp
@@ -0,0 +1,546 @@
+#include "kernel/cell/cell_world.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr duration step_time = milliseconds{10};
+constexpr duration half_trip = milliseconds{1};
+constexpr duration call_timeout = milliseconds{300};
+constexpr duration append_time = milliseconds{12};
+constexpr std::uint32_t max_attempts = 3;
+constexpr duration cancel_time = milliseconds{3000};
+pool_name const pool{"tally"};
+
+} // namespace
+
+cell_world::cell_world(std::uint32_t seed, std::uint32_t workers)
+    : random_(seed)
+{
+    config_.version_ = 1;
+    queue_route route;
+    route.name_ = "queue";
+    route.pool_ = pool;
+    route.max_attempts_ = max_attempts;
+    route.stretch_ = 4;
+    route.objective_ = std::chrono::seconds{30};
+    config_.routes_.push_back(route);
+    config_.pools_[pool] = {};
+    lives_.resize(workers, 0);
+    for (std::uint32_t i = 0; i < workers; ++i)
+    {
+        workers_.push_back(std::make_unique<fake_worker>(entry(i), now_));
+    }
+    take_over();
+}
+
+worker_registration cell_world::entry(std::uint32_t number) const
+{
+    worker_registration entry;
+    entry.id_ =
+        "w" + std::to_string(number) + "-" + std::to_string(lives_[number]);
+    entry.address_ = entry.id_;
+    entry.pool_ = pool;
+    entry.vm_ = vm_id{"vm" + std::to_string(number)};
+    entry.size_ = {16'000, 65'536, 0};
+    return entry;
+}
+
+job_step cell_world::make_step(std::uint32_t tasks, std::int64_t cpu_milli,
+                               milliseconds time)
+{
+    job_step step;
+    step.tasks_ = tasks;
+    step.each_.cpu_milli_ = cpu_milli;
+    step.estimate_ = time;
+    return step;
+}
+
+bool cell_world::chance(std::uint32_t percent)
+{
+    return random_() % 100 < percent;
+}
+
+void cell_world::at(time_point when, std::function<void()> what)
+{
+    queue_.emplace(when, std::move(what));
+}
+
+fake_worker* cell_world::find(std::string const& id)
+{
+    for (auto const& worker : workers_)
+    {
+        if (worker->entry_.id_ == id)
+        {
+            return worker.get();
+        }
+    }
+    return nullptr;
+}
+
+void cell_world::submit(std::string const& id, std::vector<job_step> steps)
+{
+    job_definition job;
+    job.id_ = job_id{id};
+    job.route_ = "queue";
+    job.pool_ = pool;
+    job.text_ = "text of " + id;
+    job.steps_ = std::move(steps);
+    submitted_[id] = job;
+    auto const exchange = next_exchange_++;
+    exchanges_[exchange] = id;
+    cell_->submit(exchange, config_.routes_[0], job, std::chrono::seconds{30},
+                  now_);
+    pump();
+}
+
+void cell_world::cancel(std::string const& id)
+{
+    auto const exchange = next_exchange_++;
+    exchanges_[exchange] = "cancel " + id;
+    cell_->cancel(exchange, job_id{id}, now_);
+    pump();
+}
+
+void cell_world::take_over()
+{
+    ++epoch_;
+    append_out_ = false;
+    cell_options options;
+    options.stall_floor_ = std::chrono::seconds{60};
+    cell_ = std::make_unique<cell>(options, now_);
+    cell_->set_config(config_);
+    for (auto const& job : stored_jobs_)
+    {
+        cell_->restore(job.second, now_);
+    }
+    for (auto const& progress : stored_progress_)
+    {
+        cell_->restore(job_id{progress.first}, progress.second, now_);
+    }
+    for (auto const& worker : workers_)
+    {
+        cell_->worker_listed(worker->entry_, now_);
+    }
+    cell_->restored(now_);
+}
+
+void cell_world::crash(std::uint32_t worker)
+{
+    auto const old = workers_[worker]->entry_.id_;
+    bool const was_cut = workers_[worker]->cut_;
+    ++lives_[worker];
+    workers_[worker] = std::make_unique<fake_worker>(entry(worker), now_);
+    workers_[worker]->cut_ = was_cut;
+    // The store still lists the earlier life for a while.
+    at(now_ + milliseconds{500},
+       [this, worker] { cell_->worker_listed(entry(worker), now_); });
+    at(now_ + milliseconds{4500},
+       [this, old] { cell_->worker_unlisted(old, now_); });
+}
+
+void cell_world::drain(std::uint32_t worker)
+{
+    workers_[worker]->entry_.draining_ = true;
+    cell_->worker_listed(workers_[worker]->entry_, now_);
+}
+
+void cell_world::cut(std::uint32_t worker, bool cut)
+{
+    workers_[worker]->cut_ = cut;
+}
+
+void cell_world::list_vms()
+{
+    for (auto const& worker : workers_)
+    {
+        cell_->vm_listed(worker->entry_.vm_, worker->entry_.id_, now_, now_);
+    }
+}
+
+void cell_world::force_start(std::uint32_t worker, task_id const& task)
+{
+    auto const& job = submitted_.at(task.job_.text());
+    start_run order;
+    order.worker_ = workers_[worker]->entry_.id_;
+    order.task_ = task;
+    order.run_ = 99;
+    order.job_ = std::make_shared<job_definition const>(job);
+    order.lease_until_ = workers_[worker]->clock(now_) + milliseconds{60'000};
+    fake_worker::run planned;
+    planned.cpu_milli_ = job.steps_[task.step_].each_.cpu_milli_;
+    planned.began_ = now_;
+    planned.ends_ = time_point::max();
+    auto const outcome = workers_[worker]->start(epoch_, order, planned, now_);
+    if (outcome == call_outcome::accepted)
+    {
+        judge_start(order, *workers_[worker]);
+    }
+}
+
+std::string cell_world::breaches() const
+{
+    std::string lines;
+    for (auto const& breach : breaches_)
+    {
+        lines += breach + "\n";
+    }
+    return lines;
+}
+
+bool cell_world::breached(std::string const& rule) const
+{
+    return std::any_of(breaches_.begin(), breaches_.end(),
+                       [&](std::string const& breach)
+                       { return breach.rfind(rule, 0) == 0; });
+}
+
+void cell_world::run_for(duration time)
+{
+    auto const end = now_ + time;
+    while (now_ < end)
+    {
+        step();
+    }
+}
+
+void cell_world::step()
+{
+    now_ += step_time;
+    while (!queue_.empty() && queue_.begin()->first <= now_)
+    {
+        auto const what = std::move(queue_.begin()->second);
+        queue_.erase(queue_.begin());
+        what();
+    }
+    for (auto const& worker : workers_)
+    {
+        worker->advance(now_);
+    }
+    note_ends();
+    if (!store_down_)
+    {
+        cell_->confirmed(now_);
+    }
+    pump();
+}
+
+void cell_world::pump()
+{
+    cell_->tick(now_, calendar_time{});
+    if (!append_out_)
+    {
+        if (auto const batch = cell_->next_batch(now_))
+        {
+            append_out_ = true;
+            store(*batch);
+        }
+    }
+    for (auto const& action : cell_->take_actions())
+    {
+        std::visit(
+            [this](auto const& each)
+            {
+                using type = std::decay_t<decltype(each)>;
+                if constexpr (!std::is_same_v<type, pace_run> &&
+                              !std::is_same_v<type, note_decision>)
+                {
+                    carry_out(each);
+                }
+            },
+            action);
+    }
+}
+
+void cell_world::store(cell_batch const& batch)
+{
+    at(now_ + append_time,
+       [this, batch, epoch = epoch_]
+       {
+           if (epoch != epoch_)
+           {
+               return;
+           }
+           if (store_down_)
+           {
+               store(batch);
+               return;
+           }
+           for (auto const& record : batch.records_)
+           {
+               if (record.kind_ == record_kind::request)
+               {
+                   record.request_
+                       ? (void)(stored_jobs_[record.name_] = *record.request_)
+                       : (void)stored_jobs_.erase(record.name_);
+               }
+               else if (record.kind_ == record_kind::progress)
+               {
+                   record.progress_
+                       ? (void)(stored_progress_[record.name_] =
+                                    *record.progress_)
+                       : (void)stored_progress_.erase(record.name_);
+               }
+           }
+           append_out_ = false;
+           cell_->batch_stored(now_);
+           pump();
+       });
+}
+
+void cell_world::call(std::string const& address, bool may_be_late,
+                      std::function<call_outcome()> execute, call_end done)
+{
+    auto const epoch = epoch_;
+    auto const answer = [this, epoch, done](call_outcome outcome)
+    {
+        if (epoch == epoch_)
+        {
+            done(outcome);
+            pump();
+        }
+    };
+    auto* const worker = find(address);
+    if (worker == nullptr || worker->cut_)
+    {
+        at(now_ + call_timeout, [answer] { answer(call_outcome::no_answer); });
+        return;
+    }
+    auto const run = [this, address, execute]
+    {
+        auto const* const there = find(address);
+        return there == nullptr || there->cut_ ? call_outcome::no_answer
+                                               : execute();
+    };
+    if (may_be_late && chance(faults_.calls_late_))
+    {
+        auto const delay = milliseconds{2000 + random_() % 4000};
+        at(now_ + delay, [run] { run(); });
+        at(now_ + call_timeout, [answer] { answer(call_outcome::no_answer); });
+        return;
+    }
+    if (chance(faults_.calls_lost_))
+    {
+        at(now_ + call_timeout, [answer] { answer(call_outcome::no_answer); });
+        return;
+    }
+    bool const lost = chance(faults_.answers_lost_);
+    at(now_ + half_trip,
+       [this, run, answer, lost]
+       {
+           auto const outcome = run();
+           bool const silent = lost || outcome == call_outcome::no_answer;
+           at(now_ + (silent ? call_timeout : half_trip),
+              [answer, outcome, silent]
+              { answer(silent ? call_outcome::no_answer : outcome); });
+       });
+}
+
+void cell_world::carry_out(start_run const& order)
+{
+    call(
+        order.address_, true,
+        [this, order, token = epoch_]
+        {
+            auto* const worker = find(order.worker_);
+            auto const& shape = order.job_->steps_[order.task_.step_];
+            fake_worker::run planned;
+            planned.cpu_milli_ = shape.each_.cpu_milli_;
+            planned.began_ = now_;
+            planned.ends_ =
+                shape.lasting_ ? time_point::max() : now_ + shape.estimate_;
+            planned.fails_ = failing_.count(order.task_.job_.text()) != 0;
+            auto const outcome = worker->start(token, order, planned, now_);
+            if (outcome == call_outcome::accepted)
+            {
+                judge_start(order, *worker);
+            }
+            return outcome;
+        },
+        [this, order](call_outcome outcome)
+        {
+            cell_->start_answered(order.worker_, order.task_, order.run_,
+                                  outcome, now_);
+        });
+}
+
+void cell_world::carry_out(stop_run const& order)
+{
+    call(
+        order.address_, true,
+        [this, order, token = epoch_] {
+            return find(order.worker_)
+                ->stop(token, order.task_, order.run_, now_);
+        },
+        [this, order](call_outcome outcome)
+        {
+            cell_->stop_answered(order.worker_, order.task_, order.run_,
+                                 outcome, now_);
+        });
+}
+
+void cell_world::carry_out(renew_worker const& order)
+{
+    auto const report = std::make_shared<worker_report>();
+    call(
+        order.address_, false,
+        [this, order, report, token = epoch_]
+        { return find(order.worker_)->renew(token, order, *report, now_); },
+        [this, order, report, sent = now_](call_outcome outcome)
+        {
+            cell_->renewal_answered(order.worker_, order.extra_, outcome,
+                                    *report, sent, now_);
+        });
+}
+
+void cell_world::carry_out(answer_client const& answer)
+{
+    auto const found = exchanges_.find(answer.exchange_);
+    if (found == exchanges_.end())
+    {
+        return;
+    }
+    answers_[found->second].push_back(answer.answer_.kind_);
+    constexpr char const* prefix = "cancel ";
+    if (found->second.rfind(prefix, 0) == 0 &&
+        answer.answer_.kind_ == answer_kind::accepted)
+    {
+        cancel_acknowledged_.emplace(
+            found->second.substr(std::string(prefix).size()), now_);
+    }
+    exchanges_.erase(found);
+}
+
+void cell_world::judge_start(start_run const& order, fake_worker const& on)
+{
+    auto const name = describe(order.task_);
+    auto const id = order.task_.job_.text();
+    ++runs_[id];
+    auto const job = submitted_.find(id);
+    if (job == submitted_.end() || job->second.text_ != order.job_->text_)
+    {
+        breaches_.push_back("UNASKED " + name);
+        return;
+    }
+    if (done_noted_.count(order.task_) != 0)
+    {
+        breaches_.push_back("TWICE after done " + name);
+    }
+    else if (done_.count(order.task_) != 0)
+    {
+        started_again_.emplace(order.task_, order.run_);
+    }
+    std::int64_t used = 0;
+    for (auto const& worker : workers_)
+    {
+        auto const found = worker->running_.find(order.task_);
+        if (found != worker->running_.end() && worker.get() != &on)
+        {
+            breaches_.push_back("TWICE at once " + name);
+        }
+    }
+    for (auto const& run : on.running_)
+    {
+        used += run.second.cpu_milli_;
+    }
+    if (used > on.entry_.size_.cpu_milli_)
+    {
+        breaches_.push_back("LIMIT " + name);
+    }
+    auto const& shape = job->second.steps_[order.task_.step_];
+    for (auto const before : shape.after_)
+    {
+        for (std::uint32_t i = 0; i < job->second.steps_[before].tasks_; ++i)
+        {
+            task_id earlier = order.task_;
+            earlier.step_ = before;
+            earlier.index_ = i;
+            if (done_.count(earlier) == 0)
+            {
+                breaches_.push_back("ORDER " + name);
+            }
+        }
+    }
+    if (failures_[order.task_] >= max_attempts && !shape.lasting_)
+    {
+        breaches_.push_back("BUDGET " + name);
+    }
+    auto const cancelled = cancel_acknowledged_.find(id);
+    if (cancelled != cancel_acknowledged_.end() &&
+        now_ > cancelled->second + cancel_time)
+    {
+        breaches_.push_back("UNASKED after its cancelling " + name);
+    }
+}
+
+void cell_world::note_ends()
+{
+    for (auto const& worker : workers_)
+    {
+        for (auto const& end : worker->ends_)
+        {
+            if (!ends_seen_.emplace(worker->entry_.id_, end.number_).second)
+            {
+                continue;
+            }
+            if (end.how_ == run_end::done)
+            {
+                done_.insert(end.task_);
+            }
+        }
+        for (auto const& end : worker->noted_)
+        {
+            if (!noted_seen_.emplace(worker->entry_.id_, end.number_).second)
+            {
+                continue;
+            }
+            failures_[end.task_] += end.how_ == run_end::failed ? 1 : 0;
+            if (end.how_ != run_end::done)
+            {
+                continue;
+            }
+            done_noted_.insert(end.task_);
+            auto const again = started_again_.find(end.task_);
+            if (again != started_again_.end() && end.run_ < again->second)
+            {
+                breaches_.push_back("TWICE, its end was noted later " +
+                                    describe(end.task_));
+            }
+        }
+    }
+}
+
+bool cell_world::answered(std::string const& id, answer_kind kind) const
+{
+    auto const found = answers_.find(id);
+    return found != answers_.end() &&
+           std::count(found->second.begin(), found->second.end(), kind) > 0;
+}
+
+job_standing cell_world::standing(std::string const& id) const
+{
+    auto const found = cell_->jobs().find(id);
+    return found == cell_->jobs().end() ? job_standing::queued
+                                        : found->second.stored_standing_;
+}
+
+std::size_t cell_world::runs_of(std::string const& id) const
+{
+    auto const found = runs_.find(id);
+    return found == runs_.end() ? 0 : found->second;
+}
+
+bool cell_world::all_ended() const
+{
+    return std::all_of(cell_->jobs().begin(), cell_->jobs().end(),
+                       [](auto const& job) { return job.second.ended(); });
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/tests/kernel/cell/fleet_plan_test.cpp
@@ -0,0 +1,183 @@
+#include "kernel/cell/fleet_plan.hpp"
+
+#include "kernel/cell/cell_world.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace cuminfold;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A fleet plan beside a cell, and a platform that carries its orders out.
+class fleet_world
+{
+public:
+    explicit fleet_world(std::uint32_t workers)
+        : jobs_(1, workers), plan_({}, jobs_.owner())
+    {
+        for (std::uint32_t i = 0; i < workers; ++i)
+        {
+            listed_vm vm;
+            vm.vm_ = vm_id{"vm" + std::to_string(i)};
+            vm.pool_ = pool_name{"tally"};
+            vm.standing_ = vm_standing::up;
+            vm.worker_ = jobs_.worker(i).entry_.id_;
+            vms_.push_back(vm);
+        }
+        jobs_.run_for(100ms);
+    }
+
+    void set_wave(std::uint32_t vms, std::uint32_t at_once)
+    {
+        wave_order wave;
+        wave.number_ = 1;
+        wave.most_at_once_ = at_once;
+        for (std::uint32_t i = 0; i < vms; ++i)
+        {
+            wave.vms_.push_back(vm_id{"vm" + std::to_string(i)});
+        }
+        plan_.set_waves({{1, wave}}, jobs_.now());
+    }
+
+    void run_for(std::chrono::milliseconds time)
+    {
+        for (auto const end = jobs_.now() + time; jobs_.now() < end;)
+        {
+            jobs_.run_for(20ms);
+            plan_.tick(jobs_.now(), jobs_.now());
+            for (auto const& action : plan_.take_actions())
+            {
+                take(action);
+            }
+            bring_back();
+        }
+    }
+
+    cell_world jobs_;
+    fleet_plan plan_;
+    std::vector<listed_vm> vms_;
+    std::map<vm_id, time_point> down_;
+    std::map<vm_id, time_point> ordered_;
+    std::size_t most_down_ = 0;
+    std::set<bool> told_;
+
+private:
+    void take(fleet_action const& action)
+    {
+        if (std::holds_alternative<list_vms>(action))
+        {
+            plan_.listed(vms_, jobs_.now(), jobs_.now());
+        }
+        else if (auto const* const order = std::get_if<maintain_vm>(&action))
+        {
+            auto const number = number_of(order->vm_);
+            jobs_.crash(number);
+            jobs_.cut(number, true);
+            vms_[number].standing_ = vm_standing::maintained;
+            down_[order->vm_] = jobs_.now();
+            ordered_.emplace(order->vm_, jobs_.now());
+            most_down_ = std::max(most_down_, down_.size());
+            plan_.maintained(order->vm_, order->wave_, vm_outcome::done,
+                             jobs_.now());
+        }
+        else if (auto const* const report = std::get_if<report_wave>(&action))
+        {
+            told_.insert(report->completed_);
+            plan_.reported(report->wave_, true);
+        }
+    }
+
+    void bring_back()
+    {
+        for (auto place = down_.begin(); place != down_.end();)
+        {
+            if (jobs_.now() - place->second < 2000ms)
+            {
+                ++place;
+                continue;
+            }
+            auto const number = number_of(place->first);
+            jobs_.cut(number, false);
+            vms_[number].standing_ = vm_standing::up;
+            vms_[number].worker_ = jobs_.worker(number).entry_.id_;
+            place = down_.erase(place);
+        }
+    }
+
+    static std::uint32_t number_of(vm_id const& vm)
+    {
+        return static_cast<std::uint32_t>(std::stoul(vm.text().substr(2)));
+    }
+};
+
+job_step lasting_step(std::uint32_t tasks)
+{
+    auto step = cell_world::make_step(tasks, 2000, 1000ms);
+    step.lasting_ = true;
+    step.per_worker_ = 1;
+    step.max_unavailable_ = 1;
+    return step;
+}
+
+} // namespace
+
+TEST_CASE("a wave maintains each VM once, so many at a time, and is reported")
+{
+    fleet_world world(8);
+    world.set_wave(6, 2);
+    world.run_for(25'000ms);
+    CHECK(world.ordered_.size() == 6);
+    CHECK(world.most_down_ <= 2);
+    CHECK(world.told_ == std::set<bool>{false, true});
+}
+
+TEST_CASE("a wave moves lasting tasks one at a time before their VMs go down")
+{
+    fleet_world world(8);
+    world.jobs_.submit("a", {lasting_step(5)});
+    world.run_for(1000ms);
+    REQUIRE(world.jobs_.runs_of("a") == 5);
+    world.set_wave(8, 4);
+    for (int i = 0; i < 1000; ++i)
+    {
+        world.run_for(20ms);
+        std::size_t running = 0;
+        for (std::uint32_t w = 0; w < 8; ++w)
+        {
+            running += world.jobs_.worker(w).running_.size();
+        }
+        REQUIRE(running >= 4);
+    }
+    CHECK(world.jobs_.breaches() == "");
+}
+
+TEST_CASE("a VM that an earlier owner may have ordered about is left alone")
+{
+    fleet_world world(4);
+    auto const began = world.jobs_.now();
+    world.plan_.restore_order(vm_id{"vm0"}, began);
+    world.set_wave(2, 2);
+    world.run_for(20'000ms);
+    REQUIRE(world.ordered_.count(vm_id{"vm0"}) == 1);
+    CHECK(world.ordered_.at(vm_id{"vm0"}) - began >=
+          fleet_plan_options{}.order_pause_);
+    CHECK(world.ordered_.at(vm_id{"vm1"}) - began <
+          fleet_plan_options{}.order_pause_);
+}
+
+TEST_CASE("a VM that a wave has maintained before a takeover is not again")
+{
+    fleet_world world(4);
+    world.plan_.restore_wave(1, "vm0\nvm1\n");
+    world.set_wave(3, 3);
+    world.run_for(10'000ms);
+    CHECK(world.ordered_.count(vm_id{"vm0"}) == 0);
+    CHECK(world.ordered_.count(vm_id{"vm2"}) == 1);
+    CHECK(world.told_.count(true) == 1);
+}
