--- a/source/node/front.cpp
+++ b/source/node/front.cpp
@@ -99,9 +99,9 @@
 {
 }
 
-void front::listen(std::string const& address)
+std::string front::listen(std::string const& address)
 {
-    server_.listen(address);
+    return server_.listen(address);
 }
 
 void front::leave()
--- a/source/node/front.hpp
+++ b/source/node/front.hpp
@@ -48,7 +48,8 @@
     front(boost::asio::io_context& context, http_client& peers,
           front_handler handler, decision_log& log, metrics& counters);
 
-    void listen(std::string const& address);
+    /// Listens on `IP:PORT` and returns the address bound.
+    std::string listen(std::string const& address);
     /// A new owner is there: what the earlier one has not answered is handed
     /// to it.
     void owner_changed();
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -73,9 +73,13 @@
 
     int run()
     {
-        peers_.listen(settings_.peers_address_);
-        front_.listen(settings_.clients_address_);
-        health_.listen(settings_.health_address_);
+        settings_.peers_address_ = peers_.listen(settings_.peers_address_);
+        settings_.clients_address_ = front_.listen(settings_.clients_address_);
+        settings_.health_address_ = health_.listen(settings_.health_address_);
+        ownership_ = ownership(make_ownership(), node_now());
+        announce(settings_.clients_address_);
+        announce(settings_.health_address_);
+        announce(settings_.peers_address_);
         write_log(log_level::info, "started",
                   {{"node", settings_.name_},
                    {"clients", settings_.clients_address_},
@@ -120,7 +124,12 @@
         handler.call_ =
             [this](client_call call, std::function<void(client_answer)> done)
         { call_owner(std::move(call), std::move(done)); };
-        handler.metrics_ = [this] { return metrics_.write(); };
+        handler.metrics_ = [this]
+        {
+            metrics_.set("cuminfold_log_lines_dropped",
+                         static_cast<double>(dropped_log_lines()));
+            return metrics_.write();
+        };
         return handler;
     }
 
@@ -512,7 +521,8 @@
 int run_node(server_arguments const& arguments)
 {
     auto const settings = load_node_settings(arguments.config_);
-    start_log("cuminfold-node", settings.log_.format_, settings.log_.level_);
+    start_log("cuminfold-node", settings.log_.format_, settings.log_.level_,
+              log_target::standard_output);
     node_server server(settings, arguments.config_);
     int const status = server.run();
     // The log library's threads are not waited for: that may outlast the
--- a/source/node/peer_api.cpp
+++ b/source/node/peer_api.cpp
@@ -39,9 +39,9 @@
 {
 }
 
-void peer_api::listen(std::string const& address)
+std::string peer_api::listen(std::string const& address)
 {
-    server_.listen(address);
+    return server_.listen(address);
 }
 
 void peer_api::stop(std::function<void()> done)
--- a/source/node/peer_api.hpp
+++ b/source/node/peer_api.hpp
@@ -32,7 +32,8 @@
 public:
     peer_api(boost::asio::io_context& context, peer_handler handler);
 
-    void listen(std::string const& address);
+    /// Listens on `IP:PORT` and returns the address bound.
+    std::string listen(std::string const& address);
     void stop(std::function<void()> done);
 
 private:
--- a/source/transport/logger.cpp
+++ b/source/transport/logger.cpp
@@ -7,6 +7,11 @@
 #include <log4cplus/loggingmacros.h>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <climits>
 #include <memory>
 
 namespace cuminfold
@@ -15,6 +20,8 @@
 namespace
 {
 
+std::atomic<unsigned long> dropped_lines{0};
+
 log4cplus::LogLevel to_level(log_level level)
 {
     switch (level)
@@ -47,6 +54,41 @@
     return "error";
 }
 
+/// Writes whole lines to standard output and never waits for its reader.
+class prompt_appender : public log4cplus::Appender
+{
+public:
+    ~prompt_appender() override
+    {
+        destructorImpl();
+    }
+
+    void close() override
+    {
+        closed = true;
+    }
+
+protected:
+    void append(log4cplus::spi::InternalLoggingEvent const& event) override
+    {
+        auto& line = formatEvent(event);
+        // A pipe that is writable takes this much without waiting.
+        constexpr std::size_t longest_line = PIPE_BUF;
+        if (line.size() > longest_line)
+        {
+            line.resize(longest_line - 1);
+            line += '\n';
+        }
+        pollfd output{STDOUT_FILENO, POLLOUT, 0};
+        bool const room =
+            poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
+        if (!room || write(STDOUT_FILENO, line.data(), line.size()) < 0)
+        {
+            ++dropped_lines;
+        }
+    }
+};
+
 struct log_state
 {
     log4cplus::Initializer initializer_;
@@ -106,13 +148,16 @@
 
 } // namespace
 
-void start_log(std::string const& program, log_format format, log_level least)
+void start_log(std::string const& program, log_format format, log_level least,
+               log_target target)
 {
     auto& log = state();
     log.program_ = program;
     log.format_ = format;
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr const appender(
+        target == log_target::standard_output
+            ? static_cast<log4cplus::Appender*>(new prompt_appender)
+            : new log4cplus::ConsoleAppender(true, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(
         LOG4CPLUS_TEXT(pattern_of(format))));
     log.logger_.removeAllAppenders();
@@ -120,6 +165,11 @@
     log.logger_.setLogLevel(to_level(least));
 }
 
+unsigned long dropped_log_lines()
+{
+    return dropped_lines;
+}
+
 void write_log(log_level level, std::string_view event,
                std::initializer_list<log_field> fields)
 {
--- a/source/transport/logger.hpp
+++ b/source/transport/logger.hpp
@@ -27,9 +27,21 @@
 /// One key and its value.
 using log_field = std::pair<std::string_view, std::string>;
 
-/// Sets up the process's log on stderr; called once, first of all.
+/// Where a process's log goes.
+enum class log_target
+{
+    standard_error,
+    /// A line is dropped and counted if it cannot be written at once.
+    standard_output
+};
+
+/// Sets up the process's log; called once, first of all.
 /// @param program name that stands in each line
-void start_log(std::string const& program, log_format format, log_level least);
+void start_log(std::string const& program, log_format format, log_level least,
+               log_target target = log_target::standard_error);
+
+/// Lines that were dropped since their reader was too slow.
+unsigned long dropped_log_lines();
 
 /// Writes one line: time, level, event and fields.
 void write_log(log_level level, std::string_view event,
--- /dev/null
+++ b/tests/node/node_process_test.cpp
@@ -0,0 +1,259 @@
+#include "child_process.hpp"
+#include "http_caller.hpp"
+#include "platform/stand_in/platform_stand_in.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <unistd.h>
+
+using namespace cuminfold;
+using namespace std::chrono_literals;
+using platform::platform_stand_in;
+
+namespace
+{
+
+/// Long enough for a busy machine; a test that works ends much sooner.
+constexpr auto patience = 60s;
+
+class entry_vm
+{
+public:
+    entry_vm(std::filesystem::path const& folder, std::string const& name,
+             std::string const& platform)
+    {
+        auto const file = (folder / (name + ".yaml")).string();
+        std::ofstream(file) << "name: " << name << "\n"
+                            << "clients_address: 127.0.0.1:0\n"
+                            << "health_address: 127.0.0.1:0\n"
+                            << "peers_address: 127.0.0.1:0\n"
+                            << "store_address: " << platform << "\n"
+                            << "machines_address: " << platform << "\n"
+                            << "stop_time: 100ms\n";
+        process_ = std::make_unique<child_process>(
+            CUMINFOLD_NODE, std::vector<std::string>{"--config", file},
+            (folder / (name + ".errors")).string());
+        clients_ = process_->next_address();
+        health_ = process_->next_address();
+        peers_ = process_->next_address();
+    }
+
+    std::unique_ptr<child_process> process_;
+    std::string clients_;
+    std::string health_;
+    std::string peers_;
+};
+
+/// Three entry VMs, a platform and a client.
+class small_system
+{
+public:
+    small_system()
+        : folder_(std::filesystem::temp_directory_path() /
+                  ("cuminfold-node." + std::to_string(getpid()))),
+          platform_(4)
+    {
+        std::filesystem::create_directories(folder_);
+        for (auto const* const name : {"a", "b", "c"})
+        {
+            add(name);
+        }
+        for (auto const& vm : vms_)
+        {
+            until([&] { return status(vm->health_, "GET", "/") == 200; });
+        }
+    }
+
+    ~small_system()
+    {
+        vms_.clear();
+        std::filesystem::remove_all(folder_);
+    }
+
+    void add(std::string const& name)
+    {
+        vms_.push_back(
+            std::make_unique<entry_vm>(folder_, name, platform_.address()));
+    }
+
+    http_result call(std::string const& address, std::string const& method,
+                     std::string const& target, std::string const& body = "")
+    {
+        http_call call;
+        call.address_ = address;
+        call.method_ = method;
+        call.target_ = target;
+        call.fields_["host"] = platform_stand_in::host_;
+        call.body_ = body;
+        call.timeout_ = 5s;
+        return client_.start(std::move(call)).get();
+    }
+
+    unsigned status(std::string const& address, std::string const& method,
+                    std::string const& target, std::string const& body = "")
+    {
+        auto const result = call(address, method, target, body);
+        return result.end_ == http_end::whole ? result.response_.status_ : 0;
+    }
+
+    /// Hands a job in, again and at other nodes until it is accepted.
+    void hand_in(std::string const& id, int tasks, int milliseconds)
+    {
+        std::size_t next = 0;
+        until(
+            [&]
+            {
+                return status(vms_[next++ % vms_.size()]->clients_, "POST",
+                              platform_stand_in::prefix_ + id,
+                              platform_stand_in::write_job(
+                                  tasks, milliseconds)) == 200;
+            });
+    }
+
+    std::string standing(std::string const& id)
+    {
+        for (auto const& vm : vms_)
+        {
+            auto const result =
+                call(vm->clients_, "GET", platform_stand_in::prefix_ + id);
+            if (result.end_ == http_end::whole &&
+                result.response_.status_ == 200)
+            {
+                return platform_stand_in::read_standing(result.response_.body_);
+            }
+        }
+        return "";
+    }
+
+    template <class Condition>
+    static void until(Condition const& condition)
+    {
+        auto const end = std::chrono::steady_clock::now() + patience;
+        while (!condition())
+        {
+            REQUIRE(std::chrono::steady_clock::now() < end);
+            std::this_thread::sleep_for(20ms);
+        }
+    }
+
+    std::filesystem::path folder_;
+    platform_stand_in platform_;
+    http_caller client_;
+    std::vector<std::unique_ptr<entry_vm>> vms_;
+};
+
+std::string id_of(int number)
+{
+    auto digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+} // namespace
+
+TEST_CASE("a calm day: jobs are accepted anywhere and end whole, once")
+{
+    small_system system;
+    for (int i = 0; i < 12; ++i)
+    {
+        system.hand_in(id_of(i), 3, 50);
+    }
+    for (int i = 0; i < 12; ++i)
+    {
+        system.until([&] { return system.standing(id_of(i)) == "completed"; });
+    }
+    CHECK(system.platform_.all_starts() == 36);
+    CHECK(system.platform_.most_starts() == 1);
+
+    struct row
+    {
+        char const* method_;
+        std::string path_;
+        std::string body_;
+        unsigned status_;
+    };
+    std::string const prefix = platform_stand_in::prefix_;
+    row const rows[] = {
+        {"POST", prefix + id_of(0), platform_stand_in::write_job(3, 50), 200},
+        {"POST", prefix + id_of(99), "not a job", 400},
+        {"POST", "/unknown/" + id_of(99), platform_stand_in::write_job(1, 1),
+         404},
+        {"GET", prefix + id_of(99), "", 410},
+        {"GET", prefix, "", 200},
+        {"GET", "/unknown/", "", 404},
+        {"DELETE", prefix + id_of(99), "", 410},
+        {"DELETE", prefix + id_of(0), "", 200},
+        {"POST", prefix + id_of(98), std::string(600'000, 'x'), 413},
+    };
+    for (auto const& each : rows)
+    {
+        CAPTURE(each.path_);
+        CHECK(system.status(system.vms_[1]->clients_, each.method_, each.path_,
+                            each.body_) == each.status_);
+    }
+    CHECK(system.platform_.all_starts() == 36);
+    auto const metrics = system.call(system.vms_[0]->peers_, "GET", "/metrics");
+    CHECK(metrics.response_.body_.find("cuminfold_answers_total") !=
+          std::string::npos);
+}
+
+TEST_CASE("nodes that are killed one after the other lose no job")
+{
+    small_system system;
+    int next = 0;
+    for (std::size_t victim = 0; victim < 3; ++victim)
+    {
+        for (int i = 0; i < 5; ++i)
+        {
+            system.hand_in(id_of(next++), 2, 300);
+        }
+        system.vms_[0]->process_->kill();
+        system.vms_.erase(system.vms_.begin());
+        system.add("next" + std::to_string(victim));
+    }
+    for (int i = 0; i < next; ++i)
+    {
+        CAPTURE(i);
+        system.until([&] { return system.standing(id_of(i)) == "completed"; });
+    }
+    CHECK(system.platform_.most_starts() == 1);
+}
+
+TEST_CASE("a store that is down refuses jobs, and none of them runs later")
+{
+    small_system system;
+    system.platform_.set_down(true);
+    unsigned const status = system.status(system.vms_[0]->clients_, "POST",
+                                          platform_stand_in::prefix_ + id_of(7),
+                                          platform_stand_in::write_job(1, 10));
+    // Refused, or not known and then never shown as anything but stored.
+    CHECK((status == 503 || status == 504));
+    system.platform_.set_down(false);
+    system.hand_in(id_of(8), 1, 10);
+    system.until([&] { return system.standing(id_of(8)) == "completed"; });
+    if (status == 503)
+    {
+        CHECK(system.platform_.all_starts() == 1);
+    }
+}
+
+TEST_CASE("a node that is asked to stop ends by itself and hands over")
+{
+    small_system system;
+    system.hand_in(id_of(1), 4, 600);
+    for (std::size_t i = 0; i < 2; ++i)
+    {
+        system.vms_[0]->process_->terminate();
+        CHECK(system.vms_[0]->process_->wait() == 0);
+        system.vms_.erase(system.vms_.begin());
+    }
+    system.until([&] { return system.standing(id_of(1)) == "completed"; });
+    CHECK(system.platform_.most_starts() == 1);
+}
