store: Repeat appends after what the store usually takes

Appends carry sequence numbers and may be repeated; the time before a repeat is learned from the store's answers and doubles without them. Calls to workers are given up after 0.2 s.

--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -303,6 +303,7 @@
         }
     }
     std::vector<pool_load> result;
+    result.reserve(by_pool.size());
     for (auto& item : by_pool)
     {
         result.push_back(std::move(item.second));
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -20,8 +20,10 @@
 using platform::store_topic;
 
 constexpr duration tick = std::chrono::milliseconds{20};
+/// An append is repeated no sooner than this.
+constexpr duration least_append_time = std::chrono::milliseconds{150};
 constexpr duration load_retry = std::chrono::milliseconds{150};
-constexpr duration first_batch_pause = std::chrono::milliseconds{40};
+constexpr duration first_batch_pause = std::chrono::milliseconds{10};
 constexpr duration longest_batch_pause = std::chrono::milliseconds{400};
 /// An idle owner confirms its epoch this often.
 constexpr duration confirm_interval = std::chrono::milliseconds{500};
@@ -81,7 +83,9 @@
                        std::function<void(char const*)> lost)
     : parts_(parts), record_(std::move(record)), lost_(std::move(lost)),
       cell_(make_options(parts.settings_), node_now()),
-      fleet_(make_fleet_options(parts.settings_), cell_), timer_(parts.context_)
+      fleet_(make_fleet_options(parts.settings_), cell_),
+      timer_(parts.context_),
+      append_clock_(least_append_time, parts.settings_.store_timeout_)
 {
     parts_.workers_.set_token(record_.epoch_);
     parts_.machines_.set_token(record_.epoch_);
@@ -139,8 +143,9 @@
     ++record_.beat_;
     call.records_.push_back({owner_key, encode_owner(record_)});
     stop();
-    parts_.store_.append(call, [done = std::move(done)](
-                                   platform::append_result const&) { done(); });
+    parts_.store_.append(
+        call, duration{0},
+        [done = std::move(done)](platform::append_result const&) { done(); });
 }
 
 void cell_owner::load()
@@ -357,7 +362,7 @@
 {
     auto const sent = node_now();
     parts_.store_.append(
-        batch_,
+        batch_, append_clock_.timeout(),
         [self = shared_from_this(), sent](platform::append_result const& result)
         {
             if (!self->stopped_)
@@ -372,8 +377,13 @@
 {
     auto const now = node_now();
     parts_.metrics_.observe("cuminfold_append", now - sent);
+    if (result.outcome_ == append_outcome::unanswered)
+    {
+        append_clock_.unanswered();
+    }
     if (result.outcome_ == append_outcome::stored)
     {
+        append_clock_.answered(now - sent);
         batch_out_ = false;
         confirmed_ = sent;
         cell_.confirmed(sent);
@@ -442,7 +452,7 @@
     call.topic_ = store_topic::cell;
     call.epoch_ = record_.epoch_;
     parts_.store_.append(
-        call,
+        call, append_clock_.timeout(),
         [self = shared_from_this(), now](platform::append_result const& result)
         {
             self->confirm_out_ = false;
@@ -451,8 +461,14 @@
                 return;
             }
             self->next_confirm_ = node_now() + confirm_interval / 2;
+            if (result.outcome_ == append_outcome::unanswered)
+            {
+                self->append_clock_.unanswered();
+                self->next_confirm_ = node_now();
+            }
             if (result.outcome_ == append_outcome::stored)
             {
+                self->append_clock_.answered(node_now() - now);
                 self->next_confirm_ = node_now() + confirm_interval;
                 self->confirmed_ = now;
                 self->cell_.confirmed(now);
@@ -478,7 +494,7 @@
     ++record.beat_;
     call.records_.push_back({owner_key, encode_owner(record)});
     parts_.store_.append(
-        call,
+        call, append_clock_.timeout(),
         [self = shared_from_this()](platform::append_result const& result)
         {
             self->beat_out_ = false;
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -1,6 +1,7 @@
 #ifndef CUMINFOLD_NODE_CELL_OWNER_HPP
 #define CUMINFOLD_NODE_CELL_OWNER_HPP
 
+#include "kernel/cell/answer_clock.hpp"
 #include "kernel/cell/cell.hpp"
 #include "kernel/cell/client_call.hpp"
 #include "kernel/cell/fleet_plan.hpp"
@@ -125,6 +126,7 @@
     bool batch_out_ = false;
     std::uint64_t sequence_ = 0;
     duration batch_pause_{0};
+    answer_clock append_clock_;
     time_point confirmed_{};
     bool confirm_out_ = false;
     time_point next_confirm_{};
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -212,7 +212,7 @@
         call.topic_ = platform::store_topic::owner;
         call.records_.push_back(
             {node_prefix + settings_.name_, settings_.peers_address_});
-        store_.append(call,
+        store_.append(call, duration{0},
                       [this](platform::append_result const& result) {
                           registered_ = result.outcome_ ==
                                         platform::append_outcome::stored;
@@ -331,7 +331,8 @@
         platform::append_call call;
         call.topic_ = platform::store_topic::cell;
         call.epoch_ = ownership_.epoch();
-        store_.append(call, [this](platform::append_result const& result)
+        store_.append(call, duration{0},
+                      [this](platform::append_result const& result)
                       { on_takeover(result); });
     }
 
--- a/source/node/node_settings.hpp
+++ b/source/node/node_settings.hpp
@@ -26,7 +26,7 @@
     /// A call to the store that is not answered within this is given up.
     duration store_timeout_ = std::chrono::milliseconds{1500};
     /// The same for a worker.
-    duration worker_timeout_ = std::chrono::milliseconds{300};
+    duration worker_timeout_ = std::chrono::milliseconds{200};
     duration peer_timeout_ = std::chrono::milliseconds{400};
     /// From SIGTERM on the node serves for this long, in which the balancer
     /// turns away from it...
