cell: Split the files of the cell and its owner by what they do

No change of behaviour: renewals, stops, the store and orders have files of their own, and the settings file is watched by a class.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -247,23 +247,27 @@
     // cell_workers.cpp
     bool may_order(time_point now) const;
     void read_clock(worker_state& worker, worker_clock clock, time_point now);
+    void end_life(worker_state& worker, char const* why, time_point now);
+    bool is_usable(worker_state const& worker, time_point now) const;
+
+    // cell_renewals.cpp
     worker_clock lease_for(worker_state& worker, time_point now);
     void compare(worker_state& worker, worker_report const& report,
                  time_point asked, time_point now);
     void compare_task(worker_state& worker, task_id const& task,
                       running_report const* report, time_point asked,
                       time_point now);
-    void stop(worker_state& worker, task_id const& task, std::uint32_t run,
-              char const* why);
     void renew_due(time_point now);
     void look_for_overdue(worker_state& worker, time_point now);
     bool needs_renewal(worker_state const& worker) const;
+
+    // cell_stops.cpp
+    void stop(worker_state& worker, task_id const& task, std::uint32_t run,
+              char const* why);
     void repeat_stops(time_point now);
     void drop_lapsed(time_point now);
-    void end_life(worker_state& worker, char const* why, time_point now);
     void evacuate(worker_state& worker, bool all, time_point now);
     void leave_draining(time_point now);
-    bool is_usable(worker_state const& worker, time_point now) const;
     bool is_at_work(task_state const& task) const;
     void stop_stalled(time_point now);
 
--- /dev/null
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -0,0 +1,303 @@
+#include "kernel/cell/cell.hpp"
+
+#include <algorithm>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// A worker's clock may run this much slower than ours.
+constexpr double slowest_clock = 0.98;
+/// Added to a computed lapse for the time that a worker needs to act on it.
+constexpr duration lapse_margin = std::chrono::milliseconds{150};
+/// A run that takes longer than this share of its expected time, and as much
+/// longer as the time below, is asked for while a renewal still waits: that
+/// renewal may be lost.
+constexpr std::int64_t overdue_share_percent = 150;
+constexpr duration overdue_time = std::chrono::milliseconds{200};
+/// A worker that did not answer is asked again after this.
+constexpr duration silent_gap = std::chrono::milliseconds{150};
+
+} // namespace
+
+worker_clock cell::lease_for(worker_state& worker, time_point now)
+{
+    auto const ahead = std::chrono::duration_cast<duration>(
+        now - worker.clock_read_ + options_.lease_);
+    auto const until =
+        worker.clock_ + std::chrono::duration_cast<worker_clock>(ahead);
+    auto const lapse =
+        worker.clock_read_ +
+        std::chrono::duration_cast<duration>(ahead / slowest_clock) +
+        lapse_margin;
+    worker.lapses_ = std::max(worker.lapses_, lapse);
+    return until;
+}
+
+bool cell::needs_renewal(worker_state const& worker) const
+{
+    if (worker.gone_ && worker.tasks_.empty())
+    {
+        return false;
+    }
+    return !worker.fenced_ || !worker.tasks_.empty() ||
+           !worker.strays_.empty() || worker.recorded_ > worker.acknowledged_;
+}
+
+void cell::look_for_overdue(worker_state& worker, time_point now)
+{
+    if (worker.looked_ || now - worker.renewal_sent_ < overdue_time)
+    {
+        return;
+    }
+    bool const overdue = std::any_of(
+        worker.tasks_.begin(), worker.tasks_.end(),
+        [&](task_id const& task)
+        {
+            auto const at = find(task);
+            return at && at.task_->phase_ == task_phase::running &&
+                   !at.shape_->lasting_ &&
+                   now - at.task_->started_ >
+                       run_times_.expect(at.job_->route_, *at.shape_) *
+                               overdue_share_percent / 100 +
+                           overdue_time;
+        });
+    if (overdue)
+    {
+        worker.looked_ = true;
+        renew_worker order;
+        order.worker_ = worker.entry_.id_;
+        order.address_ = worker.entry_.address_;
+        order.acknowledge_ = worker.recorded_;
+        order.extra_ = true;
+        actions_.emplace_back(std::move(order));
+    }
+}
+
+void cell::renew_due(time_point now)
+{
+    for (auto& item : workers_)
+    {
+        auto& worker = item.second;
+        if (worker.entry_.address_.empty() || now < worker.next_renewal_ ||
+            !needs_renewal(worker) || !may_order(now))
+        {
+            continue;
+        }
+        if (worker.renewal_out_)
+        {
+            look_for_overdue(worker, now);
+            continue;
+        }
+        renew_worker order;
+        order.worker_ = item.first;
+        order.address_ = worker.entry_.address_;
+        order.acknowledge_ = worker.recorded_;
+        bool const settled = std::none_of(
+            worker.tasks_.begin(), worker.tasks_.end(),
+            [&](task_id const& task)
+            {
+                auto const at = find(task);
+                return at && (at.task_->phase_ == task_phase::unsettled ||
+                              at.task_->phase_ == task_phase::stopping);
+            });
+        if (worker.fenced_)
+        {
+            // A renewal without an answer may have been carried out: a silent
+            // worker is only asked, so that its leases end.
+            if (worker.silent_renewals_ == 0)
+            {
+                order.lease_until_ = lease_for(worker, now);
+                order.wait_ = settled && !worker.tasks_.empty()
+                                  ? options_.renewal_wait_
+                                  : duration{0};
+            }
+        }
+        worker.renewal_out_ = true;
+        worker.looked_ = false;
+        worker.renewal_sent_ = now;
+        actions_.emplace_back(std::move(order));
+    }
+}
+
+void cell::renewal_answered(std::string const& name, bool extra,
+                            call_outcome outcome, worker_report const& report,
+                            time_point sent, time_point now)
+{
+    auto const found = workers_.find(name);
+    if (found == workers_.end() || (extra && outcome != call_outcome::accepted))
+    {
+        return;
+    }
+    auto& worker = found->second;
+    if (!extra)
+    {
+        worker.renewal_out_ = false;
+    }
+    if (outcome == call_outcome::other_life)
+    {
+        end_life(worker, "another_life_answered", now);
+        return;
+    }
+    if (outcome != call_outcome::accepted)
+    {
+        if (++worker.silent_renewals_ == 1)
+        {
+            note("worker_silent", name, "renewal");
+        }
+        // The answer alone may have been lost: the first repeat comes at once.
+        worker.next_renewal_ =
+            now + (worker.silent_renewals_ == 1 ? duration{0} : silent_gap);
+        return;
+    }
+    if (worker.silent_renewals_ > 0)
+    {
+        worker.silent_renewals_ = 0;
+        note("worker_answers_again", name, "renewal");
+        placement_due_ = true;
+    }
+    read_clock(worker, report.clock_, now);
+    worker.acknowledged_ = std::max(worker.acknowledged_, worker.recorded_);
+    if (!worker.fenced_)
+    {
+        worker.fenced_ = true;
+        // Earlier owners can give it no more leases.
+        worker.lapses_ = now +
+                         std::chrono::duration_cast<duration>(
+                             options_.longest_lease_ / slowest_clock) +
+                         lapse_margin;
+        placement_due_ = true;
+    }
+    bool ended = false;
+    for (auto const& end : report.ended_)
+    {
+        if (end.number_ > worker.read_)
+        {
+            worker.read_ = end.number_;
+            ended = true;
+            take_end(worker, end, now);
+        }
+    }
+    if (ended)
+    {
+        ends_read_.insert(name);
+    }
+    compare(worker, report, sent, now);
+    if (extra)
+    {
+        return;
+    }
+    bool const settled = worker.strays_.empty();
+    worker.next_renewal_ =
+        now + (settled ? options_.renewal_gap_ : options_.repeat_gap_);
+}
+
+void cell::compare(worker_state& worker, worker_report const& report,
+                   time_point asked, time_point now)
+{
+    std::map<task_id, running_report const*> listed;
+    worker.strays_.clear();
+    for (auto const& running : report.running_)
+    {
+        auto const at = find(running.task_);
+        bool const ours = at && at.task_->worker_ == worker.entry_.id_ &&
+                          at.task_->run_ == running.run_;
+        if (ours)
+        {
+            listed[running.task_] = &running;
+        }
+        else
+        {
+            worker.strays_[running.task_] = running.run_;
+        }
+    }
+    auto const tasks = worker.tasks_;
+    for (auto const& task : tasks)
+    {
+        auto const found = listed.find(task);
+        compare_task(worker, task,
+                     found == listed.end() ? nullptr : found->second, asked,
+                     now);
+    }
+}
+
+void cell::compare_task(worker_state& worker, task_id const& task,
+                        running_report const* report, time_point asked,
+                        time_point now)
+{
+    auto const at = find(task);
+    if (!at)
+    {
+        worker.tasks_.erase(task);
+        return;
+    }
+    auto& state = *at.task_;
+    if (report != nullptr)
+    {
+        bool const adopt = state.phase_ == task_phase::starting ||
+                           (state.phase_ == task_phase::unsettled &&
+                            state.stop_sent_ == time_point{});
+        if (adopt)
+        {
+            state.phase_ = task_phase::running;
+            state.started_ = now;
+            state.advanced_ = now;
+        }
+        if (state.percent_ != report->percent_)
+        {
+            state.percent_ = report->percent_;
+            state.advanced_ = now;
+        }
+        constexpr std::uint32_t at_work = 100;
+        if (at.shape_->lasting_ && state.phase_ == task_phase::running)
+        {
+            bool const works = report->percent_ >= at_work;
+            state.away_since_ = works ? time_point{}
+                                : state.away_since_ == time_point{}
+                                    ? now
+                                    : state.away_since_;
+        }
+        state.figure_ = report->figure_;
+        if (at.shape_->checkpointing_ && !report->checkpoint_.empty())
+        {
+            state.checkpoint_ = report->checkpoint_;
+        }
+        return;
+    }
+    switch (state.phase_)
+    {
+    case task_phase::running:
+        if (asked > state.started_)
+        {
+            note("run_vanished", describe(task), worker.entry_.id_);
+            release(task, at, now);
+            mark(*at.job_);
+        }
+        return;
+    case task_phase::unsettled:
+    case task_phase::stopping:
+        // An order of an earlier epoch is refused from now on; one of ours
+        // is, once its stop was accepted.
+        if (!state.own_start_ ||
+            (state.stop_accepted_ && asked > state.stop_accepted_at_))
+        {
+            release(task, at, now);
+            mark(*at.job_);
+        }
+        else if (state.stop_sent_ == time_point{})
+        {
+            stop(worker, task, state.run_, "unanswered_start");
+            state.stop_sent_ = now;
+        }
+        return;
+    case task_phase::waiting:
+    case task_phase::placed:
+    case task_phase::starting:
+    case task_phase::done:
+        return;
+    }
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/cell/cell_stops.cpp
@@ -0,0 +1,190 @@
+#include "kernel/cell/cell.hpp"
+
+#include <algorithm>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// A draining worker's lasting tasks leave one by one for this long, then all.
+constexpr duration evacuation_time = std::chrono::milliseconds{1200};
+
+} // namespace
+
+void cell::stop(worker_state& worker, task_id const& task, std::uint32_t run,
+                char const* why)
+{
+    stop_run order;
+    order.worker_ = worker.entry_.id_;
+    order.address_ = worker.entry_.address_;
+    order.task_ = task;
+    order.run_ = run;
+    order.why_ = why;
+    actions_.emplace_back(std::move(order));
+}
+
+void cell::repeat_stops(time_point now)
+{
+    if (!may_order(now))
+    {
+        return;
+    }
+    for (auto& item : workers_)
+    {
+        auto& worker = item.second;
+        if (worker.entry_.address_.empty() || !worker.fenced_)
+        {
+            continue;
+        }
+        auto const tasks = worker.tasks_;
+        for (auto const& task : tasks)
+        {
+            auto const at = find(task);
+            if (!at)
+            {
+                continue;
+            }
+            auto& state = *at.task_;
+            bool const ended = at.job_->ended() && !at.job_->dirty_ &&
+                               at.job_->stored_standing_ == at.job_->standing_;
+            if (ended && state.phase_ == task_phase::placed)
+            {
+                release(task, at, now);
+                continue;
+            }
+            bool const wanted = ended || state.phase_ == task_phase::stopping ||
+                                (state.phase_ == task_phase::unsettled &&
+                                 state.stop_sent_ != time_point{});
+            if (wanted && !state.stop_accepted_ &&
+                now - state.stop_sent_ >= options_.repeat_gap_)
+            {
+                if (state.phase_ == task_phase::running)
+                {
+                    state.phase_ = task_phase::stopping;
+                }
+                state.stop_sent_ = now;
+                stop(worker, task, state.run_,
+                     ended ? "job_ended" : "not_wanted_there");
+            }
+        }
+        if (now - worker.strays_stopped_ >= options_.repeat_gap_)
+        {
+            worker.strays_stopped_ = now;
+            for (auto const& stray : worker.strays_)
+            {
+                stop(worker, stray.first, stray.second, "stray_run");
+            }
+        }
+    }
+}
+
+void cell::drop_lapsed(time_point now)
+{
+    for (auto place = workers_.begin(); place != workers_.end();)
+    {
+        auto& worker = place->second;
+        bool const silent = worker.silent_renewals_ > 0 ||
+                            worker.entry_.address_.empty() || worker.gone_;
+        if (silent && now > worker.lapses_ && !worker.tasks_.empty() &&
+            worker.answered_ <= worker.lapses_)
+        {
+            end_life(worker, "lease_lapsed", now);
+        }
+        bool const finished = worker.gone_ && worker.tasks_.empty() &&
+                              now > worker.lapses_ && !worker.renewal_out_;
+        place = finished ? workers_.erase(place) : std::next(place);
+    }
+}
+
+void cell::stop_stalled(time_point now)
+{
+    for (auto& item : workers_)
+    {
+        auto& worker = item.second;
+        auto const tasks = worker.tasks_;
+        for (auto const& task : tasks)
+        {
+            auto const at = find(task);
+            if (!at || at.task_->phase_ != task_phase::running ||
+                at.shape_->lasting_ || at.shape_->gang_)
+            {
+                continue;
+            }
+            auto const limit =
+                std::max(options_.stall_floor_,
+                         std::chrono::duration_cast<duration>(
+                             run_times_.expect(at.job_->route_, *at.shape_) *
+                             options_.stall_share_));
+            bool const stalled = worker.answered_ - at.task_->advanced_ > limit;
+            if (stalled)
+            {
+                note("run_stalled", describe(task), item.first);
+                strike(worker, now);
+                at.task_->phase_ = task_phase::stopping;
+            }
+        }
+    }
+}
+
+bool cell::is_at_work(task_state const& task) const
+{
+    auto const worker = workers_.find(task.worker_);
+    return task.phase_ == task_phase::running &&
+           task.away_since_ == time_point{} && worker != workers_.end() &&
+           worker->second.silent_renewals_ == 0;
+}
+
+void cell::leave_draining(time_point now)
+{
+    for (auto& item : workers_)
+    {
+        auto& worker = item.second;
+        if (worker.entry_.draining_ && !worker.gone_)
+        {
+            evacuate(worker, now - worker.draining_since_ > evacuation_time,
+                     now);
+        }
+    }
+}
+
+void cell::evacuate(vm_id const& vm, time_point now)
+{
+    for (auto& item : workers_)
+    {
+        if (item.second.entry_.vm_ == vm)
+        {
+            evacuate(item.second, false, now);
+        }
+    }
+}
+
+void cell::evacuate(worker_state& worker, bool all, time_point now)
+{
+    auto const tasks = worker.tasks_;
+    for (auto const& task : tasks)
+    {
+        auto const at = find(task);
+        if (!at || !at.shape_->lasting_ ||
+            at.task_->phase_ != task_phase::running)
+        {
+            continue;
+        }
+        std::uint32_t away = 0;
+        for (auto const& other : at.step_->tasks_)
+        {
+            away += is_at_work(other) ? 0 : 1;
+        }
+        bool const free = all || away < std::max<std::uint32_t>(
+                                            1, at.shape_->max_unavailable_);
+        if (free)
+        {
+            note("task_evacuated", describe(task), worker.entry_.id_);
+            at.task_->phase_ = task_phase::stopping;
+            at.task_->away_since_ = now;
+        }
+    }
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/node/cell_owner_orders.cpp
@@ -0,0 +1,201 @@
+#include "node/cell_owner.hpp"
+
+#include "node/node_clock.hpp"
+
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+using platform::append_outcome;
+
+/// Older knowledge of the configuration does not answer that a queue is not
+/// there.
+constexpr duration config_age_limit = std::chrono::milliseconds{1500};
+
+} // namespace
+
+void cell_owner::run_actions()
+{
+    for (auto const& action : cell_.take_actions())
+    {
+        std::visit([this](auto const& each) { run(each); }, action);
+    }
+    for (auto const& action : fleet_.take_actions())
+    {
+        std::visit([this](auto const& each) { run(each); }, action);
+    }
+}
+
+/// Looked at once more right before an order: the process may have been
+/// suspended since the order was decided.
+bool cell_owner::may_order_vms() const
+{
+    return node_now() - confirmed_ < fleet_plan_options{}.confirmation_limit_;
+}
+
+void cell_owner::run(list_vms const&)
+{
+    auto const asked = node_now();
+    parts_.machines_.list(
+        [self = shared_from_this(),
+         asked](std::optional<std::vector<listed_vm>> vms)
+        {
+            if (self->stopped_)
+            {
+                return;
+            }
+            vms ? self->fleet_.listed(std::move(*vms), asked, node_now())
+                : self->fleet_.list_failed(node_now());
+            self->pump_soon();
+        });
+}
+
+void cell_owner::run(maintain_vm const& action)
+{
+    if (!may_order_vms())
+    {
+        fleet_.maintained(action.vm_, action.wave_, vm_outcome::later,
+                          node_now());
+        return;
+    }
+    parts_.machines_.maintain(
+        action.vm_, action.wave_,
+        [self = shared_from_this(), action](vm_outcome outcome)
+        {
+            if (!self->stopped_)
+            {
+                self->fleet_.maintained(action.vm_, action.wave_, outcome,
+                                        node_now());
+                self->pump_soon();
+            }
+        });
+}
+
+void cell_owner::run(move_vm const& action)
+{
+    if (!may_order_vms())
+    {
+        fleet_.moved(action.vm_, vm_outcome::later, node_now());
+        return;
+    }
+    parts_.machines_.move(
+        action.vm_, action.pool_,
+        [self = shared_from_this(), action](vm_outcome outcome)
+        {
+            if (!self->stopped_)
+            {
+                self->fleet_.moved(action.vm_, outcome, node_now());
+                self->pump_soon();
+            }
+        });
+}
+
+void cell_owner::run(report_wave const& action)
+{
+    parts_.store_.write_wave_status(
+        action.wave_, action.completed_,
+        [self = shared_from_this(),
+         action](platform::append_result const& result)
+        {
+            if (!self->stopped_)
+            {
+                self->fleet_.reported(action.wave_, result.outcome_ ==
+                                                        append_outcome::stored);
+            }
+        });
+}
+
+void cell_owner::run(answer_client const& action)
+{
+    auto const found = exchanges_.find(action.exchange_);
+    if (found != exchanges_.end())
+    {
+        auto const done = std::move(found->second);
+        exchanges_.erase(found);
+        auto answer = action.answer_;
+        // What an owner without a fresh epoch does not know may be known to
+        // the next one.
+        bool const stale = node_now() - confirmed_ > config_age_limit;
+        if (stale && answer.kind_ == answer_kind::no_such_job)
+        {
+            answer = refuse(answer_kind::unavailable, "epoch_unconfirmed");
+        }
+        done(std::move(answer));
+    }
+}
+
+void cell_owner::run(start_run const& action)
+{
+    auto const sent = node_now();
+    parts_.workers_.start(
+        action,
+        [self = shared_from_this(), worker = action.worker_,
+         task = action.task_, run = action.run_, sent](call_outcome outcome)
+        {
+            if (!self->stopped_)
+            {
+                auto const now = node_now();
+                self->parts_.metrics_.observe("cuminfold_start_call",
+                                              now - sent);
+                self->cell_.start_answered(worker, task, run, outcome, now);
+                self->pump_soon();
+            }
+        });
+}
+
+void cell_owner::run(stop_run const& action)
+{
+    parts_.log_.write("run_stopped",
+                      {{"task", describe(action.task_)},
+                       {"run", std::to_string(action.run_)},
+                       {"worker", action.worker_},
+                       {"cause", action.why_}},
+                      node_now());
+    parts_.workers_.stop(action,
+                         [self = shared_from_this(), worker = action.worker_,
+                          task = action.task_,
+                          run = action.run_](call_outcome outcome)
+                         {
+                             if (!self->stopped_)
+                             {
+                                 self->cell_.stop_answered(worker, task, run,
+                                                           outcome, node_now());
+                                 self->pump_soon();
+                             }
+                         });
+}
+
+void cell_owner::run(renew_worker const& action)
+{
+    parts_.workers_.renew(
+        action,
+        [self = shared_from_this(), worker = action.worker_,
+         extra = action.extra_,
+         sent = node_now()](call_outcome outcome, worker_report const& report)
+        {
+            if (!self->stopped_)
+            {
+                self->cell_.renewal_answered(worker, extra, outcome, report,
+                                             sent, node_now());
+                self->pump_soon();
+            }
+        });
+}
+
+void cell_owner::run(pace_run const& action)
+{
+    parts_.workers_.pace(action, [](call_outcome) {});
+}
+
+void cell_owner::run(note_decision const& action)
+{
+    parts_.log_.write(action.event_,
+                      {{"subject", action.subject_}, {"cause", action.why_}},
+                      node_now());
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/node/cell_owner_store.cpp
@@ -0,0 +1,320 @@
+#include "node/cell_owner.hpp"
+
+#include "node/node_clock.hpp"
+#include "wire/cell_codec.hpp"
+#include "wire/decode_error.hpp"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+using platform::append_outcome;
+using platform::store_topic;
+
+constexpr duration load_retry = std::chrono::milliseconds{150};
+constexpr duration first_batch_pause = std::chrono::milliseconds{10};
+constexpr duration longest_batch_pause = std::chrono::milliseconds{400};
+/// An idle owner confirms its epoch this often.
+constexpr duration confirm_interval = std::chrono::milliseconds{500};
+constexpr duration beat_interval = std::chrono::milliseconds{300};
+/// Keys in the cell's partition.
+constexpr char const* job_prefix = "j";
+constexpr char const* progress_prefix = "p";
+constexpr char const* vm_order_prefix = "v";
+constexpr char const* wave_prefix = "w";
+constexpr char const* owner_key = "owner";
+
+char const* key_prefix(record_kind kind)
+{
+    switch (kind)
+    {
+    case record_kind::request:
+        return job_prefix;
+    case record_kind::progress:
+        return progress_prefix;
+    case record_kind::vm_order:
+        return vm_order_prefix;
+    case record_kind::wave:
+        return wave_prefix;
+    }
+    return progress_prefix;
+}
+
+} // namespace
+
+void cell_owner::load()
+{
+    parts_.store_.read_newest(
+        store_topic::cell,
+        [self = shared_from_this()](
+            std::optional<platform::topic_content> const& content)
+        {
+            if (self->stopped_)
+            {
+                return;
+            }
+            if (content)
+            {
+                self->take_content(*content);
+                return;
+            }
+            auto const timer = std::make_shared<boost::asio::steady_timer>(
+                self->parts_.context_, load_retry);
+            timer->async_wait(
+                [self, timer](boost::system::error_code error)
+                {
+                    if (!error && !self->stopped_)
+                    {
+                        self->load();
+                    }
+                });
+        });
+}
+
+void cell_owner::take_content(platform::topic_content const& content)
+{
+    auto const now = node_now();
+    std::map<std::string, std::string> progress;
+    std::size_t jobs = 0;
+    for (auto const& record : content.records_)
+    {
+        auto const id = record.key_.substr(1);
+        if (!record.value_ || record.value_->empty())
+        {
+            continue;
+        }
+        try
+        {
+            if (record.key_.rfind(job_prefix, 0) == 0)
+            {
+                cell_.restore(decode_job(*record.value_), now);
+                ++jobs;
+            }
+            else if (record.key_.rfind(progress_prefix, 0) == 0)
+            {
+                progress[id] = *record.value_;
+            }
+            else if (record.key_.rfind(vm_order_prefix, 0) == 0)
+            {
+                fleet_.restore_order(vm_id{id}, now);
+            }
+            else if (record.key_.rfind(wave_prefix, 0) == 0)
+            {
+                fleet_.restore_wave(std::stoll(id), *record.value_);
+            }
+        }
+        catch (std::exception const& error)
+        {
+            parts_.log_.write("record_skipped",
+                              {{"key", record.key_}, {"error", error.what()}},
+                              now);
+        }
+    }
+    for (auto const& item : progress)
+    {
+        try
+        {
+            cell_.restore(job_id{item.first}, decode_progress(item.second),
+                          now);
+        }
+        catch (decode_error const& error)
+        {
+            parts_.log_.write("record_skipped",
+                              {{"key", item.first}, {"error", error.what()}},
+                              now);
+        }
+    }
+    parts_.log_.write("cell_loaded",
+                      {{"epoch", std::to_string(record_.epoch_)},
+                       {"open_jobs", std::to_string(jobs)},
+                       {"records", std::to_string(content.records_.size())}},
+                      now);
+    content_ready_ = true;
+    follower_->start();
+    begin_if_ready();
+}
+
+void cell_owner::append_batch()
+{
+    if (batch_out_)
+    {
+        return;
+    }
+    auto const batch = cell_.next_batch(node_now());
+    if (!batch)
+    {
+        return;
+    }
+    batch_ = {};
+    batch_.topic_ = store_topic::cell;
+    batch_.epoch_ = record_.epoch_;
+    batch_.sequence_ = ++sequence_;
+    for (auto const& record : batch->records_)
+    {
+        platform::keyed_record out;
+        out.key_ = key_prefix(record.kind_) + record.name_;
+        if (record.request_)
+        {
+            out.value_ = encode_job(*record.request_);
+        }
+        else if (record.progress_)
+        {
+            out.value_ = encode_progress(*record.progress_);
+        }
+        else if (record.text_)
+        {
+            out.value_ = *record.text_;
+        }
+        batch_.records_.push_back(std::move(out));
+    }
+    batch_out_ = true;
+    batch_pause_ = first_batch_pause;
+    send_batch();
+}
+
+void cell_owner::send_batch()
+{
+    auto const sent = node_now();
+    parts_.store_.append(
+        batch_, append_clock_.timeout(),
+        [self = shared_from_this(), sent](platform::append_result const& result)
+        {
+            if (!self->stopped_)
+            {
+                self->on_batch(result, sent);
+            }
+        });
+}
+
+void cell_owner::on_batch(platform::append_result const& result,
+                          time_point sent)
+{
+    auto const now = node_now();
+    parts_.metrics_.observe("cuminfold_append", now - sent);
+    if (result.outcome_ == append_outcome::unanswered)
+    {
+        append_clock_.unanswered();
+    }
+    if (result.outcome_ == append_outcome::stored)
+    {
+        append_clock_.answered(now - sent);
+        batch_out_ = false;
+        confirmed_ = sent;
+        cell_.confirmed(sent);
+        next_confirm_ = now + confirm_interval;
+        cell_.batch_stored(now);
+        pump();
+        return;
+    }
+    check_fenced(result);
+    if (stopped_)
+    {
+        return;
+    }
+    parts_.log_.write("append_repeated",
+                      {{"sequence", std::to_string(batch_.sequence_)},
+                       {"cause", result.detail_}},
+                      now);
+    auto const timer = std::make_shared<boost::asio::steady_timer>(
+        parts_.context_, batch_pause_);
+    batch_pause_ = std::min(batch_pause_ * 2, longest_batch_pause);
+    timer->async_wait(
+        [self = shared_from_this(), timer](boost::system::error_code error)
+        {
+            if (!error && !self->stopped_)
+            {
+                self->send_batch();
+            }
+        });
+}
+
+void cell_owner::check_fenced(platform::append_result const& result)
+{
+    if (result.outcome_ == append_outcome::fenced)
+    {
+        lose("fenced");
+    }
+    else if (result.outcome_ == append_outcome::out_of_sequence)
+    {
+        lose("out_of_sequence");
+    }
+}
+
+void cell_owner::confirm()
+{
+    auto const now = node_now();
+    if (confirm_out_ || batch_out_ || now < next_confirm_)
+    {
+        return;
+    }
+    confirm_out_ = true;
+    platform::append_call call;
+    call.topic_ = store_topic::cell;
+    call.epoch_ = record_.epoch_;
+    parts_.store_.append(
+        call, append_clock_.timeout(),
+        [self = shared_from_this(), now](platform::append_result const& result)
+        {
+            self->confirm_out_ = false;
+            if (self->stopped_)
+            {
+                return;
+            }
+            self->next_confirm_ = node_now() + confirm_interval / 2;
+            if (result.outcome_ == append_outcome::unanswered)
+            {
+                self->append_clock_.unanswered();
+                self->next_confirm_ = node_now();
+            }
+            if (result.outcome_ == append_outcome::stored)
+            {
+                self->append_clock_.answered(node_now() - now);
+                self->next_confirm_ = node_now() + confirm_interval;
+                self->confirmed_ = now;
+                self->cell_.confirmed(now);
+            }
+            self->check_fenced(result);
+        });
+}
+
+void cell_owner::beat()
+{
+    auto const now = node_now();
+    if (beat_out_ || now < next_beat_)
+    {
+        return;
+    }
+    beat_out_ = true;
+    next_beat_ = now + beat_interval;
+    platform::append_call call;
+    call.topic_ = store_topic::owner;
+    call.epoch_ = record_.epoch_;
+    call.sequence_ = beat_sequence_ + 1;
+    owner_record record = record_;
+    ++record.beat_;
+    call.records_.push_back({owner_key, encode_owner(record)});
+    parts_.store_.append(
+        call, append_clock_.timeout(),
+        [self = shared_from_this()](platform::append_result const& result)
+        {
+            self->beat_out_ = false;
+            if (self->stopped_)
+            {
+                return;
+            }
+            if (result.outcome_ == append_outcome::stored)
+            {
+                ++self->beat_sequence_;
+                ++self->record_.beat_;
+            }
+            self->check_fenced(result);
+        });
+}
+
+} // namespace cuminfold
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -4,6 +4,7 @@
 #include "kernel/cell/ownership.hpp"
 #include "node/cell_owner.hpp"
 #include "node/config_follower.hpp"
+#include "node/file_watch.hpp"
 #include "node/front.hpp"
 #include "node/node_clock.hpp"
 #include "node/node_settings_file.hpp"
@@ -19,8 +20,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <sys/stat.h>
-
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -56,7 +55,8 @@
 public:
     node_server(node_settings settings, std::string settings_path)
         : settings_(std::move(settings)),
-          settings_path_(std::move(settings_path)), log_(metrics_),
+          settings_path_(std::move(settings_path)),
+          settings_file_(settings_path_), log_(metrics_),
           http_(context_, client_limits()),
           store_(http_, settings_.store_address_, settings_.store_timeout_),
           workers_(http_, settings_.worker_timeout_),
@@ -239,7 +239,10 @@
         if (now >= next_settings_check_)
         {
             next_settings_check_ = now + settings_check;
-            check_settings();
+            if (settings_file_.has_changed())
+            {
+                reload();
+            }
             if (!registered_ && now - began_ > settings_check)
             {
                 register_node();
@@ -415,26 +418,6 @@
             });
     }
 
-    /// The settings file may change without a signal, too.
-    void check_settings()
-    {
-        struct stat state
-        {
-        };
-        if (stat(settings_path_.c_str(), &state) != 0)
-        {
-            return;
-        }
-        auto const stamp = std::make_pair(state.st_mtim.tv_sec * 1'000'000'000 +
-                                              state.st_mtim.tv_nsec,
-                                          static_cast<long>(state.st_size));
-        if (settings_stamp_ && *settings_stamp_ != stamp)
-        {
-            reload();
-        }
-        settings_stamp_ = stamp;
-    }
-
     void reload()
     {
         try
@@ -489,6 +472,7 @@
 
     node_settings settings_;
     std::string settings_path_;
+    file_watch settings_file_;
     boost::asio::io_context context_{1};
     metrics metrics_;
     decision_log log_;
@@ -510,7 +494,6 @@
     boost::asio::signal_set signals_;
     time_point began_ = node_now();
     time_point next_settings_check_{};
-    std::optional<std::pair<long, long>> settings_stamp_;
     std::uint64_t seen_epoch_ = 0;
     bool registered_ = false;
     bool leaving_ = false;
