--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -70,6 +70,8 @@
     state.used_ += need;
     state.tasks_.insert(task);
     state.lasting_tasks_ += at.shape_->lasting_ ? 1 : 0;
+    state.fillers_ += at.shape_->filler_ ? 1 : 0;
+    state.bounded_tasks_ += at.shape_->tail_target_ > duration{0} ? 1 : 0;
 }
 
 void cell::release(task_id const& task, task_place const& at, time_point now)
@@ -81,6 +83,9 @@
         need.cpu_milli_ = at.shape_->filler_ ? 0 : need.cpu_milli_;
         found->second.used_ -= need;
         found->second.lasting_tasks_ -= at.shape_->lasting_ ? 1 : 0;
+        found->second.fillers_ -= at.shape_->filler_ ? 1 : 0;
+        found->second.bounded_tasks_ -=
+            at.shape_->tail_target_ > duration{0} ? 1 : 0;
     }
     at.task_->worker_.clear();
     at.task_->phase_ = task_phase::waiting;
--- a/source/kernel/cell/placement_rule.cpp
+++ b/source/kernel/cell/placement_rule.cpp
@@ -63,7 +63,15 @@
     return need.fits(view.worker_.entry_.size_);
 }
 
-constexpr std::array<placement_rule, 9> rules = {{
+/// What fills unused time would lengthen the tail of a task beside it.
+bool does_no_harm(placement_view const& view)
+{
+    bool const bounded = view.shape_.tail_target_ > duration{0};
+    return !(view.shape_.filler_ && view.worker_.bounded_tasks_ > 0) &&
+           !(bounded && view.worker_.fillers_ > 0);
+}
+
+constexpr std::array<placement_rule, 10> rules = {{
     {"worker_gone", is_listed},
     {"worker_not_fenced", is_fenced},
     {"worker_leaving", stays},
@@ -72,6 +80,7 @@
     {"label_missing", has_label},
     {"anti_affinity", keeps_apart},
     {"stray_run", has_no_strays},
+    {"disturbance", does_no_harm},
     {"no_room", has_room},
 }};
 
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -124,6 +124,9 @@
     resource_amount used_;
     std::set<task_id> tasks_;
     std::uint32_t lasting_tasks_ = 0;
+    /// Tasks that fill unused time, and tasks with a bound on their tail.
+    std::uint32_t fillers_ = 0;
+    std::uint32_t bounded_tasks_ = 0;
     /// Runs there that no job asks for any more; they hold room till they end.
     std::map<task_id, std::uint32_t> strays_;
     time_point strays_stopped_{};
--- /dev/null
+++ b/tests/kernel/cell/placement_rule_test.cpp
@@ -0,0 +1,98 @@
+#include "kernel/cell/placement_rule.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace cuminfold;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+worker_state make_worker()
+{
+    worker_state worker;
+    worker.fenced_ = true;
+    worker.entry_.size_ = {16'000, 65'536, 1};
+    worker.entry_.labels_ = {"kind", "rack"};
+    return worker;
+}
+
+struct rule_case
+{
+    char const* broken_; ///< null: the task may go there
+    void (*change_)(worker_state&, job_step&);
+};
+
+rule_case const cases[] = {
+    {nullptr, [](worker_state&, job_step&) {}},
+    {"worker_gone", [](worker_state& w, job_step&) { w.gone_ = true; }},
+    {"worker_not_fenced",
+     [](worker_state& w, job_step&) { w.fenced_ = false; }},
+    {"worker_leaving",
+     [](worker_state& w, job_step&) { w.entry_.draining_ = true; }},
+    {"worker_leaving", [](worker_state& w, job_step&) { w.reserved_ = true; }},
+    {"worker_silent",
+     [](worker_state& w, job_step&) { w.silent_renewals_ = 1; }},
+    {"worker_failing",
+     [](worker_state& w, job_step&) { w.avoided_until_ = time_point{20s}; }},
+    {"label_missing", [](worker_state&, job_step& s) { s.label_ = "other"; }},
+    {nullptr, [](worker_state&, job_step& s) { s.label_ = "kind"; }},
+    {"anti_affinity", [](worker_state&, job_step& s) { s.per_worker_ = 1; }},
+    {"stray_run", [](worker_state& w, job_step&) { w.strays_[task_id{}] = 1; }},
+    {"disturbance",
+     [](worker_state& w, job_step& s)
+     {
+         w.bounded_tasks_ = 1;
+         s.filler_ = true;
+     }},
+    {"disturbance",
+     [](worker_state& w, job_step& s)
+     {
+         w.fillers_ = 1;
+         s.tail_target_ = 50ms;
+     }},
+    {"no_room",
+     [](worker_state& w, job_step& s)
+     {
+         w.used_.cpu_milli_ = 15'500;
+         s.each_.cpu_milli_ = 600;
+     }},
+    {"no_room",
+     [](worker_state&, job_step& s) { s.each_.memory_mb_ = 70'000; }},
+    {"no_room", [](worker_state&, job_step& s) { s.each_.accelerators_ = 2; }},
+    {nullptr,
+     [](worker_state& w, job_step& s)
+     {
+         w.used_.cpu_milli_ = 16'000;
+         s.each_.cpu_milli_ = 4000;
+         s.filler_ = true;
+     }},
+};
+
+} // namespace
+
+TEST_CASE("each rule of placement keeps a task off a worker by its name")
+{
+    for (auto const& each : cases)
+    {
+        auto worker = make_worker();
+        job_step step;
+        each.change_(worker, step);
+        auto const* const rule =
+            broken_rule({worker, step, 1, time_point{10s}});
+        CHECK(std::string(rule == nullptr ? "" : rule->reason_) ==
+              (each.broken_ == nullptr ? "" : each.broken_));
+    }
+}
+
+TEST_CASE("a worker that holds lasting tasks fills up before an empty one")
+{
+    auto holder = make_worker();
+    holder.lasting_tasks_ = 1;
+    auto const empty = make_worker();
+    job_step const step;
+    CHECK(placement_score({holder, step, 0, {}}) >
+          placement_score({empty, step, 0, {}}));
+}
