--- a/source/transport/http_client.cpp
+++ b/source/transport/http_client.cpp
@@ -47,6 +47,12 @@
     return error == asio::error::would_block;
 }
 
+void reset_on_close(beast::tcp_stream& stream, bool reset)
+{
+    beast::error_code ignored;
+    stream.socket().set_option(tcp::socket::linger(reset, 0), ignored);
+}
+
 std::string to_lower(std::string text)
 {
     for (auto& c : text)
@@ -198,9 +204,6 @@
             return;
         }
         open->stream_->socket().set_option(tcp::no_delay(true), error);
-        // Closed by a reset, also by the stream's own timer: a call that is
-        // given up must not be delivered later.
-        open->stream_->socket().set_option(tcp::socket::linger(true, 0), error);
         write(open);
     }
 
@@ -211,6 +214,9 @@
             end_later(open, http_end::not_sent);
             return;
         }
+        // Closed by a reset while it carries a call, also by the stream's own
+        // timer: a call that is given up must not be delivered later.
+        reset_on_close(*open->stream_, true);
         auto& request = open->request_;
         request.method_string(open->call_.method_);
         request.target(open->call_.target_);
@@ -390,6 +396,7 @@
         if (kept.size() + used < limits_.connections_)
         {
             stream->expires_never();
+            reset_on_close(*stream, false);
             kept.push_back({std::move(stream), clock::now()});
         }
         sweep_later();
