--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -20,6 +20,16 @@
 /// A worker that did not answer is asked again after this.
 constexpr duration silent_gap = std::chrono::milliseconds{150};
 
+/// An order that only asks the worker, and acknowledges what was recorded.
+renew_worker make_look(worker_state const& worker)
+{
+    renew_worker order;
+    order.worker_ = worker.entry_.id_;
+    order.address_ = worker.entry_.address_;
+    order.acknowledge_ = worker.recorded_;
+    return order;
+}
+
 } // namespace
 
 worker_clock cell::lease_for(worker_state& worker, time_point now)
@@ -67,10 +77,7 @@
     if (overdue)
     {
         worker.looked_ = true;
-        renew_worker order;
-        order.worker_ = worker.entry_.id_;
-        order.address_ = worker.entry_.address_;
-        order.acknowledge_ = worker.recorded_;
+        auto order = make_look(worker);
         order.extra_ = true;
         actions_.emplace_back(std::move(order));
     }
@@ -91,10 +98,7 @@
             look_for_overdue(worker, now);
             continue;
         }
-        renew_worker order;
-        order.worker_ = item.first;
-        order.address_ = worker.entry_.address_;
-        order.acknowledge_ = worker.recorded_;
+        auto order = make_look(worker);
         bool const settled = std::none_of(
             worker.tasks_.begin(), worker.tasks_.end(),
             [&](task_id const& task)
@@ -103,17 +107,14 @@
                 return at && (at.task_->phase_ == task_phase::unsettled ||
                               at.task_->phase_ == task_phase::stopping);
             });
-        if (worker.fenced_)
+        // A renewal without an answer may have been carried out: a silent
+        // worker is only asked, so that its leases end.
+        if (worker.fenced_ && worker.silent_renewals_ == 0)
         {
-            // A renewal without an answer may have been carried out: a silent
-            // worker is only asked, so that its leases end.
-            if (worker.silent_renewals_ == 0)
-            {
-                order.lease_until_ = lease_for(worker, now);
-                order.wait_ = settled && !worker.tasks_.empty()
-                                  ? options_.renewal_wait_
-                                  : duration{0};
-            }
+            order.lease_until_ = lease_for(worker, now);
+            order.wait_ = settled && !worker.tasks_.empty()
+                              ? options_.renewal_wait_
+                              : duration{0};
         }
         worker.renewal_out_ = true;
         worker.looked_ = false;
