ownership: Let the node with the most processor time take over

On the grown sites 6 of 34 nodes have half a core and 28 have 0.12; the owner came from a hash of the names and was one of the small ones.

Nodes now register their processor time, and those with less wait for those with more. While nobody has ever owned the cell, nodes that begin together get 0.6 s to register.

--- a/source/config/section_reader.cpp
+++ b/source/config/section_reader.cpp
@@ -17,7 +17,8 @@
     return line < 0 ? 0 : static_cast<std::uint32_t>(line) + 1;
 }
 
-bool parse_number(std::string const& text, std::uint32_t& value)
+template <class Number>
+bool parse_number(std::string const& text, Number& value)
 {
     char const* const end = text.data() + text.size();
     auto const parsed = std::from_chars(text.data(), end, value);
@@ -106,6 +107,29 @@
     target = value;
 }
 
+void section_reader::read(std::string const& key, double& target, double least,
+                          double most)
+{
+    std::string text;
+    if (!scalar(key, text))
+    {
+        return;
+    }
+    double value = 0;
+    if (!parse_number(text, value))
+    {
+        fail(key, "expected a number, not '" + text + "'");
+        return;
+    }
+    if (!(value >= least && value <= most))
+    {
+        fail(key,
+             describe_range(text, std::to_string(least), std::to_string(most)));
+        return;
+    }
+    target = value;
+}
+
 void section_reader::read(std::string const& key, duration& target,
                           duration least, duration most)
 {
--- a/source/config/section_reader.hpp
+++ b/source/config/section_reader.hpp
@@ -56,6 +56,9 @@
               std::uint32_t least = 0,
               std::uint32_t most = std::numeric_limits<std::uint32_t>::max());
     /// Reads a time with its unit.
+    /// Reads a number that need not be whole.
+    void read(std::string const& key, double& target, double least,
+              double most);
     void read(std::string const& key, duration& target,
               duration least = duration::zero(),
               duration most = duration::max());
--- a/source/kernel/cell/owner_record.hpp
+++ b/source/kernel/cell/owner_record.hpp
@@ -25,6 +25,15 @@
     bool resigned_ = false;
 };
 
+/// What a node says of itself in the store.
+struct node_record
+{
+    /// Where its peers reach it, `IP:PORT`.
+    std::string address_;
+    /// Thousandths of a core that it may use.
+    std::int64_t cpu_milli_ = 0;
+};
+
 /// A node's answer to a health check of a peer.
 struct peer_ping
 {
--- a/source/kernel/cell/ownership.cpp
+++ b/source/kernel/cell/ownership.cpp
@@ -16,7 +16,7 @@
 constexpr unsigned unique_bits = 32;
 constexpr std::uint64_t unique_mask = (1ULL << unique_bits) - 1;
 /// Nodes of higher ranks wait no longer than this one.
-constexpr std::uint64_t last_rank = 8;
+constexpr std::int64_t last_rank = 8;
 
 } // namespace
 
@@ -128,34 +128,46 @@
     }
 }
 
-std::uint64_t ownership::rank_among(std::set<std::string> const& nodes) const
+duration
+ownership::turn_among(std::map<std::string, std::int64_t> const& nodes) const
 {
     auto const round = std::to_string(highest_);
     auto const own = rendezvous_weight(options_.node_, round);
-    std::uint64_t rank = 0;
+    std::int64_t rank = 0;
+    bool stronger = false;
     for (auto const& node : nodes)
     {
-        bool const ahead = node != options_.node_ && node != known_.node_ &&
-                           rendezvous_weight(node, round) > own;
-        rank += ahead ? 1 : 0;
+        if (node.first == options_.node_ || node.first == known_.node_)
+        {
+            continue;
+        }
+        bool const more = node.second > options_.cpu_milli_;
+        bool const first = node.second == options_.cpu_milli_ &&
+                           rendezvous_weight(node.first, round) > own;
+        stronger = stronger || more;
+        rank += more || first ? 1 : 0;
     }
-    return std::min(rank, last_rank);
+    // Nodes look at times of their own, so that neighbours may try together;
+    // a smaller one must not.
+    return options_.rank_delay_ * std::min(rank, last_rank) +
+           (stronger ? options_.read_interval_ : duration{0});
 }
 
 void ownership::record_read(std::optional<owner_record> const& record,
-                            std::set<std::string> const& nodes, time_point now)
+                            std::map<std::string, std::int64_t> const& nodes,
+                            time_point now)
 {
     read_ = {false, now + options_.read_interval_};
     if (!suspecting_)
     {
         return;
     }
-    auto const turn =
-        options_.rank_delay_ * static_cast<std::int64_t>(rank_among(nodes));
+    auto const turn = turn_among(nodes);
     if (!record)
     {
         // Nobody has ever owned it.
-        taking_ = !leaving_ && now - unchanged_since_ >= turn;
+        taking_ =
+            !leaving_ && now - unchanged_since_ >= options_.first_wait_ + turn;
         take_.due_ = now;
         return;
     }
--- a/source/kernel/cell/ownership.hpp
+++ b/source/kernel/cell/ownership.hpp
@@ -5,10 +5,9 @@
 #include "kernel/time.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
-#include <vector>
 
 namespace cuminfold
 {
@@ -19,6 +18,8 @@
     std::string address_;
     /// One life of the process.
     std::uint64_t life_ = 0;
+    /// Thousandths of a core that this node may use.
+    std::int64_t cpu_milli_ = 0;
     duration ping_interval_ = std::chrono::milliseconds{250};
     /// An owner that answers no ping for this long is suspected.
     duration patience_ = std::chrono::milliseconds{450};
@@ -31,6 +32,9 @@
     duration record_patience_ = std::chrono::milliseconds{900};
     /// A node of rank r waits r times this, so that one tries at a time.
     duration rank_delay_ = std::chrono::milliseconds{150};
+    /// While nobody has ever owned the cell, nodes that begin together get
+    /// this long to register.
+    duration first_wait_ = std::chrono::milliseconds{600};
     /// Without a sign of the owner for this long it cannot be reached.
     duration contact_limit_ = std::chrono::milliseconds{1300};
 };
@@ -63,9 +67,11 @@
     /// @{
     void ping_answered(peer_ping const& answer, time_point now);
     void ping_failed(time_point now);
-    /// @param nodes names of all nodes that registered
+    /// @param nodes all nodes that registered, by name, and the thousandths of
+    /// a core that each may use
     void record_read(std::optional<owner_record> const& record,
-                     std::set<std::string> const& nodes, time_point now);
+                     std::map<std::string, std::int64_t> const& nodes,
+                     time_point now);
     void record_unreadable(time_point now);
     void took_over(time_point now);
     /// @param fenced a higher epoch than ours was seen
@@ -103,7 +109,9 @@
 
     void follow(owner_record const& record, time_point now);
     void suspect(time_point now);
-    std::uint64_t rank_among(std::set<std::string> const& nodes) const;
+    /// How long this node waits for those that should rather take over. Nodes
+    /// with more processor time go first: an owner needs most of it.
+    duration turn_among(std::map<std::string, std::int64_t> const& nodes) const;
     owner_epoch next_epoch() const;
 
     ownership_options options_;
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -23,9 +23,9 @@
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <utility>
 
 namespace cuminfold
@@ -101,6 +101,7 @@
         options.node_ = settings_.name_;
         options.address_ = settings_.peers_address_;
         options.life_ = life_;
+        options.cpu_milli_ = settings_.cpu_milli();
         return options;
     }
 
@@ -211,7 +212,8 @@
         platform::append_call call;
         call.topic_ = platform::store_topic::owner;
         call.records_.push_back(
-            {node_prefix + settings_.name_, settings_.peers_address_});
+            {node_prefix + settings_.name_,
+             encode_node({settings_.peers_address_, settings_.cpu_milli()})});
         store_.append(call, duration{0},
                       [this](platform::append_result const& result) {
                           registered_ = result.outcome_ ==
@@ -295,17 +297,25 @@
                     return;
                 }
                 std::optional<owner_record> record;
-                std::set<std::string> nodes;
+                std::map<std::string, std::int64_t> nodes;
                 for (auto const& each : content->records_)
                 {
+                    if (!each.value_)
+                    {
+                        continue;
+                    }
                     if (each.key_.rfind(node_prefix, 0) == 0)
                     {
-                        nodes.insert(
-                            each.key_.substr(std::string(node_prefix).size()));
+                        auto const node =
+                            decode<node_record>(*each.value_, decode_node);
+                        nodes[each.key_.substr(
+                            std::string(node_prefix).size())] =
+                            node ? node->cpu_milli_ : 0;
                     }
-                    else if (each.key_ == owner_key && each.value_)
+                    else if (each.key_ == owner_key)
                     {
-                        record = decode(*each.value_);
+                        record =
+                            decode<owner_record>(*each.value_, decode_owner);
                     }
                 }
                 ownership_.record_read(record, nodes, node_now());
@@ -313,15 +323,17 @@
             });
     }
 
-    static std::optional<owner_record> decode(std::string const& bytes)
+    template <class Record>
+    static std::optional<Record> decode(std::string const& bytes,
+                                        Record (*read)(std::string const&))
     {
         try
         {
-            return decode_owner(bytes);
+            return read(bytes);
         }
         catch (decode_error const& error)
         {
-            write_log(log_level::warning, "owner_record_unreadable",
+            write_log(log_level::warning, "node_record_unreadable",
                       {{"error", error.what()}});
             return std::nullopt;
         }
--- a/source/node/node_settings.hpp
+++ b/source/node/node_settings.hpp
@@ -22,6 +22,10 @@
     std::string peers_address_;   ///< `IP:PORT` for other nodes
     std::string store_address_;
     std::string machines_address_;
+    /// The part of a core that the process gets, and how many times a core's
+    /// speed that core has.
+    double cpu_share_ = 1;
+    double cpu_speed_ = 1;
     log_settings log_;
     /// A call to the store that is not answered within this is given up.
     duration store_timeout_ = std::chrono::milliseconds{1500};
@@ -39,7 +43,13 @@
     duration vm_order_timeout_ = std::chrono::milliseconds{400};
     /// Two owners' orders for one VM keep this apart; from the platform.
     duration order_pause_ = std::chrono::milliseconds{3000};
-    duration maintenance_time_ = std::chrono::milliseconds{2000};
+
+    /// Thousandths of a core.
+    std::int64_t cpu_milli() const noexcept
+    {
+        constexpr double milli = 1000;
+        return static_cast<std::int64_t>(cpu_share_ * cpu_speed_ * milli);
+    }
 };
 
 } // namespace cuminfold
--- a/source/node/node_settings_file.cpp
+++ b/source/node/node_settings_file.cpp
@@ -12,6 +12,7 @@
 {
     constexpr duration shortest = std::chrono::milliseconds{1};
     constexpr duration longest = std::chrono::minutes{10};
+    constexpr double most_cores = 1000;
     read_log_settings(in, settings.log_);
     for (auto const* const key : {"name", "clients_address", "health_address",
                                   "peers_address", "store_address"})
@@ -33,8 +34,8 @@
     in.read("longest_lease", settings.longest_lease_, shortest, longest);
     in.read("vm_order_timeout", settings.vm_order_timeout_, shortest, longest);
     in.read("order_pause", settings.order_pause_, duration{0}, longest);
-    in.read("maintenance_time", settings.maintenance_time_, duration{0},
-            longest);
+    in.read("cpu_share", settings.cpu_share_, 0, most_cores);
+    in.read("cpu_speed", settings.cpu_speed_, 0, most_cores);
 }
 
 } // namespace
--- a/source/wire/cell_codec.cpp
+++ b/source/wire/cell_codec.cpp
@@ -54,6 +54,16 @@
     return from_bytes<owner_record>(bytes);
 }
 
+std::string encode_node(node_record const& node)
+{
+    return to_bytes(node);
+}
+
+node_record decode_node(std::string const& bytes)
+{
+    return from_bytes<node_record>(bytes);
+}
+
 std::string encode_call(client_call const& call)
 {
     return to_bytes(call);
--- a/source/wire/cell_codec.hpp
+++ b/source/wire/cell_codec.hpp
@@ -23,6 +23,9 @@
 std::string encode_owner(owner_record const& owner);
 owner_record decode_owner(std::string const& bytes);
 
+std::string encode_node(node_record const& node);
+node_record decode_node(std::string const& bytes);
+
 std::string encode_call(client_call const& call);
 client_call decode_call(std::string const& bytes);
 
--- a/source/wire/cell_fields.hpp
+++ b/source/wire/cell_fields.hpp
@@ -125,6 +125,13 @@
     v("t", x.tasks_);
 }
 
+template <class V>
+void fields(V& v, node_record& x)
+{
+    v("address", x.address_);
+    v("cpu", x.cpu_milli_);
+}
+
 template <class V>
 void fields(V& v, owner_record& x)
 {
