cell: Bound renewals a second and the pace of placement

With 300 workers an owner's core went to a renewal for nearly each end and to ordering all jobs anew at each of them. Renewals of one worker now keep further apart when many are busy (2,000 a second in all), and two placements 4 ms.

Ruled out: fewer workers in one pool's search, which is 5%.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -35,6 +35,10 @@
     duration renewal_wait_ = std::chrono::milliseconds{1500};
     /// Least time between two renewals of one worker, so that ends gather.
     duration renewal_gap_ = std::chrono::milliseconds{30};
+    /// Renewals a second of all workers together; with many busy workers the
+    /// gap grows to keep to it. Half a core carries about this many beside the
+    /// starts that come with them.
+    std::uint32_t renewal_rate_ = 2000;
     /// A stop without an acknowledgement is repeated after this.
     duration repeat_gap_ = std::chrono::milliseconds{150};
     /// Without a confirmation of its epoch an owner gives no orders for longer
@@ -42,12 +46,14 @@
     duration confirmation_limit_ = std::chrono::milliseconds{5000};
     /// The platform's bound on a lease; what an earlier owner gave.
     duration longest_lease_ = std::chrono::milliseconds{3000};
-    /// Time that ended jobs stay known.
+    /// A stop has taken effect after this.
+    duration stop_grace_ = std::chrono::milliseconds{600};
     /// A store that takes this long for a batch is taken for unreachable:
     /// nothing new is accepted.
     duration stall_time_ = std::chrono::milliseconds{700};
     /// A job cannot be stored in less time than this.
     duration least_time_ = std::chrono::milliseconds{50};
+    /// Time that ended jobs stay known.
     duration keep_ended_ = std::chrono::seconds{130};
     /// A task without progress for this share of its expected run time, and
     /// for no less than the floor, is stopped and tried elsewhere.
@@ -262,6 +268,7 @@
                       running_report const* report, time_point asked,
                       time_point now);
     void renew_due(time_point now);
+    duration renewal_gap() const;
     void look_for_overdue(time_point now);
     bool is_overdue(task_id const& task, time_point now);
     bool needs_renewal(worker_state const& worker) const;
@@ -273,7 +280,7 @@
     void drop_lapsed(time_point now);
     void evacuate(worker_state& worker, bool all, time_point now);
     void leave_draining(time_point now);
-    bool is_at_work(task_state const& task) const;
+    bool is_at_work(task_state const& task, time_point now) const;
     void stop_stalled(time_point now);
 
     // cell_placement.cpp
@@ -318,6 +325,7 @@
     bool placement_due_ = true;
     time_point next_cleanup_{};
     time_point next_review_{};
+    time_point next_placement_{};
 };
 
 } // namespace cuminfold
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -94,6 +94,16 @@
     }
 }
 
+duration cell::renewal_gap() const
+{
+    auto const busy = std::count_if(workers_.begin(), workers_.end(),
+                                    [](auto const& item)
+                                    { return !item.second.tasks_.empty(); });
+    constexpr duration second = std::chrono::seconds{1};
+    return std::max(options_.renewal_gap_,
+                    second * busy / options_.renewal_rate_);
+}
+
 void cell::renew_due(time_point now)
 {
     if (!may_order(now))
@@ -208,7 +218,7 @@
     }
     bool const settled = worker.strays_.empty();
     worker.next_renewal_ =
-        now + (settled ? options_.renewal_gap_ : options_.repeat_gap_);
+        now + (settled ? renewal_gap() : options_.repeat_gap_);
 }
 
 void cell::compare(worker_state& worker, worker_report const& report,
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -11,6 +11,8 @@
 /// Between two looks at all jobs and tasks. What such a look finds may wait
 /// this long; an owner ticks at each answer of a worker.
 constexpr duration review_gap = std::chrono::milliseconds{20};
+/// Between two placements: each orders all jobs anew.
+constexpr duration placement_gap = std::chrono::milliseconds{4};
 
 } // namespace
 
@@ -302,9 +304,10 @@
         next_review_ = now + review_gap;
         review(now, calendar);
     }
-    if (placement_due_)
+    if (placement_due_ && now >= next_placement_)
     {
         placement_due_ = false;
+        next_placement_ = now + placement_gap;
         place(now);
     }
     renew_due(now);
