cell: Ask a queue's policy service which workers may run a step

A queue with a policy had all its starts refused for want of a ticket, so that its jobs would never end. The owner now asks the service about up to 30 workers of a step that waits, four questions at a time, keeps the tickets until they expire and never asks again about a worker that was denied. The objective allows for one question a step.

A job also keeps its queue's bound on failed runs: without the queue in the configuration its first failure gave it up.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -9,6 +9,7 @@
 #include "kernel/cell/placement_rule.hpp"
 #include "kernel/cell/pool_plan.hpp"
 #include "kernel/cell/run_time_book.hpp"
+#include "kernel/cell/ticket_book.hpp"
 #include "kernel/cell/worker_state.hpp"
 #include "kernel/time.hpp"
 
@@ -104,6 +105,10 @@
     void renewal_answered(std::string const& worker, bool extra,
                           call_outcome outcome, worker_report const& report,
                           time_point sent, time_point now);
+    /// @param allowed none if there was no answer
+    void advice_answered(ask_advice const& question,
+                         std::optional<std::vector<ticket_row>> const& allowed,
+                         time_point sent, time_point now);
     /// @}
 
     /// @name Clients; each is answered once by an `answer_client`
@@ -292,8 +297,13 @@
                     std::uint32_t step, time_point now);
     bool place_gang(job_id const& id, job_state& job, std::uint32_t occurrence,
                     std::uint32_t step, time_point now);
-    worker_state* choose(job_state const& job, job_step const& shape,
-                         step_state const& step, time_point now);
+    worker_state* choose(step_id const& id, job_state const& job,
+                         time_point now);
+    advice_policy const* advice_for(job_state const& job) const;
+    /// Asks the policy service about some of these workers, if it may.
+    void ask_about(step_id const& id, advice_policy const& advice,
+                   std::vector<std::pair<double, std::string>> workers,
+                   time_point now);
     placement_view view_of(worker_state const& worker, job_step const& shape,
                            step_state const& step, time_point now) const;
     void assign(task_id const& task, task_place const& at, worker_state& worker,
@@ -304,6 +314,7 @@
     time_point confirmed_{};
     fleet_config config_;
     run_time_book run_times_;
+    ticket_book tickets_;
     demand_meter demand_;
     std::map<pool_name, std::uint32_t> incoming_;
     std::unordered_map<std::string, job_state> jobs_;
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -2,6 +2,7 @@
 #define CUMINFOLD_KERNEL_CELL_CELL_ACTION_HPP
 
 #include "kernel/cell/job_definition.hpp"
+#include "kernel/cell/ticket_book.hpp"
 #include "kernel/cell/worker_state.hpp"
 #include "kernel/time.hpp"
 
@@ -61,6 +62,8 @@
     std::shared_ptr<job_definition const> job_;
     worker_clock lease_until_{0};
     std::string checkpoint_;
+    /// From the queue's policy service; empty: the queue has none.
+    std::string ticket_;
 };
 
 struct stop_run
@@ -97,6 +100,15 @@
     std::uint32_t percent_ = 100;
 };
 
+/// Asks which of these workers the queue's policy lets run a step.
+struct ask_advice
+{
+    step_id step_;
+    std::vector<std::string> workers_;
+    /// What the service takes for it and for those that wait before it.
+    duration answer_time_{0};
+};
+
 /// A decision for the log.
 struct note_decision
 {
@@ -105,8 +117,9 @@
     std::string why_;
 };
 
-using cell_action = std::variant<answer_client, start_run, stop_run,
-                                 renew_worker, pace_run, note_decision>;
+using cell_action =
+    std::variant<answer_client, start_run, stop_run, renew_worker, pace_run,
+                 ask_advice, note_decision>;
 
 /// What a record of a cell's partition is about.
 enum class record_kind : std::uint8_t
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -14,6 +14,9 @@
 constexpr duration least_retry = std::chrono::milliseconds{200};
 constexpr duration longest_retry = std::chrono::seconds{5};
 
+/// Workers in the question to a policy service that an objective allows for.
+constexpr std::size_t usual_question = 30;
+
 double seconds(duration value)
 {
     return std::chrono::duration<double>(value).count();
@@ -87,7 +90,10 @@
         reply(exchange, refusal);
         return;
     }
-    auto const chain = run_times_.chain(request);
+    auto const advice = route.advice_
+                            ? route.advice_->answer_time(usual_question)
+                            : duration{0};
+    auto const chain = run_times_.chain(request, advice);
     // Counted from when the client first asked.
     auto const objective = from_seconds(seconds(chain) * route.stretch_) +
                            route.objective_ - already_waited;
@@ -97,6 +103,7 @@
         reply(exchange, refusal);
         return;
     }
+    request.max_attempts_ = route.max_attempts_;
     auto const name = request.id_.text();
     auto& job = jobs_[name];
     job.request_ = std::make_shared<job_definition const>(std::move(request));
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -17,6 +17,12 @@
 /// its objective: run times vary, and some jobs are faster than expected.
 constexpr std::int64_t late_chain_percent = 70;
 
+/// Workers in one question to a policy service: the platform counts one
+/// question of this size for each step.
+constexpr std::size_t workers_per_question = 30;
+/// Workers that are known to be allowed are asked about before others.
+constexpr double known_first = 1000;
+
 /// Order of a pool's jobs: on time before late, lasting ones first, then the
 /// earliest objective.
 auto order_of(job_state const& job, std::uint32_t priority, bool late)
@@ -133,7 +139,7 @@
             placement_due_ = true;
             continue;
         }
-        auto* const worker = choose(job, shape, state, now);
+        auto* const worker = choose({id, occurrence, step}, job, now);
         if (worker == nullptr)
         {
             whole = false;
@@ -169,7 +175,7 @@
     std::uint32_t placed = 0;
     for (; placed < state.tasks_.size(); ++placed)
     {
-        auto* const worker = choose(job, shape, state, now);
+        auto* const worker = choose({id, occurrence, step}, job, now);
         if (worker == nullptr)
         {
             break;
@@ -249,9 +255,43 @@
     return {worker, shape, same, now};
 }
 
-worker_state* cell::choose(job_state const& job, job_step const& shape,
-                           step_state const& step, time_point now)
+advice_policy const* cell::advice_for(job_state const& job) const
+{
+    auto const* const route = config_.find_name(job.route_);
+    return route != nullptr && route->advice_ ? &*route->advice_ : nullptr;
+}
+
+void cell::ask_about(step_id const& id, advice_policy const& advice,
+                     std::vector<std::pair<double, std::string>> workers,
+                     time_point now)
 {
+    if (workers.empty() || !tickets_.may_ask(id, now))
+    {
+        placement_due_ = placement_due_ || tickets_.paused(id, now);
+        return;
+    }
+    std::sort(workers.begin(), workers.end(),
+              [](auto const& a, auto const& b) { return a.first > b.first; });
+    ask_advice question;
+    question.step_ = id;
+    for (std::size_t i = 0; i < std::min(workers.size(), workers_per_question);
+         ++i)
+    {
+        question.workers_.push_back(std::move(workers[i].second));
+    }
+    question.answer_time_ = advice.answer_time(workers_per_question) *
+                            static_cast<std::int64_t>(ticket_book::most_out_);
+    tickets_.asked(id, question.workers_);
+    actions_.emplace_back(std::move(question));
+}
+
+worker_state* cell::choose(step_id const& id, job_state const& job,
+                           time_point now)
+{
+    auto const& shape = job.request_->steps_[id.step_];
+    auto const& step = job.occurrences_[id.occurrence_].steps_[id.step_];
+    auto const* const advice = advice_for(job);
+    std::vector<std::pair<double, std::string>> to_ask;
     worker_state* best = nullptr;
     double best_score = 0;
     for (auto const& name : pool_workers_[job.pool_])
@@ -267,12 +307,31 @@
             continue;
         }
         double const score = placement_score(view);
+        auto const ticket = advice == nullptr
+                                ? ticket_standing::allowed
+                                : tickets_.standing(id, name, now);
+        if (ticket != ticket_standing::allowed)
+        {
+            if (ticket == ticket_standing::expired)
+            {
+                to_ask.emplace_back(score + known_first, name);
+            }
+            else if (ticket == ticket_standing::unknown)
+            {
+                to_ask.emplace_back(score, name);
+            }
+            continue;
+        }
         if (best == nullptr || score > best_score)
         {
             best = &found->second;
             best_score = score;
         }
     }
+    if (best == nullptr && advice != nullptr)
+    {
+        ask_about(id, *advice, std::move(to_ask), now);
+    }
     return best;
 }
 
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -147,6 +147,7 @@
         effects.jobs_.push_back(id);
         if (job.ended())
         {
+            tickets_.forget(id);
             continue;
         }
         for (auto const& record : batch.records_.back().progress_->tasks_)
@@ -269,6 +270,16 @@
         return;
     }
     auto& worker = found->second;
+    step_id const step{task.job_, task.occurrence_, task.step_};
+    auto ticket = advice_for(*at.job_) == nullptr
+                      ? std::string()
+                      : tickets_.ticket(step, worker.entry_.id_, now);
+    if (ticket.empty() && advice_for(*at.job_) != nullptr)
+    {
+        note("ticket_expired", describe(task), worker.entry_.id_);
+        release(task, at, now);
+        return;
+    }
     at.task_->phase_ = task_phase::starting;
     at.task_->own_start_ = true;
     at.task_->started_ = now;
@@ -282,6 +293,7 @@
     order.job_ = at.job_->request_;
     order.lease_until_ = lease_for(worker, now);
     order.checkpoint_ = at.task_->checkpoint_;
+    order.ticket_ = std::move(ticket);
     actions_.emplace_back(std::move(order));
 }
 
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -135,7 +135,9 @@
 std::uint32_t cell::attempts_of(job_state const& job) const
 {
     auto const* const route = config_.find_name(job.route_);
-    return route == nullptr ? 1 : route->max_attempts_;
+    return route != nullptr ? route->max_attempts_
+           : job.request_   ? job.request_->max_attempts_
+                            : 1;
 }
 
 void cell::fail_job(job_state& job, std::string const& why, time_point now)
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -237,10 +237,12 @@
     case call_outcome::run_too_old:
     case call_outcome::too_late:
     case call_outcome::no_room:
-    case call_outcome::ticket_refused:
     case call_outcome::not_run:
         strike(worker, now);
         break;
+    case call_outcome::ticket_refused:
+        tickets_.refused({task.job_, task.occurrence_, task.step_}, name);
+        break;
     case call_outcome::not_sent:
         ++worker.silent_renewals_;
         worker.next_renewal_ = now;
@@ -254,6 +256,30 @@
     mark(*at.job_);
 }
 
+void cell::advice_answered(
+    ask_advice const& question,
+    std::optional<std::vector<ticket_row>> const& allowed, time_point sent,
+    time_point now)
+{
+    auto const job = jobs_.find(question.step_.job_.text());
+    auto const* const advice =
+        job == jobs_.end() ? nullptr : advice_for(job->second);
+    if (allowed)
+    {
+        tickets_.answered(question.step_, question.workers_, *allowed,
+                          advice == nullptr ? duration{0} : advice->validity_,
+                          sent);
+    }
+    else
+    {
+        tickets_.failed(question.step_, question.workers_, now);
+    }
+    note("advice", describe(question.step_),
+         "asked=" + std::to_string(question.workers_.size()) + " allowed=" +
+             (allowed ? std::to_string(allowed->size()) : "no_answer"));
+    placement_due_ = true;
+}
+
 void cell::stop_answered(std::string const& name, task_id const& task,
                          std::uint32_t run, call_outcome outcome,
                          time_point now)
--- a/source/kernel/cell/fleet_config.hpp
+++ b/source/kernel/cell/fleet_config.hpp
@@ -7,12 +7,30 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace cuminfold
 {
 
+/// A policy that lets only some workers run a step; a service knows which, and
+/// gives each a ticket.
+struct advice_policy
+{
+    /// What the service takes for a question, and more for each worker in it.
+    duration decision_time_{0};
+    duration time_per_worker_{0};
+    /// How long a ticket is accepted.
+    duration validity_{0};
+
+    duration answer_time(std::size_t workers) const noexcept
+    {
+        return decision_time_ +
+               time_per_worker_ * static_cast<std::int64_t>(workers);
+    }
+};
+
 /// A queue of jobs: how requests find it and what it promises.
 struct queue_route
 {
@@ -26,6 +44,7 @@
     double stretch_ = 1;
     /// ...and this much more.
     duration objective_{0};
+    std::optional<advice_policy> advice_;
 };
 
 /// What the operators configured for a pool.
--- a/source/kernel/cell/job_definition.hpp
+++ b/source/kernel/cell/job_definition.hpp
@@ -83,6 +83,9 @@
     std::string route_;
     /// The queue's pool when the job was accepted.
     pool_name pool_;
+    /// The queue's bound on runs of one task that fail, when the job was
+    /// accepted; it holds if the queue is no longer configured.
+    std::uint32_t max_attempts_ = 1;
     /// Handed to each task unchanged.
     std::string text_;
     std::vector<job_step> steps_;
@@ -119,6 +122,27 @@
            std::to_string(task.step_) + "." + std::to_string(task.index_);
 }
 
+/// Names one step of one occurrence of a job.
+struct step_id
+{
+    job_id job_;
+    std::uint32_t occurrence_ = 0;
+    std::uint32_t step_ = 0;
+
+    friend bool operator<(step_id const& a, step_id const& b)
+    {
+        return std::tie(a.job_, a.occurrence_, a.step_) <
+               std::tie(b.job_, b.occurrence_, b.step_);
+    }
+};
+
+/// A step's name for logs and for the platform: JOB.OCCURRENCE.STEP.
+inline std::string describe(step_id const& step)
+{
+    return step.job_.text() + "." + std::to_string(step.occurrence_) + "." +
+           std::to_string(step.step_);
+}
+
 /// How far a job is, as clients are told.
 enum class job_standing : std::uint8_t
 {
--- a/source/kernel/cell/run_time_book.cpp
+++ b/source/kernel/cell/run_time_book.cpp
@@ -46,7 +46,8 @@
         std::chrono::duration<double>(seconds(step.estimate_) * ratio));
 }
 
-duration run_time_book::chain(job_definition const& job) const
+duration run_time_book::chain(job_definition const& job,
+                              duration before_each) const
 {
     std::vector<duration> ends(job.steps_.size(), duration{0});
     duration longest{0};
@@ -57,9 +58,9 @@
         {
             begin = std::max(begin, before < i ? ends[before] : duration{0});
         }
-        ends[i] = begin + (job.steps_[i].lasting_
-                               ? duration{0}
-                               : expect(job.route_, job.steps_[i]));
+        ends[i] = begin + before_each +
+                  (job.steps_[i].lasting_ ? duration{0}
+                                          : expect(job.route_, job.steps_[i]));
         longest = std::max(longest, ends[i]);
     }
     return longest;
--- a/source/kernel/cell/run_time_book.hpp
+++ b/source/kernel/cell/run_time_book.hpp
@@ -22,7 +22,9 @@
     duration expect(std::string const& route, job_step const& step) const;
 
     /// The expected time of the job's longest chain of steps.
-    duration chain(job_definition const& job) const;
+    /// @param before_each what each step needs before it can begin
+    duration chain(job_definition const& job,
+                   duration before_each = duration{0}) const;
 
     /// The expected work of one task in worker-seconds.
     double task_work(std::string const& route, job_step const& step,
--- /dev/null
+++ b/source/kernel/cell/ticket_book.cpp
@@ -0,0 +1,151 @@
+#include "kernel/cell/ticket_book.hpp"
+
+#include <algorithm>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// After a question without an answer.
+constexpr duration failure_pause = std::chrono::milliseconds{200};
+/// A ticket is not used in the last part of its time: the start has yet to be
+/// stored and sent.
+constexpr duration start_margin = std::chrono::milliseconds{150};
+
+} // namespace
+
+ticket_book::row const* ticket_book::find(step_id const& step,
+                                          std::string const& worker) const
+{
+    auto const place = steps_.find(step);
+    if (place == steps_.end())
+    {
+        return nullptr;
+    }
+    auto const found = place->second.workers_.find(worker);
+    return found == place->second.workers_.end() ? nullptr : &found->second;
+}
+
+ticket_standing ticket_book::standing(step_id const& step,
+                                      std::string const& worker,
+                                      time_point now) const
+{
+    auto const* const known = find(step, worker);
+    if (known == nullptr)
+    {
+        return ticket_standing::unknown;
+    }
+    if (known->known_ && !known->allowed_)
+    {
+        return ticket_standing::denied;
+    }
+    if (known->known_ && now + start_margin < known->until_)
+    {
+        return ticket_standing::allowed;
+    }
+    return known->asked_   ? ticket_standing::asked
+           : known->known_ ? ticket_standing::expired
+                           : ticket_standing::unknown;
+}
+
+std::string ticket_book::ticket(step_id const& step, std::string const& worker,
+                                time_point now) const
+{
+    auto const* const known = find(step, worker);
+    return known != nullptr && known->allowed_ && now < known->until_
+               ? known->ticket_
+               : std::string();
+}
+
+bool ticket_book::may_ask(step_id const& step, time_point now) const
+{
+    auto const place = steps_.find(step);
+    bool const out = place != steps_.end() && place->second.out_;
+    return out_ < most_out_ && !out && !paused(step, now);
+}
+
+bool ticket_book::paused(step_id const& step, time_point now) const
+{
+    auto const place = steps_.find(step);
+    return place != steps_.end() && now < place->second.not_before_;
+}
+
+void ticket_book::asked(step_id const& step,
+                        std::vector<std::string> const& workers)
+{
+    auto& rows = steps_[step];
+    rows.out_ = true;
+    ++out_;
+    for (auto const& worker : workers)
+    {
+        rows.workers_[worker].asked_ = true;
+    }
+}
+
+void ticket_book::answered(step_id const& step,
+                           std::vector<std::string> const& workers,
+                           std::vector<ticket_row> const& allowed,
+                           duration validity, time_point sent)
+{
+    --out_;
+    auto const place = steps_.find(step);
+    if (place == steps_.end())
+    {
+        return;
+    }
+    place->second.out_ = false;
+    for (auto const& worker : workers)
+    {
+        auto& known = place->second.workers_[worker];
+        known.asked_ = false;
+        auto const found = std::find_if(allowed.begin(), allowed.end(),
+                                        [&](ticket_row const& each)
+                                        { return each.worker_ == worker; });
+        known.known_ = true;
+        known.allowed_ = found != allowed.end();
+        known.ticket_ = known.allowed_ ? found->ticket_ : std::string();
+        known.until_ = sent + validity;
+    }
+}
+
+void ticket_book::failed(step_id const& step,
+                         std::vector<std::string> const& workers,
+                         time_point now)
+{
+    --out_;
+    auto const place = steps_.find(step);
+    if (place == steps_.end())
+    {
+        return;
+    }
+    place->second.out_ = false;
+    place->second.not_before_ = now + failure_pause;
+    for (auto const& worker : workers)
+    {
+        place->second.workers_[worker].asked_ = false;
+    }
+}
+
+void ticket_book::refused(step_id const& step, std::string const& worker)
+{
+    auto const place = steps_.find(step);
+    if (place != steps_.end())
+    {
+        place->second.workers_[worker].until_ = {};
+    }
+}
+
+void ticket_book::forget(job_id const& job)
+{
+    auto const first = steps_.lower_bound({job, 0, 0});
+    auto last = first;
+    while (last != steps_.end() && last->first.job_ == job)
+    {
+        ++last;
+    }
+    steps_.erase(first, last);
+}
+
+} // namespace cuminfold
--- /dev/null
+++ b/source/kernel/cell/ticket_book.hpp
@@ -0,0 +1,90 @@
+#ifndef CUMINFOLD_KERNEL_CELL_TICKET_BOOK_HPP
+#define CUMINFOLD_KERNEL_CELL_TICKET_BOOK_HPP
+
+#include "kernel/cell/job_definition.hpp"
+#include "kernel/time.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cuminfold
+{
+
+/// What a queue's policy service answered about one worker.
+struct ticket_row
+{
+    std::string worker_;
+    std::string ticket_;
+};
+
+/// What is known of a worker for a step.
+enum class ticket_standing : std::uint8_t
+{
+    unknown,
+    asked,
+    allowed,
+    expired, ///< it is allowed, and its ticket has to be renewed
+    denied
+};
+
+/// Remembers which workers a queue's policy service lets run each step. Which
+/// ones they are does not change; their tickets expire.
+class ticket_book
+{
+public:
+    /// Questions on their way at one time. The service answers each caller's
+    /// in turn; the next ones wait there, so that it is never idle.
+    static constexpr std::size_t most_out_ = 4;
+
+    ticket_standing standing(step_id const& step, std::string const& worker,
+                             time_point now) const;
+    /// The worker's ticket; empty unless one is valid.
+    std::string ticket(step_id const& step, std::string const& worker,
+                       time_point now) const;
+
+    /// Another question may be sent about that step.
+    bool may_ask(step_id const& step, time_point now) const;
+    /// The pause after a question without an answer is not over.
+    bool paused(step_id const& step, time_point now) const;
+    void asked(step_id const& step, std::vector<std::string> const& workers);
+    /// @param validity of each ticket from when it was asked for
+    void answered(step_id const& step, std::vector<std::string> const& workers,
+                  std::vector<ticket_row> const& allowed, duration validity,
+                  time_point sent);
+    /// No answer; the step is asked about again after a pause.
+    void failed(step_id const& step, std::vector<std::string> const& workers,
+                time_point now);
+    /// The worker did not accept its ticket.
+    void refused(step_id const& step, std::string const& worker);
+
+    void forget(job_id const& job);
+
+private:
+    struct row
+    {
+        bool asked_ = false;
+        bool known_ = false;
+        bool allowed_ = false;
+        std::string ticket_;
+        time_point until_{};
+    };
+
+    struct step_rows
+    {
+        std::map<std::string, row> workers_;
+        bool out_ = false;
+        time_point not_before_{};
+    };
+
+    row const* find(step_id const& step, std::string const& worker) const;
+
+    std::map<step_id, step_rows> steps_;
+    std::size_t out_ = 0;
+};
+
+} // namespace cuminfold
+
+#endif
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -10,6 +10,7 @@
 #include "node/decision_log.hpp"
 #include "node/node_settings.hpp"
 #include "node/worker_follower.hpp"
+#include "platform/advice_client.hpp"
 #include "platform/machine_client.hpp"
 #include "platform/store_client.hpp"
 #include "platform/worker_client.hpp"
@@ -42,6 +43,7 @@
         platform::store_client& store_;
         platform::worker_client& workers_;
         platform::machine_client& machines_;
+        platform::advice_client& advice_;
         config_follower& config_;
         decision_log& log_;
         metrics& metrics_;
@@ -100,6 +102,7 @@
     void run(stop_run const& action);
     void run(renew_worker const& action);
     void run(pace_run const& action);
+    void run(ask_advice const& action);
     void run(note_decision const& action);
     bool may_order_vms() const;
     void run(list_vms const& action);
--- a/source/node/cell_owner_orders.cpp
+++ b/source/node/cell_owner_orders.cpp
@@ -191,6 +191,23 @@
     parts_.workers_.pace(action, [](call_outcome) {});
 }
 
+void cell_owner::run(ask_advice const& action)
+{
+    parts_.advice_.ask(
+        action,
+        [self = shared_from_this(), action, sent = node_now()](
+            std::optional<std::vector<ticket_row>> const& allowed)
+        {
+            if (!self->stopped_)
+            {
+                self->parts_.metrics_.observe("cuminfold_advice_call",
+                                              node_now() - sent);
+                self->cell_.advice_answered(action, allowed, sent, node_now());
+                self->pump_soon();
+            }
+        });
+}
+
 void cell_owner::run(note_decision const& action)
 {
     parts_.log_.write(action.event_,
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -60,6 +60,7 @@
           http_(context_, client_limits()),
           store_(http_, settings_.store_address_, settings_.store_timeout_),
           workers_(http_, settings_.worker_timeout_),
+          advice_(http_, settings_.advice_address_),
           machines_(http_, settings_.machines_address_, settings_.name_,
                     settings_.vm_order_timeout_),
           config_(context_, store_, log_, [this] { config_changed(); }),
@@ -383,7 +384,7 @@
         record.address_ = settings_.peers_address_;
         owner_ = std::make_shared<cell_owner>(
             cell_owner::parts{context_, settings_, store_, workers_, machines_,
-                              config_, log_, metrics_},
+                              advice_, config_, log_, metrics_},
             record, [this](char const*) { owner_lost(); });
         owner_->start();
         front_.owner_changed();
@@ -437,6 +438,7 @@
             auto const settings = load_node_settings(settings_path_);
             store_.set_address(settings.store_address_);
             machines_.set_address(settings.machines_address_);
+            advice_.set_address(settings.advice_address_);
             write_log(log_level::info, "reloaded",
                       {{"store", settings.store_address_}});
         }
@@ -491,6 +493,7 @@
     http_client http_;
     platform::store_client store_;
     platform::worker_client workers_;
+    platform::advice_client advice_;
     platform::machine_client machines_;
     config_follower config_;
     std::uint64_t life_;
--- a/source/node/node_settings.hpp
+++ b/source/node/node_settings.hpp
@@ -22,6 +22,9 @@
     std::string peers_address_;   ///< `IP:PORT` for other nodes
     std::string store_address_;
     std::string machines_address_;
+    /// Of the service that knows which workers a queue's policy allows; empty:
+    /// there is none.
+    std::string advice_address_;
     /// The part of a core that the process gets, and how many times a core's
     /// speed that core has.
     double cpu_share_ = 1;
--- a/source/node/node_settings_file.cpp
+++ b/source/node/node_settings_file.cpp
@@ -26,6 +26,7 @@
     in.read("peers_address", settings.peers_address_);
     in.read("store_address", settings.store_address_);
     in.read("machines_address", settings.machines_address_);
+    in.read("advice_address", settings.advice_address_);
     in.read("store_timeout", settings.store_timeout_, shortest, longest);
     in.read("worker_timeout", settings.worker_timeout_, shortest, longest);
     in.read("peer_timeout", settings.peer_timeout_, shortest, longest);
--- a/source/wire/cell_fields.hpp
+++ b/source/wire/cell_fields.hpp
@@ -82,6 +82,7 @@
     v("id", x.id_);
     v("q", x.route_);
     v("p", x.pool_);
+    v("m", x.max_attempts_);
     v("x", x.text_);
     v("s", x.steps_);
     v("o", x.occurrences_);
--- a/tests/kernel/cell/cell_test.cpp
+++ b/tests/kernel/cell/cell_test.cpp
@@ -178,6 +178,21 @@
     CHECK(world.breaches() == "");
 }
 
+TEST_CASE("a job keeps its attempts when its queue is no longer configured")
+{
+    cell_world world(7, 2);
+    world.run_for(50ms);
+    world.submit("a", {cell_world::make_step(1, 1000, 100ms)});
+    world.run_for(20ms);
+    world.failing_.insert("a");
+    world.drop_queue();
+    world.run_for(120ms);
+    world.failing_.clear();
+    world.run_for(2000ms);
+    CHECK(world.standing("a") == job_standing::completed);
+    CHECK(world.runs_of("a") == 2);
+}
+
 TEST_CASE("a store that does not answer refuses new jobs at once")
 {
     cell_world world(11);
@@ -259,6 +274,60 @@
     CHECK(kept.begin()->second.stops_ == time_point::max());
 }
 
+namespace
+{
+
+/// A queue whose policy service allows every other worker.
+struct policy_case
+{
+    char const* name_;
+    std::chrono::milliseconds validity_;
+    /// Two steps ask about four workers each; a failed question is repeated
+    /// each 200 ms, and a new owner knows nothing.
+    std::size_t most_asked_;
+    void (*happen_)(cell_world&);
+};
+
+policy_case const policy_cases[] = {
+    {"nothing happens", 3000ms, 8, [](cell_world&) {}},
+    {"tickets expire sooner than a step ends", 400ms, 8, [](cell_world&) {}},
+    {"the service is away for a while", 3000ms, 8 + 4 * 10,
+     [](cell_world& world)
+     {
+         world.advice_away_ = true;
+         world.run_for(2000ms);
+         world.advice_away_ = false;
+     }},
+    {"the owner is replaced while it asks", 3000ms, 8 + 4,
+     [](cell_world& world)
+     {
+         world.run_for(40ms);
+         world.take_over();
+     }},
+};
+
+} // namespace
+
+TEST_CASE("a queue with a policy: jobs run on allowed workers alone")
+{
+    for (auto const& each : policy_cases)
+    {
+        CAPTURE(each.name_);
+        cell_world world(19, 4);
+        world.set_policy(each.validity_);
+        world.run_for(50ms);
+        world.submit("a", two_steps());
+        each.happen_(world);
+        world.run_for(6000ms);
+        CHECK(world.standing("a") == job_standing::completed);
+        CHECK(world.runs_of("a") == 5);
+        CHECK(world.worker(1).ended_runs_.empty());
+        CHECK(world.worker(3).ended_runs_.empty());
+        CHECK(world.breaches() == "");
+        CHECK(world.advice_asked_ <= each.most_asked_);
+    }
+}
+
 TEST_CASE("an entry of an earlier life does not end the present one")
 {
     cell_world world(17, 1);
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -357,6 +357,16 @@
             planned.ends_ =
                 shape.lasting_ ? time_point::max() : now_ + shape.estimate_;
             planned.fails_ = failing_.count(order.task_.job_.text()) != 0;
+            auto const advice = config_.routes_.empty()
+                                    ? std::nullopt
+                                    : config_.routes_[0].advice_;
+            if (advice &&
+                (order.ticket_.empty() ||
+                 now_ >= time_point{milliseconds{std::stoll(order.ticket_)}} +
+                             advice->validity_))
+            {
+                return call_outcome::ticket_refused;
+            }
             auto const outcome = worker->start(token, order, planned, now_);
             if (outcome == call_outcome::accepted)
             {
@@ -400,6 +410,45 @@
         });
 }
 
+void cell_world::drop_queue()
+{
+    config_.routes_.clear();
+    cell_->set_config(config_);
+}
+
+void cell_world::set_policy(std::chrono::milliseconds validity)
+{
+    config_.routes_[0].advice_ =
+        advice_policy{milliseconds{20}, milliseconds{1}, validity};
+    cell_->set_config(config_);
+}
+
+void cell_world::carry_out(ask_advice const& order)
+{
+    advice_asked_ += order.workers_.size();
+    at(now_ + milliseconds{20},
+       [this, order, sent = now_, epoch = epoch_]
+       {
+           std::vector<ticket_row> allowed;
+           for (auto const& worker : order.workers_)
+           {
+               if ((worker[1] - '0') % 2 == 0)
+               {
+                   allowed.push_back(
+                       {worker, std::to_string(sent.time_since_epoch() /
+                                               milliseconds{1})});
+               }
+           }
+           if (epoch == epoch_)
+           {
+               cell_->advice_answered(
+                   order,
+                   advice_away_ ? std::nullopt : std::make_optional(allowed),
+                   sent, now_);
+           }
+       });
+}
+
 void cell_world::carry_out(answer_client const& answer)
 {
     auto const found = exchanges_.find(answer.exchange_);
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -77,6 +77,14 @@
 
     faults faults_;
     bool store_down_ = false;
+    /// The policy service denies every worker of an odd number, and answers
+    /// nothing while it is away.
+    bool advice_away_ = false;
+    std::size_t advice_asked_ = 0;
+    /// Gives the queue a policy; tickets are valid for this long.
+    /// The queue is no longer configured.
+    void drop_queue();
+    void set_policy(std::chrono::milliseconds validity);
     /// Runs of tasks of these jobs fail.
     std::set<std::string> failing_;
     std::vector<std::string> breaches_;
@@ -92,6 +100,7 @@
     void carry_out(start_run const& order);
     void carry_out(stop_run const& order);
     void carry_out(renew_worker const& order);
+    void carry_out(ask_advice const& order);
     void carry_out(answer_client const& answer);
     void store(cell_batch const& batch);
     void judge_start(start_run const& order, fake_worker const& on);
