--- a/tests/node/node_process_test.cpp
+++ b/tests/node/node_process_test.cpp
@@ -37,6 +37,7 @@
                             << "peers_address: 127.0.0.1:0\n"
                             << "store_address: " << platform << "\n"
                             << "machines_address: " << platform << "\n"
+                            << "advice_address: " << platform << "\n"
                             << "stop_time: 100ms\n";
         process_ = std::make_unique<child_process>(
             CUMINFOLD_NODE, std::vector<std::string>{"--config", file},
@@ -105,25 +106,26 @@
     }
 
     /// Hands a job in, again and at other nodes until it is accepted.
-    void hand_in(std::string const& id, int tasks, int milliseconds)
+    void hand_in(std::string const& id, int tasks, int milliseconds,
+                 std::string const& prefix = platform_stand_in::prefix_)
     {
         std::size_t next = 0;
         until(
             [&]
             {
                 return status(vms_[next++ % vms_.size()]->clients_, "POST",
-                              platform_stand_in::prefix_ + id,
+                              prefix + id,
                               platform_stand_in::write_job(
                                   tasks, milliseconds)) == 200;
             });
     }
 
-    std::string standing(std::string const& id)
+    std::string standing(std::string const& id,
+                         std::string const& prefix = platform_stand_in::prefix_)
     {
         for (auto const& vm : vms_)
         {
-            auto const result =
-                call(vm->clients_, "GET", platform_stand_in::prefix_ + id);
+            auto const result = call(vm->clients_, "GET", prefix + id);
             if (result.end_ == http_end::whole &&
                 result.response_.status_ == 200)
             {
@@ -257,3 +259,20 @@
     system.until([&] { return system.standing(id_of(1)) == "completed"; });
     CHECK(system.platform_.most_starts() == 1);
 }
+
+TEST_CASE("jobs of a queue with a policy run on the workers that it allows")
+{
+    small_system system;
+    std::string const prefix = platform_stand_in::checked_prefix_;
+    for (int i = 0; i < 4; ++i)
+    {
+        system.hand_in(id_of(i), 3, 50, prefix);
+    }
+    for (int i = 0; i < 4; ++i)
+    {
+        system.until(
+            [&] { return system.standing(id_of(i), prefix) == "completed"; });
+    }
+    CHECK(system.platform_.all_starts() == 12);
+    CHECK(system.platform_.denied_starts() == 0);
+}
