cell: Gather a pool's candidates once for a placement

Placement looked up each worker of the pool by name for each task; comparing names was 9% of the owner's time on 300 workers. The review of all jobs runs each 50 ms instead of 20; nothing that it finds is due sooner.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -297,6 +297,9 @@
                     std::uint32_t step, time_point now);
     bool place_gang(job_id const& id, job_state& job, std::uint32_t occurrence,
                     std::uint32_t step, time_point now);
+    /// Gathers the workers of a pool that may take tasks at all.
+    void find_candidates(pool_name const& pool, time_point now);
+    /// The best of the candidates; null if none may take a task of the step.
     worker_state* choose(step_id const& id, job_state const& job,
                          time_point now);
     advice_policy const* advice_for(job_state const& job) const;
@@ -320,6 +323,8 @@
     std::unordered_map<std::string, job_state> jobs_;
     std::map<std::string, worker_state> workers_;
     std::map<pool_name, std::vector<std::string>> pool_workers_;
+    /// Of the pool that is being placed.
+    std::vector<worker_state*> candidates_;
     std::set<vm_id> reserved_;
     std::vector<std::string> dirty_;
     std::vector<std::string> forgotten_;
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -64,11 +64,26 @@
     }
 }
 
+void cell::find_candidates(pool_name const& pool, time_point now)
+{
+    candidates_.clear();
+    for (auto const& name : pool_workers_[pool])
+    {
+        auto const found = workers_.find(name);
+        if (found != workers_.end() && found->second.fenced_ &&
+            is_usable(found->second, now))
+        {
+            candidates_.push_back(&found->second);
+        }
+    }
+}
+
 void cell::place_pool(pool_name const& pool,
                       std::vector<std::pair<job_id, job_state*>>& jobs,
                       time_point now)
 {
-    if (pool_workers_[pool].empty())
+    find_candidates(pool, now);
+    if (candidates_.empty())
     {
         return;
     }
@@ -294,14 +309,10 @@
     std::vector<std::pair<double, std::string>> to_ask;
     worker_state* best = nullptr;
     double best_score = 0;
-    for (auto const& name : pool_workers_[job.pool_])
+    for (auto* const worker : candidates_)
     {
-        auto const found = workers_.find(name);
-        if (found == workers_.end())
-        {
-            continue;
-        }
-        auto const view = view_of(found->second, shape, step, now);
+        auto const& name = worker->entry_.id_;
+        auto const view = view_of(*worker, shape, step, now);
         if (broken_rule(view) != nullptr)
         {
             continue;
@@ -324,7 +335,7 @@
         }
         if (best == nullptr || score > best_score)
         {
-            best = &found->second;
+            best = worker;
             best_score = score;
         }
     }
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -10,7 +10,7 @@
 
 /// Between two looks at all jobs and tasks. What such a look finds may wait
 /// this long; an owner ticks at each answer of a worker.
-constexpr duration review_gap = std::chrono::milliseconds{20};
+constexpr duration review_gap = std::chrono::milliseconds{50};
 /// Between two placements: each orders all jobs anew.
 constexpr duration placement_gap = std::chrono::milliseconds{4};
 
