cell: Remove what no decision uses

The order to pace a run had no one who gives it, and the fields it would have read were only written; fillers are kept off workers with a bound on their tail instead. The number of a batch was never read.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -336,7 +336,6 @@
     time_point out_since_{};
     /// The longest that clients of a queue wait, by its name.
     std::map<std::string, duration> longest_waits_;
-    std::uint64_t next_batch_ = 1;
     std::vector<cell_action> actions_;
     bool placement_due_ = true;
     time_point next_cleanup_{};
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -90,16 +90,6 @@
     bool extra_ = false;
 };
 
-/// Lets a task work at a share of its speed.
-struct pace_run
-{
-    std::string worker_;
-    std::string address_;
-    task_id task_;
-    std::uint32_t run_ = 0;
-    std::uint32_t percent_ = 100;
-};
-
 /// Asks which of these workers the queue's policy lets run a step.
 struct ask_advice
 {
@@ -117,9 +107,8 @@
     std::string why_;
 };
 
-using cell_action =
-    std::variant<answer_client, start_run, stop_run, renew_worker, pace_run,
-                 ask_advice, note_decision>;
+using cell_action = std::variant<answer_client, start_run, stop_run,
+                                 renew_worker, ask_advice, note_decision>;
 
 /// What a record of a cell's partition is about.
 enum class record_kind : std::uint8_t
@@ -144,7 +133,6 @@
 /// Records that are appended together, and what may be done after that.
 struct cell_batch
 {
-    std::uint64_t number_ = 0;
     std::vector<cell_record> records_;
 };
 
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -125,7 +125,6 @@
     }
     ends_read_.clear();
     cell_batch batch;
-    batch.number_ = next_batch_++;
     for (auto const& name : std::exchange(dirty_, {}))
     {
         auto& job = jobs_.at(name);
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -286,7 +286,6 @@
                                     ? now
                                     : state.away_since_;
         }
-        state.figure_ = report->figure_;
         if (at.shape_->checkpointing_ && !report->checkpoint_.empty())
         {
             state.checkpoint_ = report->checkpoint_;
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -93,7 +93,6 @@
     at.task_->stop_sent_ = {};
     at.task_->own_start_ = false;
     at.task_->percent_ = 0;
-    at.task_->pace_ = 100;
     ++at.step_->waiting_;
     if (at.task_->away_since_ == time_point{})
     {
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -46,9 +46,6 @@
     std::uint32_t percent_ = 0;
     /// When `percent_` last changed.
     time_point advanced_{};
-    std::int64_t figure_ = 0;
-    std::uint32_t pace_ = 100;
-    time_point over_target_since_{};
     /// A lasting task that is not at work, since when.
     time_point away_since_{};
     time_point not_before_{};
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -39,8 +39,6 @@
     std::uint32_t run_ = 0;
     std::string checkpoint_;
     std::uint32_t percent_ = 0;
-    /// Tail of a serving task in milliseconds, or the processor time in use.
-    std::int64_t figure_ = 0;
 };
 
 /// How a run ended, as its worker says.
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -101,7 +101,6 @@
     void run(start_run const& action);
     void run(stop_run const& action);
     void run(renew_worker const& action);
-    void run(pace_run const& action);
     void run(ask_advice const& action);
     void run(note_decision const& action);
     bool may_order_vms() const;
--- a/source/node/cell_owner_orders.cpp
+++ b/source/node/cell_owner_orders.cpp
@@ -186,11 +186,6 @@
         });
 }
 
-void cell_owner::run(pace_run const& action)
-{
-    parts_.workers_.pace(action, [](call_outcome) {});
-}
-
 void cell_owner::run(ask_advice const& action)
 {
     parts_.advice_.ask(
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -249,8 +249,7 @@
             [this](auto const& each)
             {
                 using type = std::decay_t<decltype(each)>;
-                if constexpr (!std::is_same_v<type, pace_run> &&
-                              !std::is_same_v<type, note_decision>)
+                if constexpr (!std::is_same_v<type, note_decision>)
                 {
                     carry_out(each);
                 }
--- a/tests/kernel/cell/fake_worker.cpp
+++ b/tests/kernel/cell/fake_worker.cpp
@@ -147,7 +147,7 @@
     {
         constexpr std::uint32_t at_work = 100;
         report.running_.push_back(
-            {item.first, item.second.number_, "", at_work, 0});
+            {item.first, item.second.number_, "", at_work});
     }
     report.ended_ = ends_;
     return call_outcome::accepted;
