--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -295,7 +295,7 @@
         question.workers_.push_back(std::move(workers[i].second));
     }
     question.answer_time_ = advice.answer_time(workers_per_question) *
-                            static_cast<std::int64_t>(ticket_book::most_out_);
+                            static_cast<std::int64_t>(ticket_book::most_out);
     tickets_.asked(id, question.workers_);
     actions_.emplace_back(std::move(question));
 }
--- a/source/kernel/cell/ticket_book.cpp
+++ b/source/kernel/cell/ticket_book.cpp
@@ -63,7 +63,7 @@
 {
     auto const place = steps_.find(step);
     bool const out = place != steps_.end() && place->second.out_;
-    return out_ < most_out_ && !out && !paused(step, now);
+    return out_ < most_out && !out && !paused(step, now);
 }
 
 bool ticket_book::paused(step_id const& step, time_point now) const
--- a/source/kernel/cell/ticket_book.hpp
+++ b/source/kernel/cell/ticket_book.hpp
@@ -37,7 +37,7 @@
 public:
     /// Questions on their way at one time. The service answers each caller's
     /// in turn; the next ones wait there, so that it is never idle.
-    static constexpr std::size_t most_out_ = 4;
+    static constexpr std::size_t most_out = 4;
 
     ticket_standing standing(step_id const& step, std::string const& worker,
                              time_point now) const;
