cell: Repeat stops once a batch, and keep no list of stored notes

The numbers of stored notes were kept for ever in a set, though they are stored in their order: one number says the same.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -175,13 +175,7 @@
         std::vector<std::pair<task_id, std::uint32_t>> starts_;
         std::vector<job_id> jobs_;
         std::map<std::string, std::uint64_t> ends_;
-        std::vector<std::uint64_t> notes_;
-    };
-
-    struct numbered_record
-    {
-        std::uint64_t number_ = 0;
-        cell_record record_;
+        std::uint64_t last_note_ = 0;
     };
 
     /// What a job still needs, in worker-seconds.
@@ -235,7 +229,7 @@
     void mark(job_state& job);
     job_progress progress_of(job_state const& job) const;
     void give_start(task_id const& task, std::uint32_t run, time_point now);
-    void settle_answers(job_state& job, time_point now);
+    void settle_answers(job_state& job);
     void forget_ended(time_point now);
     void prepare(job_state& job, time_point now);
     void open_occurrences(job_state& job, calendar_time calendar);
@@ -297,8 +291,8 @@
                     std::uint32_t step, time_point now);
     bool place_gang(job_id const& id, job_state& job, std::uint32_t occurrence,
                     std::uint32_t step, time_point now);
-    /// Gathers the workers of a pool that may take tasks at all.
-    void find_candidates(pool_name const& pool, time_point now);
+    /// Gathers the workers of a pool.
+    void find_candidates(pool_name const& pool);
     /// The best of the candidates; null if none may take a task of the step.
     worker_state* choose(step_id const& id, job_state const& job,
                          time_point now);
@@ -329,9 +323,10 @@
     std::vector<std::string> dirty_;
     std::vector<std::string> forgotten_;
     std::set<std::string> ends_read_;
-    std::vector<numbered_record> notes_;
-    std::set<std::uint64_t> notes_stored_;
-    std::uint64_t next_note_ = 1;
+    /// Records of others; they are numbered and stored in their order.
+    std::vector<cell_record> notes_;
+    std::uint64_t last_note_ = 0;
+    std::uint64_t notes_stored_ = 0;
     std::optional<batch_effects> out_;
     time_point out_since_{};
     /// The longest that clients of a queue wait, by its name.
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -64,14 +64,13 @@
     }
 }
 
-void cell::find_candidates(pool_name const& pool, time_point now)
+void cell::find_candidates(pool_name const& pool)
 {
     candidates_.clear();
     for (auto const& name : pool_workers_[pool])
     {
         auto const found = workers_.find(name);
-        if (found != workers_.end() && found->second.fenced_ &&
-            is_usable(found->second, now))
+        if (found != workers_.end())
         {
             candidates_.push_back(&found->second);
         }
@@ -82,7 +81,7 @@
                       std::vector<std::pair<job_id, job_state*>>& jobs,
                       time_point now)
 {
-    find_candidates(pool, now);
+    find_candidates(pool);
     if (candidates_.empty())
     {
         return;
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -1,6 +1,7 @@
 #include "kernel/cell/cell.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace cuminfold
 {
@@ -165,11 +166,9 @@
         batch.records_.push_back(
             {record_kind::progress, name, nullptr, std::nullopt, std::nullopt});
     }
-    for (auto& note : std::exchange(notes_, {}))
-    {
-        effects.notes_.push_back(note.number_);
-        batch.records_.push_back(std::move(note.record_));
-    }
+    std::move(notes_.begin(), notes_.end(), std::back_inserter(batch.records_));
+    notes_.clear();
+    effects.last_note_ = last_note_;
     if (batch.records_.empty())
     {
         // Ends that change nothing need no record.
@@ -200,6 +199,7 @@
             worker->second.recorded_ = end.second;
         }
     }
+    bool ended = false;
     for (auto const& id : effects.jobs_)
     {
         auto const found = jobs_.find(id.text());
@@ -212,10 +212,15 @@
             {
                 job.stored_standing_ = job.standing_;
             }
-            settle_answers(job, now);
+            settle_answers(job);
+            ended = ended || job.stored_standing_ != job_standing::queued;
         }
     }
-    notes_stored_.insert(effects.notes_.begin(), effects.notes_.end());
+    notes_stored_ = effects.last_note_;
+    if (ended)
+    {
+        repeat_stops(now);
+    }
     for (auto const& start : effects.starts_)
     {
         give_start(start.first, start.second, now);
@@ -224,17 +229,16 @@
 
 std::uint64_t cell::keep(cell_record record)
 {
-    auto const number = next_note_++;
-    notes_.push_back({number, std::move(record)});
-    return number;
+    notes_.push_back(std::move(record));
+    return ++last_note_;
 }
 
 bool cell::kept(std::uint64_t number) const
 {
-    return notes_stored_.count(number) != 0;
+    return number <= notes_stored_;
 }
 
-void cell::settle_answers(job_state& job, time_point now)
+void cell::settle_answers(job_state& job)
 {
     for (auto const exchange : std::exchange(job.accept_waits_, {}))
     {
@@ -248,7 +252,6 @@
     {
         reply(exchange, answer(answer_kind::accepted, "cancel_stored"));
     }
-    repeat_stops(now);
 }
 
 void cell::give_start(task_id const& task, std::uint32_t run, time_point now)
@@ -269,11 +272,11 @@
         return;
     }
     auto& worker = found->second;
+    bool const checked = advice_for(*at.job_) != nullptr;
     step_id const step{task.job_, task.occurrence_, task.step_};
-    auto ticket = advice_for(*at.job_) == nullptr
-                      ? std::string()
-                      : tickets_.ticket(step, worker.entry_.id_, now);
-    if (ticket.empty() && advice_for(*at.job_) != nullptr)
+    auto ticket =
+        checked ? tickets_.ticket(step, worker.entry_.id_, now) : std::string();
+    if (checked && ticket.empty())
     {
         note("ticket_expired", describe(task), worker.entry_.id_);
         release(task, at, now);
