node: Share what beats, appends and peers' answers do twice

Bytes of records and of peers' answers are read by one function that logs what it cannot read. The owner's key stood in three files.

--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -1,8 +1,6 @@
 #include "node/cell_owner.hpp"
 
 #include "node/node_clock.hpp"
-#include "wire/cell_codec.hpp"
-#include "wire/decode_error.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -29,7 +27,6 @@
 /// Added to the times that an order takes to have effect, for the way to its
 /// receiver.
 constexpr duration order_margin = std::chrono::milliseconds{200};
-constexpr char const* owner_key = "owner";
 
 cell_options make_options(node_settings const& settings)
 {
@@ -107,15 +104,9 @@
 {
     serving_ = false;
     record_.resigned_ = true;
-    platform::append_call call;
-    call.topic_ = store_topic::owner;
-    call.epoch_ = record_.epoch_;
-    call.sequence_ = ++beat_sequence_;
-    ++record_.beat_;
-    call.records_.push_back({owner_key, encode_owner(record_)});
     stop();
     parts_.store_.append(
-        call, duration{0},
+        next_beat_call(), duration{0},
         [done = std::move(done)](platform::append_result const&) { done(); });
 }
 
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -93,7 +93,12 @@
     void send_batch();
     void on_batch(platform::append_result const& result, time_point sent);
     void confirm();
+    platform::append_call next_beat_call() const;
     void beat();
+    /// Takes what any append to the cell's partition tells.
+    void take_append(platform::append_result const& result, time_point sent);
+    /// Calls that member after a pause, unless this owner has ended by then.
+    void call_later(duration pause, void (cell_owner::*step)());
     void check_fenced(platform::append_result const& result);
     void lose(char const* why);
     void run_actions();
--- a/source/node/cell_owner_store.cpp
+++ b/source/node/cell_owner_store.cpp
@@ -1,6 +1,7 @@
 #include "node/cell_owner.hpp"
 
 #include "node/node_clock.hpp"
+#include "node/node_records.hpp"
 #include "wire/cell_codec.hpp"
 #include "wire/decode_error.hpp"
 
@@ -28,7 +29,6 @@
 constexpr char const* progress_prefix = "p";
 constexpr char const* vm_order_prefix = "v";
 constexpr char const* wave_prefix = "w";
-constexpr char const* owner_key = "owner";
 
 char const* key_prefix(record_kind kind)
 {
@@ -64,16 +64,22 @@
                 self->take_content(*content);
                 return;
             }
-            auto const timer = std::make_shared<boost::asio::steady_timer>(
-                self->parts_.context_, load_retry);
-            timer->async_wait(
-                [self, timer](boost::system::error_code error)
-                {
-                    if (!error && !self->stopped_)
-                    {
-                        self->load();
-                    }
-                });
+            self->call_later(load_retry, &cell_owner::load);
+        });
+}
+
+void cell_owner::call_later(duration pause, void (cell_owner::*step)())
+{
+    auto const timer =
+        std::make_shared<boost::asio::steady_timer>(parts_.context_, pause);
+    timer->async_wait(
+        [self = shared_from_this(), timer,
+         step](boost::system::error_code error)
+        {
+            if (!error && !self->stopped_)
+            {
+                ((*self).*step)();
+            }
         });
 }
 
@@ -197,41 +203,42 @@
 {
     auto const now = node_now();
     parts_.metrics_.observe("cuminfold_append", now - sent);
-    if (result.outcome_ == append_outcome::unanswered)
+    take_append(result, sent);
+    if (stopped_)
     {
-        append_clock_.unanswered();
+        return;
     }
     if (result.outcome_ == append_outcome::stored)
     {
-        append_clock_.answered(now - sent);
         batch_out_ = false;
-        confirmed_ = sent;
-        cell_.confirmed(sent);
-        next_confirm_ = now + confirm_interval;
         cell_.batch_stored(now);
         pump();
         return;
     }
-    check_fenced(result);
-    if (stopped_)
-    {
-        return;
-    }
     parts_.log_.write("append_repeated",
                       {{"sequence", std::to_string(batch_.sequence_)},
                        {"cause", result.detail_}},
                       now);
-    auto const timer = std::make_shared<boost::asio::steady_timer>(
-        parts_.context_, batch_pause_);
+    call_later(batch_pause_, &cell_owner::send_batch);
     batch_pause_ = std::min(batch_pause_ * 2, longest_batch_pause);
-    timer->async_wait(
-        [self = shared_from_this(), timer](boost::system::error_code error)
-        {
-            if (!error && !self->stopped_)
-            {
-                self->send_batch();
-            }
-        });
+}
+
+void cell_owner::take_append(platform::append_result const& result,
+                             time_point sent)
+{
+    auto const now = node_now();
+    if (result.outcome_ == append_outcome::unanswered)
+    {
+        append_clock_.unanswered();
+    }
+    else if (result.outcome_ == append_outcome::stored)
+    {
+        append_clock_.answered(now - sent);
+        confirmed_ = sent;
+        cell_.confirmed(sent);
+        next_confirm_ = now + confirm_interval;
+    }
+    check_fenced(result);
 }
 
 void cell_owner::check_fenced(platform::append_result const& result)
@@ -266,23 +273,27 @@
             {
                 return;
             }
-            self->next_confirm_ = node_now() + confirm_interval / 2;
-            if (result.outcome_ == append_outcome::unanswered)
-            {
-                self->append_clock_.unanswered();
-                self->next_confirm_ = node_now();
-            }
-            if (result.outcome_ == append_outcome::stored)
-            {
-                self->append_clock_.answered(node_now() - now);
-                self->next_confirm_ = node_now() + confirm_interval;
-                self->confirmed_ = now;
-                self->cell_.confirmed(now);
-            }
-            self->check_fenced(result);
+            // An append without an answer is repeated at once.
+            bool const unanswered =
+                result.outcome_ == append_outcome::unanswered;
+            self->next_confirm_ =
+                node_now() + (unanswered ? duration{0} : confirm_interval / 2);
+            self->take_append(result, now);
         });
 }
 
+platform::append_call cell_owner::next_beat_call() const
+{
+    auto record = record_;
+    ++record.beat_;
+    platform::append_call call;
+    call.topic_ = store_topic::owner;
+    call.epoch_ = record.epoch_;
+    call.sequence_ = beat_sequence_ + 1;
+    call.records_.push_back({owner_key, encode_owner(record)});
+    return call;
+}
+
 void cell_owner::beat()
 {
     auto const now = node_now();
@@ -292,15 +303,8 @@
     }
     beat_out_ = true;
     next_beat_ = now + beat_interval;
-    platform::append_call call;
-    call.topic_ = store_topic::owner;
-    call.epoch_ = record_.epoch_;
-    call.sequence_ = beat_sequence_ + 1;
-    owner_record record = record_;
-    ++record.beat_;
-    call.records_.push_back({owner_key, encode_owner(record)});
     parts_.store_.append(
-        call, append_clock_.timeout(),
+        next_beat_call(), append_clock_.timeout(),
         [self = shared_from_this()](platform::append_result const& result)
         {
             self->beat_out_ = false;
--- /dev/null
+++ b/source/node/node_records.hpp
@@ -0,0 +1,37 @@
+#ifndef CUMINFOLD_NODE_NODE_RECORDS_HPP
+#define CUMINFOLD_NODE_NODE_RECORDS_HPP
+
+#include "transport/logger.hpp"
+#include "wire/decode_error.hpp"
+
+#include <optional>
+#include <string>
+
+namespace cuminfold
+{
+
+/// Keys beside each other in the owner's partition.
+constexpr char const* owner_key = "owner";
+constexpr char const* node_prefix = "node/";
+
+/// What was read; none if the bytes cannot be, which is logged.
+/// @param event names the log line
+template <class Record>
+std::optional<Record> try_decode(std::string const& bytes,
+                                 Record (*read)(std::string const&),
+                                 char const* event)
+{
+    try
+    {
+        return read(bytes);
+    }
+    catch (decode_error const& error)
+    {
+        write_log(log_level::warning, event, {{"error", error.what()}});
+        return std::nullopt;
+    }
+}
+
+} // namespace cuminfold
+
+#endif
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -7,13 +7,13 @@
 #include "node/file_watch.hpp"
 #include "node/front.hpp"
 #include "node/node_clock.hpp"
+#include "node/node_records.hpp"
 #include "node/node_settings_file.hpp"
 #include "node/peer_api.hpp"
 #include "platform/machine_client.hpp"
 #include "platform/store_client.hpp"
 #include "platform/worker_client.hpp"
 #include "wire/cell_codec.hpp"
-#include "wire/decode_error.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -34,12 +34,12 @@
 namespace
 {
 
+constexpr char const* unreadable_record = "node_record_unreadable";
+
 constexpr duration tick = std::chrono::milliseconds{50};
 constexpr duration settings_check = std::chrono::seconds{1};
 /// Connections to one address: starts of one round go to a worker at once.
 constexpr std::size_t connections_per_address = 24;
-constexpr char const* owner_key = "owner";
-constexpr char const* node_prefix = "node/";
 
 http_client_limits client_limits()
 {
@@ -307,16 +307,16 @@
                     }
                     if (each.key_.rfind(node_prefix, 0) == 0)
                     {
-                        auto const node =
-                            decode<node_record>(*each.value_, decode_node);
+                        auto const node = try_decode(*each.value_, decode_node,
+                                                     unreadable_record);
                         nodes[each.key_.substr(
                             std::string(node_prefix).size())] =
                             node ? node->cpu_milli_ : 0;
                     }
                     else if (each.key_ == owner_key)
                     {
-                        record =
-                            decode<owner_record>(*each.value_, decode_owner);
+                        record = try_decode(*each.value_, decode_owner,
+                                            unreadable_record);
                     }
                 }
                 ownership_.record_read(record, nodes, node_now());
@@ -324,22 +324,6 @@
             });
     }
 
-    template <class Record>
-    static std::optional<Record> decode(std::string const& bytes,
-                                        Record (*read)(std::string const&))
-    {
-        try
-        {
-            return read(bytes);
-        }
-        catch (decode_error const& error)
-        {
-            write_log(log_level::warning, "node_record_unreadable",
-                      {{"error", error.what()}});
-            return std::nullopt;
-        }
-    }
-
     /// Takes both partitions: the cell's decides, the owner's record is only
     /// kept from writers of older epochs.
     void take_over()
--- a/source/node/peer_api.cpp
+++ b/source/node/peer_api.cpp
@@ -1,5 +1,6 @@
 #include "node/peer_api.hpp"
 
+#include "node/node_records.hpp"
 #include "transport/logger.hpp"
 #include "wire/cell_codec.hpp"
 #include "wire/decode_error.hpp"
@@ -27,6 +28,18 @@
     return limits;
 }
 
+/// A peer's answer; none if there was no readable one.
+template <class Answer>
+std::optional<Answer> read_answer(http_result const& result,
+                                  Answer (*read)(std::string const&))
+{
+    bool const whole =
+        result.end_ == http_end::whole && result.response_.status_ == 200;
+    return whole ? try_decode(result.response_.body_, read,
+                              "peer_answer_unreadable")
+                 : std::nullopt;
+}
+
 } // namespace
 
 peer_api::peer_api(boost::asio::io_context& context, peer_handler handler)
@@ -91,24 +104,7 @@
     call.timeout_ = timeout;
     http.start(std::move(call),
                [done = std::move(done)](http_result const& result)
-               {
-                   std::optional<peer_ping> ping;
-                   if (result.end_ == http_end::whole &&
-                       result.response_.status_ == 200)
-                   {
-                       try
-                       {
-                           ping = decode_ping(result.response_.body_);
-                       }
-                       catch (decode_error const& error)
-                       {
-                           write_log(log_level::warning,
-                                     "peer_answer_unreadable",
-                                     {{"error", error.what()}});
-                       }
-                   }
-                   done(std::move(ping));
-               });
+               { done(read_answer(result, decode_ping)); });
 }
 
 std::uint64_t
@@ -121,28 +117,14 @@
     out.target_ = call_path;
     out.body_ = encode_call(call);
     out.timeout_ = call.time_left_;
-    return http.start(
-        std::move(out),
-        [done = std::move(done)](http_result const& result)
-        {
-            std::optional<client_answer> answer;
-            if (result.end_ == http_end::whole &&
-                result.response_.status_ == 200)
-            {
-                try
-                {
-                    answer = decode_answer(result.response_.body_);
-                }
-                catch (decode_error const& error)
-                {
-                    write_log(log_level::warning, "peer_answer_unreadable",
-                              {{"error", error.what()}});
-                }
-            }
-            done(std::move(answer), result.end_ == http_end::not_sent
-                                        ? peer_failure::not_sent
-                                        : peer_failure::no_answer);
-        });
+    return http.start(std::move(out),
+                      [done = std::move(done)](http_result const& result)
+                      {
+                          done(read_answer(result, decode_answer),
+                               result.end_ == http_end::not_sent
+                                   ? peer_failure::not_sent
+                                   : peer_failure::no_answer);
+                      });
 }
 
 } // namespace cuminfold
