fleet: Take answers to orders in one place; one conversion to seconds

Maintaining and moving shared their first half, three files had their own conversion of a duration, and the loads of the pools asked for the usual worker's size once a job instead of once a pool. An accessor without a caller left. No change of behaviour; the cell's tests pass.

--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -17,17 +17,6 @@
 /// Workers in the question to a policy service that an objective allows for.
 constexpr std::size_t usual_question = 30;
 
-double seconds(duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
-duration from_seconds(double value)
-{
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(value));
-}
-
 } // namespace
 
 client_answer cell::answer(answer_kind kind, char const* why) const
@@ -95,7 +84,7 @@
                             : duration{0};
     auto const chain = run_times_.chain(request, advice);
     // Counted from when the client first asked.
-    auto const objective = from_seconds(seconds(chain) * route.stretch_) +
+    auto const objective = from_seconds(to_seconds(chain) * route.stretch_) +
                            route.objective_ - already_waited;
     client_answer refusal = answer(answer_kind::overloaded, "");
     if (!admit(route, request, objective, now, refusal))
@@ -189,7 +178,7 @@
         // Jobs that are late already let this one pass.
         if (!is_late(job, now))
         {
-            ahead.push_back({seconds(job.objective_ - now), left.all_});
+            ahead.push_back({to_seconds(job.objective_ - now), left.all_});
         }
     }
     double const own = run_times_.work(request, typical);
@@ -197,7 +186,7 @@
                          request.steps_[0].tasks_;
     bool const begins_now = !waiting && first <= room.free_ * packing_share;
     auto const chain = run_times_.chain(request);
-    double const time = seconds(std::max(objective, chain));
+    double const time = to_seconds(std::max(objective, chain));
     double const excess = excess_work(std::move(ahead), {time, own}, room);
     if (begins_now || excess <= 0)
     {
@@ -256,11 +245,13 @@
 std::vector<pool_load> cell::loads(time_point now) const
 {
     std::map<pool_name, pool_load> by_pool;
+    std::map<pool_name, resource_amount> typical;
     std::map<pool_name, std::vector<std::pair<std::size_t, vm_id>>> emptying;
     for (auto const& pool : config_.pools_)
     {
         auto& load = by_pool[pool.first];
         load.pool_ = pool.first;
+        typical[pool.first] = typical_worker(pool.first);
         load.standby_ = pool.second.standby_;
         load.rate_ = demand_.rate(pool.first, now);
     }
@@ -296,7 +287,7 @@
         auto const load = by_pool.find(job.pool_);
         if (load != by_pool.end() && !job.ended() && job.request_)
         {
-            auto const work = work_left(job, typical_worker(job.pool_)).ready_;
+            auto const work = work_left(job, typical.at(job.pool_)).ready_;
             (is_late(job, now) ? load->second.late_backlog_
                                : load->second.backlog_) += work;
         }
--- a/source/kernel/cell/demand_meter.cpp
+++ b/source/kernel/cell/demand_meter.cpp
@@ -26,11 +26,6 @@
 /// Clients repeat a refused job no longer than this.
 constexpr duration repeat_time = std::chrono::seconds{6};
 
-double seconds(duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 } // namespace
 
 void demand_meter::add(pool_name const& pool, job_id const& job, double work,
@@ -44,7 +39,7 @@
         return;
     }
     auto& entry = rates_[pool];
-    double const fade = std::exp(-seconds(now - entry.at_) / peak_seconds);
+    double const fade = std::exp(-to_seconds(now - entry.at_) / peak_seconds);
     entry.rate_ = faded(entry, now) + work / smoothing_seconds;
     entry.at_ = now;
     bool const surged = surging(entry, now);
@@ -64,7 +59,7 @@
         {
             entry.surge_work_ += work;
         }
-        auto const time = seconds(now - entry.surge_began_);
+        auto const time = to_seconds(now - entry.surge_began_);
         if (time > settled_surge_seconds)
         {
             entry.peak_ = std::max(entry.peak_ * fade, entry.rate_);
@@ -75,7 +70,7 @@
 double demand_meter::faded(pool_rate const& entry, time_point now)
 {
     return entry.rate_ *
-           std::exp(-seconds(now - entry.at_) / smoothing_seconds);
+           std::exp(-to_seconds(now - entry.at_) / smoothing_seconds);
 }
 
 bool demand_meter::surging(pool_rate const& entry, time_point now)
@@ -98,7 +93,7 @@
         return rate;
     }
     auto const time =
-        std::max(seconds(now - entry.surge_began_), least_surge_seconds);
+        std::max(to_seconds(now - entry.surge_began_), least_surge_seconds);
     double const early =
         time < settled_surge_seconds ? entry.surge_work_ / time : 0;
     return std::max({rate, early, entry.peak_ * peak_share});
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -155,22 +155,35 @@
     work_.erase(vm);
 }
 
-void fleet_plan::maintained(vm_id const& vm, wave_number wave,
-                            vm_outcome outcome, time_point now)
+bool fleet_plan::take_answer(vm_id const& vm, vm_outcome outcome,
+                             time_point now)
 {
     auto const found = work_.find(vm);
     if (found == work_.end())
     {
-        return;
+        return false;
     }
     auto& work = found->second;
     work.order_out_ = false;
     work.next_try_ = now + retry_pause;
-    switch (outcome)
+    if (outcome == vm_outcome::done)
     {
-    case vm_outcome::done:
         work.ordered_ = true;
         work.ordered_at_ = now;
+    }
+    return true;
+}
+
+void fleet_plan::maintained(vm_id const& vm, wave_number wave,
+                            vm_outcome outcome, time_point now)
+{
+    if (!take_answer(vm, outcome, now))
+    {
+        return;
+    }
+    switch (outcome)
+    {
+    case vm_outcome::done:
         waves_[wave].maintained_.insert(vm);
         actions_.emplace_back(note_decision{"vm_maintained", vm.text(),
                                             "wave=" + std::to_string(wave)});
@@ -194,20 +207,14 @@
 
 void fleet_plan::moved(vm_id const& vm, vm_outcome outcome, time_point now)
 {
-    auto const found = work_.find(vm);
-    if (found == work_.end())
+    if (!take_answer(vm, outcome, now))
     {
         return;
     }
-    auto& work = found->second;
-    work.order_out_ = false;
-    work.next_try_ = now + retry_pause;
     if (outcome == vm_outcome::done)
     {
-        work.ordered_ = true;
-        work.ordered_at_ = now;
         actions_.emplace_back(
-            note_decision{"vm_moved", vm.text(), work.target_->text()});
+            note_decision{"vm_moved", vm.text(), work_.at(vm).target_->text()});
     }
     else if (outcome != vm_outcome::no_answer && outcome != vm_outcome::later)
     {
@@ -245,12 +252,6 @@
            now < held->second;
 }
 
-/// Tasks that an order for the VM now would disturb.
-std::uint64_t fleet_plan::cost_of(vm_id const& vm) const
-{
-    return jobs_.tasks_on(vm);
-}
-
 std::uint32_t fleet_plan::down_in(wave_number wave) const
 {
     return static_cast<std::uint32_t>(std::count_if(
@@ -271,7 +272,9 @@
         {
             continue;
         }
-        auto const cost = is_standby(found->second) ? 0 : 1 + cost_of(vm);
+        // Tasks that an order now would disturb.
+        std::uint64_t const cost =
+            is_standby(found->second) ? 0 : 1 + jobs_.tasks_on(vm);
         candidates.emplace_back(cost, vm);
     }
     std::sort(candidates.begin(), candidates.end());
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -90,11 +90,6 @@
 
     std::vector<fleet_action> take_actions();
 
-    std::map<vm_id, listed_vm> const& vms() const noexcept
-    {
-        return vms_;
-    }
-
 private:
     struct vm_work
     {
@@ -124,6 +119,8 @@
     bool is_held(vm_id const& vm, time_point now) const;
     void pick(wave_state& wave, time_point now);
     void drive_work(time_point now, bool may_order);
+    /// @return false if the order is not wanted any more
+    bool take_answer(vm_id const& vm, vm_outcome outcome, time_point now);
     void begin_work(vm_id const& vm, vm_work work);
     void drop_work(vm_id const& vm);
     void keep_wave(wave_state const& wave);
@@ -131,7 +128,6 @@
     void report(wave_state& wave);
     std::uint32_t down_in(wave_number wave) const;
     bool is_standby(listed_vm const& vm) const;
-    std::uint64_t cost_of(vm_id const& vm) const;
 
     fleet_plan_options options_;
     cell& jobs_;
--- a/source/kernel/cell/run_time_book.cpp
+++ b/source/kernel/cell/run_time_book.cpp
@@ -17,11 +17,6 @@
 /// Guesses below this tell nothing about the ratio.
 constexpr duration least_guess = std::chrono::milliseconds{20};
 
-double seconds(duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 } // namespace
 
 void run_time_book::observe(std::string const& route, job_step const& step,
@@ -32,7 +27,7 @@
         return;
     }
     double const sample =
-        std::min(largest_ratio, seconds(taken) / seconds(step.estimate_));
+        std::min(largest_ratio, to_seconds(taken) / to_seconds(step.estimate_));
     auto const place = ratios_.try_emplace(route, 1.0).first;
     place->second += learning_rate * (sample - place->second);
 }
@@ -42,8 +37,7 @@
 {
     auto const found = ratios_.find(route);
     double const ratio = found == ratios_.end() ? 1.0 : found->second;
-    return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(seconds(step.estimate_) * ratio));
+    return from_seconds(to_seconds(step.estimate_) * ratio);
 }
 
 duration run_time_book::chain(job_definition const& job,
@@ -69,7 +63,7 @@
 double run_time_book::task_work(std::string const& route, job_step const& step,
                                 resource_amount const& worker) const
 {
-    return worker_share(step.each_, worker) * seconds(expect(route, step));
+    return worker_share(step.each_, worker) * to_seconds(expect(route, step));
 }
 
 double run_time_book::work(job_definition const& job,
--- a/source/kernel/time.hpp
+++ b/source/kernel/time.hpp
@@ -17,6 +17,18 @@
 using wall_time =
     std::chrono::time_point<std::chrono::system_clock, std::chrono::seconds>;
 
+/// A time as a number of seconds, for rates and shares.
+inline double to_seconds(duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+inline duration from_seconds(double value)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(value));
+}
+
 } // namespace cuminfold
 
 #endif
