--- a/source/kernel/cell/job_definition.hpp
+++ b/source/kernel/cell/job_definition.hpp
@@ -136,7 +136,7 @@
     }
 };
 
-/// A step's name for logs and for the platform: JOB.OCCURRENCE.STEP.
+/// A step's name for logs: JOB.OCCURRENCE.STEP.
 inline std::string describe(step_id const& step)
 {
     return step.job_.text() + "." + std::to_string(step.occurrence_) + "." +
--- a/tests/kernel/cell/cell_test.cpp
+++ b/tests/kernel/cell/cell_test.cpp
@@ -16,6 +16,14 @@
     return {first, second};
 }
 
+void cut_all(cell_world& world, bool cut)
+{
+    for (std::uint32_t i = 0; i < 4; ++i)
+    {
+        world.cut(i, cut);
+    }
+}
+
 /// A situation that must end with the job completed and no rule broken.
 struct situation
 {
@@ -54,30 +62,18 @@
      [](cell_world& world)
      {
          world.run_for(100ms);
-         for (std::uint32_t i = 0; i < 4; ++i)
-         {
-             world.cut(i, true);
-         }
+         cut_all(world, true);
          world.run_for(6000ms);
-         for (std::uint32_t i = 0; i < 4; ++i)
-         {
-             world.cut(i, false);
-         }
+         cut_all(world, false);
      }},
     {"a new owner cannot reach the worker that runs a task",
      [](cell_world& world)
      {
          world.run_for(100ms);
-         for (std::uint32_t i = 0; i < 4; ++i)
-         {
-             world.cut(i, true);
-         }
+         cut_all(world, true);
          world.take_over();
          world.run_for(3000ms);
-         for (std::uint32_t i = 0; i < 4; ++i)
-         {
-             world.cut(i, false);
-         }
+         cut_all(world, false);
      }},
     {"the store is down for five seconds",
      [](cell_world& world)
