--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -14,8 +14,6 @@
 namespace
 {
 
-using platform::store_topic;
-
 constexpr duration tick = std::chrono::milliseconds{20};
 /// An append is repeated no sooner than this.
 constexpr duration least_append_time = std::chrono::milliseconds{150};
