--- a/source/node/front.cpp
+++ b/source/node/front.cpp
@@ -263,6 +263,14 @@
     finish(exchange, answer);
 }
 
+void front::give_up_all(char const* why)
+{
+    while (!open_.empty())
+    {
+        give_up(open_.begin()->first, why);
+    }
+}
+
 void front::owner_changed()
 {
     auto const owner = handler_.owner_();
--- a/source/node/front.hpp
+++ b/source/node/front.hpp
@@ -55,6 +55,8 @@
     void owner_changed();
     /// Answers close their connections from now on.
     void leave();
+    /// Answers every open request at once.
+    void give_up_all(char const* why);
     void stop(std::function<void()> done);
 
     std::size_t open_requests() const noexcept
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -37,6 +37,9 @@
 constexpr char const* unreadable_record = "node_record_unreadable";
 
 constexpr duration tick = std::chrono::milliseconds{50};
+/// What is still open when a stopping node has no more time than this is
+/// answered, so that no connection ends without.
+constexpr duration last_answers_time = std::chrono::milliseconds{200};
 constexpr duration settings_check = std::chrono::seconds{1};
 /// Connections to one address: starts of one round go to a worker at once.
 constexpr std::size_t connections_per_address = 24;
@@ -130,6 +133,8 @@
         {
             metrics_.set("cuminfold_log_lines_dropped",
                          static_cast<double>(dropped_log_lines()));
+            metrics_.set("cuminfold_open_requests",
+                         static_cast<double>(front_.open_requests()));
             return metrics_.write();
         };
         return handler;
@@ -456,6 +461,10 @@
     void await_last_answer()
     {
         auto const now = node_now();
+        if (now >= stop_limit_ - last_answers_time)
+        {
+            front_.give_up_all("stopping");
+        }
         bool const done = now >= stop_after_ && front_.open_requests() == 0;
         if (done || now >= stop_limit_)
         {
--- a/tests/node/node_process_test.cpp
+++ b/tests/node/node_process_test.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -28,7 +29,7 @@
 {
 public:
     entry_vm(std::filesystem::path const& folder, std::string const& name,
-             std::string const& platform)
+             std::string const& platform, std::string const& more = "")
     {
         auto const file = (folder / (name + ".yaml")).string();
         std::ofstream(file) << "name: " << name << "\n"
@@ -38,7 +39,8 @@
                             << "store_address: " << platform << "\n"
                             << "machines_address: " << platform << "\n"
                             << "advice_address: " << platform << "\n"
-                            << "stop_time: 100ms\n";
+                            << "stop_time: 100ms\n"
+                            << more;
         process_ = std::make_unique<child_process>(
             CUMINFOLD_NODE, std::vector<std::string>{"--config", file},
             (folder / (name + ".errors")).string());
@@ -85,8 +87,10 @@
             std::make_unique<entry_vm>(folder_, name, platform_.address()));
     }
 
-    http_result call(std::string const& address, std::string const& method,
-                     std::string const& target, std::string const& body = "")
+    std::future<http_result> begin(std::string const& address,
+                                   std::string const& method,
+                                   std::string const& target,
+                                   std::string const& body = "")
     {
         http_call call;
         call.address_ = address;
@@ -95,7 +99,13 @@
         call.fields_["host"] = platform_stand_in::host_;
         call.body_ = body;
         call.timeout_ = 5s;
-        return client_.start(std::move(call)).get();
+        return client_.start(std::move(call));
+    }
+
+    http_result call(std::string const& address, std::string const& method,
+                     std::string const& target, std::string const& body = "")
+    {
+        return begin(address, method, target, body).get();
     }
 
     unsigned status(std::string const& address, std::string const& method,
@@ -260,6 +270,32 @@
     CHECK(system.platform_.most_starts() == 1);
 }
 
+TEST_CASE("a request that is open when a node's time to stop is up is answered")
+{
+    small_system system;
+    system.vms_.clear();
+    system.platform_.set_down(true);
+    // It knows no owner, so a request waits longer than the node has left.
+    entry_vm alone(system.folder_, "alone", system.platform_.address(),
+                   "stop_limit: 400ms\n");
+    auto answer = system.begin(alone.clients_, "POST",
+                               platform_stand_in::prefix_ + id_of(1),
+                               platform_stand_in::write_job(1, 10));
+    system.until(
+        [&]
+        {
+            auto const metrics =
+                system.call(alone.peers_, "GET", "/metrics").response_.body_;
+            return metrics.find("cuminfold_open_requests 1") !=
+                   std::string::npos;
+        });
+    alone.process_->terminate();
+    auto const result = answer.get();
+    REQUIRE(result.end_ == http_end::whole);
+    CHECK(result.response_.status_ == 503);
+    CHECK(alone.process_->wait() == 0);
+}
+
 TEST_CASE("jobs of a queue with a policy run on the workers that it allows")
 {
     small_system system;
