cell: Start nothing by old entries, refuse while the owner is behind

Now nothing is started by entries that were read whole longer ago than the platform's notice allows, and while events wait over 300 ms new jobs are refused with the time to come back. Log lines owner_overloaded and owner_keeps_up, distribution cuminfold_event_delay. Both new tests fail without it.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -52,6 +52,12 @@
     /// A store that takes this long for a batch is taken for unreachable:
     /// nothing new is accepted.
     duration stall_time_ = std::chrono::milliseconds{700};
+    /// Entries of workers that were last read longer ago than this start
+    /// nothing: one of them may be leaving by now.
+    duration entries_age_limit_ = std::chrono::milliseconds{1500};
+    /// An owner whose events wait longer than this for their turn has no
+    /// processor time left for further jobs.
+    duration delay_limit_ = std::chrono::milliseconds{300};
     /// A job cannot be stored in less time than this.
     duration least_time_ = std::chrono::milliseconds{50};
     /// Time that ended jobs stay known.
@@ -88,7 +94,12 @@
 
     void set_config(fleet_config const& config);
 
+    /// How long events of this owner wait for their turn at present.
+    void set_delay(duration delay);
+
     /// @name Workers
+    /// Their entries were read whole up to that time.
+    void entries_read(time_point at);
     /// @{
     void worker_listed(worker_registration entry, time_point now);
     /// The platform lists that worker as the present life on a VM.
@@ -253,6 +264,8 @@
     /// Looks at all jobs and tasks for what is due.
     void review(time_point now, calendar_time calendar);
     bool may_order(time_point now) const;
+    /// May order, and knows who is leaving.
+    bool may_start(time_point now) const;
     void read_clock(worker_state& worker, worker_clock clock, time_point now);
     /// Nothing of ours runs there any more; its tasks wait anew.
     void release_all(worker_state& worker, time_point now);
@@ -309,6 +322,8 @@
     cell_options options_;
     time_point began_;
     time_point confirmed_{};
+    time_point entries_read_{};
+    duration delay_{0};
     fleet_config config_;
     run_time_book run_times_;
     ticket_book tickets_;
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -70,11 +70,14 @@
     auto const already_waited = waited(route, time_left);
     demand_.add(route.pool_, request.id_,
                 run_times_.work(request, typical_worker(route.pool_)), now);
-    if (store_stalled(now) || time_left < options_.least_time_)
+    char const* const obstacle =
+        store_stalled(now)                 ? "store_stalled"
+        : time_left < options_.least_time_ ? "too_little_time"
+        : delay_ > options_.delay_limit_   ? "owner_overloaded"
+                                           : nullptr;
+    if (obstacle != nullptr)
     {
-        client_answer refusal =
-            answer(answer_kind::unavailable,
-                   store_stalled(now) ? "store_stalled" : "too_little_time");
+        client_answer refusal = answer(answer_kind::unavailable, obstacle);
         refusal.retry_after_ = std::chrono::seconds{1};
         reply(exchange, refusal);
         return;
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -44,7 +44,7 @@
 
 void cell::place(time_point now)
 {
-    if (!may_order(now))
+    if (!may_start(now))
     {
         placement_due_ = true;
         return;
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -17,7 +17,7 @@
 } // namespace
 
 cell::cell(cell_options options, time_point now)
-    : options_(options), began_(now), confirmed_(now)
+    : options_(options), began_(now), confirmed_(now), entries_read_(now)
 {
 }
 
@@ -31,6 +31,21 @@
     return now - confirmed_ < options_.confirmation_limit_;
 }
 
+void cell::set_delay(duration delay)
+{
+    delay_ = delay;
+}
+
+void cell::entries_read(time_point at)
+{
+    entries_read_ = std::max(entries_read_, at);
+}
+
+bool cell::may_start(time_point now) const
+{
+    return may_order(now) && now - entries_read_ < options_.entries_age_limit_;
+}
+
 void cell::set_config(fleet_config const& config)
 {
     config_ = config;
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -25,6 +25,8 @@
 /// Added to the times that an order takes to have effect, for the way to its
 /// receiver.
 constexpr duration order_margin = std::chrono::milliseconds{200};
+/// Left of the notice of a drain for a start that is on its way.
+constexpr duration entries_margin = std::chrono::milliseconds{500};
 
 cell_options make_options(node_settings const& settings)
 {
@@ -32,6 +34,8 @@
     options.lease_ = std::min(options.lease_, settings.longest_lease_);
     options.longest_lease_ = options.lease_;
     options.stop_grace_ = settings.stop_grace_ + order_margin;
+    options.entries_age_limit_ =
+        std::max(entries_margin, settings.drain_notice_ - entries_margin);
     return options;
 }
 
@@ -146,16 +150,37 @@
 {
     timer_.expires_after(tick);
     timer_.async_wait(
-        [self = shared_from_this()](boost::system::error_code error)
+        [self = shared_from_this(),
+         due = node_now() + tick](boost::system::error_code error)
         {
             if (!error && !self->stopped_)
             {
+                self->observe_delay(node_now() - due);
                 self->pump();
                 self->arm_timer();
             }
         });
 }
 
+void cell_owner::observe_delay(duration delay)
+{
+    cell_.set_delay(delay);
+    parts_.metrics_.observe("cuminfold_event_delay", delay);
+    bool const late = delay > cell_options{}.delay_limit_;
+    if (late != overloaded_)
+    {
+        overloaded_ = late;
+        parts_.log_.write(
+            late ? "owner_overloaded" : "owner_keeps_up",
+            {{"epoch", std::to_string(record_.epoch_)},
+             {"delay_ms",
+              std::to_string(
+                  std::chrono::duration_cast<std::chrono::milliseconds>(delay)
+                      .count())}},
+            node_now());
+    }
+}
+
 void cell_owner::pump_soon()
 {
     if (!pump_posted_ && !stopped_)
@@ -182,6 +207,7 @@
     {
         return;
     }
+    cell_.entries_read(follower_->known_at());
     cell_.tick(now, calendar_now());
     fleet_.tick(now, confirmed_);
     append_batch();
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -86,6 +86,7 @@
     void load();
     void take_content(platform::topic_content const& content);
     void begin_if_ready();
+    void observe_delay(duration delay);
     void pump_soon();
     void pump();
     void arm_timer();
@@ -128,6 +129,7 @@
     bool serving_ = false;
     bool stopped_ = false;
     bool pump_posted_ = false;
+    bool overloaded_ = false;
 
     platform::append_call batch_;
     bool batch_out_ = false;
--- a/source/node/node_settings.hpp
+++ b/source/node/node_settings.hpp
@@ -44,6 +44,9 @@
     duration longest_lease_ = std::chrono::milliseconds{10'000};
     /// A run that was asked to stop has ended after this; from the platform.
     duration stop_grace_ = std::chrono::milliseconds{400};
+    /// A worker that says it leaves may still be given tasks for this long;
+    /// from the platform.
+    duration drain_notice_ = std::chrono::milliseconds{2000};
     /// An order for a VM that is not answered within this is given up.
     duration vm_order_timeout_ = std::chrono::milliseconds{400};
     /// Two owners' orders for one VM keep this apart; from the platform.
--- a/source/node/node_settings_file.cpp
+++ b/source/node/node_settings_file.cpp
@@ -35,6 +35,7 @@
     in.read("longest_lease", settings.longest_lease_, shortest, longest);
     in.read("vm_order_timeout", settings.vm_order_timeout_, shortest, longest);
     in.read("stop_grace", settings.stop_grace_, duration{0}, longest);
+    in.read("drain_notice", settings.drain_notice_, shortest, longest);
     in.read("order_pause", settings.order_pause_, duration{0}, longest);
     in.read("cpu_share", settings.cpu_share_, 0, most_cores);
     in.read("cpu_speed", settings.cpu_speed_, 0, most_cores);
--- a/source/node/worker_follower.hpp
+++ b/source/node/worker_follower.hpp
@@ -33,6 +33,11 @@
     ~worker_follower();
 
     void start();
+    /// Everything that the store held then is known.
+    time_point known_at() const
+    {
+        return follower_->known_at();
+    }
 
 private:
     void take_whole(std::vector<platform::keyed_record> const& records);
--- a/tests/kernel/cell/cell_test.cpp
+++ b/tests/kernel/cell/cell_test.cpp
@@ -210,6 +210,35 @@
     CHECK(world.runs_of("third") == 0);
 }
 
+TEST_CASE("an owner that is behind with workers' entries starts nothing")
+{
+    cell_world world(1);
+    world.run_for(50ms);
+    world.entries_stale_ = true;
+    world.run_for(2000ms);
+    world.submit("a", {cell_world::make_step(2, 1000, 100ms)});
+    world.run_for(1000ms);
+    CHECK(world.runs_of("a") == 0);
+    world.entries_stale_ = false;
+    world.run_for(1000ms);
+    CHECK(world.standing("a") == job_standing::completed);
+}
+
+TEST_CASE("an owner whose events wait refuses jobs until it keeps up again")
+{
+    cell_world world(1);
+    world.run_for(50ms);
+    world.owner().set_delay(400ms);
+    world.submit("a", {cell_world::make_step(1, 1000, 100ms)});
+    world.run_for(100ms);
+    CHECK(world.answered("a", answer_kind::unavailable));
+    world.owner().set_delay(20ms);
+    world.submit("b", {cell_world::make_step(1, 1000, 100ms)});
+    world.run_for(1000ms);
+    CHECK(world.answered("b", answer_kind::accepted));
+    CHECK(world.runs_of("a") == 0);
+}
+
 TEST_CASE("a draining worker gets nothing new and its lasting tasks leave")
 {
     cell_world world(13, 3);
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -229,6 +229,10 @@
     {
         cell_->confirmed(now_);
     }
+    if (!entries_stale_)
+    {
+        cell_->entries_read(now_);
+    }
     pump();
 }
 
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -77,6 +77,8 @@
 
     faults faults_;
     bool store_down_ = false;
+    /// The owner reads no entries of workers.
+    bool entries_stale_ = false;
     /// The policy service denies every worker of an odd number, and answers
     /// nothing while it is away.
     bool advice_away_ = false;
