platform: Give lists of VMs the store's time, log what fails

Moved VMs were taken for workers of their old pool for seconds. Neither failed lists nor orders that were not begun had a log line; both have one now, orders also a distribution, cuminfold_vm_order_call.

Ruled out: orders refused by the platform (none was).

--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -216,9 +216,15 @@
         actions_.emplace_back(
             note_decision{"vm_moved", vm.text(), work_.at(vm).target_->text()});
     }
-    else if (outcome != vm_outcome::no_answer && outcome != vm_outcome::later)
+    else
     {
-        drop_work(vm);
+        actions_.emplace_back(note_decision{
+            "move_not_begun", vm.text(),
+            "outcome=" + std::to_string(static_cast<int>(outcome))});
+        if (outcome != vm_outcome::no_answer && outcome != vm_outcome::later)
+        {
+            drop_work(vm);
+        }
     }
 }
 
--- a/source/node/cell_owner_orders.cpp
+++ b/source/node/cell_owner_orders.cpp
@@ -48,8 +48,15 @@
             {
                 return;
             }
-            vms ? self->fleet_.listed(std::move(*vms), asked, node_now())
-                : self->fleet_.list_failed(node_now());
+            if (vms)
+            {
+                self->fleet_.listed(std::move(*vms), asked, node_now());
+            }
+            else
+            {
+                self->parts_.log_.write("vm_list_failed", {}, node_now());
+                self->fleet_.list_failed(node_now());
+            }
             self->pump_soon();
         });
 }
@@ -84,10 +91,13 @@
     }
     parts_.machines_.move(
         action.vm_, action.pool_,
-        [self = shared_from_this(), action](vm_outcome outcome)
+        [self = shared_from_this(), action,
+         sent = node_now()](vm_outcome outcome)
         {
             if (!self->stopped_)
             {
+                self->parts_.metrics_.observe("cuminfold_vm_order_call",
+                                              node_now() - sent);
                 self->fleet_.moved(action.vm_, outcome, node_now());
                 self->pump_soon();
             }
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -65,7 +65,7 @@
           workers_(http_, settings_.worker_timeout_),
           advice_(http_, settings_.advice_address_),
           machines_(http_, settings_.machines_address_, settings_.name_,
-                    settings_.vm_order_timeout_),
+                    settings_.vm_order_timeout_, settings_.store_timeout_),
           config_(context_, store_, log_, [this] { config_changed(); }),
           life_(draw_incarnation()), ownership_(make_ownership(), node_now()),
           peers_(context_, make_peer_handler()),
