transport: Read bodies in large pieces, let calls wait for a connection

The library reads as much as its buffer holds, at first 512 bytes, and each piece takes its turn behind everything else: an owner with much to do read workers' entries up to 2.3 s late (owner_load, entries_age_ms), though its events waited 60 ms at most. And a call beyond the 24 connections to an address counted as not sent, so that starts were refused and workers taken for silent; now it waits for a connection until its time is up. The platform's addresses get 10 connections each, since 24 to 350 workers pass its bound on descriptors; other nodes' have a client of their own, as their answers may take as long as clients wait.

The test of a long body counts 201 handlers without the change and fails.

--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -41,10 +41,12 @@
 /// answered, so that no connection ends without.
 constexpr duration last_answers_time = std::chrono::milliseconds{200};
 constexpr duration settings_check = std::chrono::seconds{1};
-/// Connections to one address: starts of one round go to a worker at once.
-constexpr std::size_t connections_per_address = 24;
+/// Connections to one address: most starts of one round go to a worker at
+/// once, and those to all workers stay below the platform's bound on
+/// descriptors.
+constexpr std::size_t connections_per_address = 10;
 
-http_client_limits client_limits()
+http_client_limits platform_limits()
 {
     http_client_limits limits;
     limits.connections_ = connections_per_address;
@@ -60,7 +62,7 @@
         : settings_(std::move(settings)),
           settings_path_(std::move(settings_path)),
           settings_file_(settings_path_), log_(metrics_),
-          http_(context_, client_limits()),
+          http_(context_, platform_limits()), peer_http_(context_, {}),
           store_(http_, settings_.store_address_, settings_.store_timeout_),
           workers_(http_, settings_.worker_timeout_),
           advice_(http_, settings_.advice_address_),
@@ -69,7 +71,7 @@
           config_(context_, store_, log_, [this] { config_changed(); }),
           life_(draw_incarnation()), ownership_(make_ownership(), node_now()),
           peers_(context_, make_peer_handler()),
-          front_(context_, http_, make_front_handler(), log_, metrics_),
+          front_(context_, peer_http_, make_front_handler(), log_, metrics_),
           health_(context_, {}, make_health_handler()), timer_(context_),
           stop_timer_(context_), signals_(context_, SIGTERM, SIGINT, SIGHUP)
     {
@@ -279,7 +281,8 @@
     void ping()
     {
         auto const epoch = ownership_.owner().epoch_;
-        ping_peer(http_, ownership_.owner().address_, settings_.peer_timeout_,
+        ping_peer(peer_http_, ownership_.owner().address_,
+                  settings_.peer_timeout_,
                   [this, epoch](std::optional<peer_ping> const& answer)
                   {
                       if (ownership_.owner().epoch_ == epoch)
@@ -484,6 +487,8 @@
     metrics metrics_;
     decision_log log_;
     http_client http_;
+    /// Other nodes' answers may take as long as clients wait.
+    http_client peer_http_;
     platform::store_client store_;
     platform::worker_client workers_;
     platform::advice_client advice_;
--- a/source/transport/http_client.cpp
+++ b/source/transport/http_client.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <deque>
 #include <iterator>
 #include <map>
 #include <optional>
@@ -30,6 +31,10 @@
 {
 
 using clock = std::chrono::steady_clock;
+/// Bytes of a body read at once.
+constexpr std::size_t largest_read = 64 * 1024;
+/// What a connection without a call may keep of its buffer.
+constexpr std::size_t largest_idle_buffer = 4 * 1024;
 /// Bound to the context's own executor: the general one costs an allocation
 /// for each handler.
 using socket_type =
@@ -124,6 +129,7 @@
 
     void stop()
     {
+        waiting_.clear();
         auto const calls = std::exchange(calls_, {});
         for (auto const& item : calls)
         {
@@ -180,12 +186,40 @@
         auto const busy = busy_.find(open->call_.address_);
         if (busy != busy_.end() && busy->second >= limits_.connections_)
         {
-            end_later(open, http_end::not_sent);
+            watch(open, open->deadline_);
+            waiting_[open->call_.address_].push_back(open->number_);
             return;
         }
         connect(open);
     }
 
+    /// A connection to that address has become free: the call that has waited
+    /// longest gets its turn.
+    void begin_next(std::string const& address)
+    {
+        auto const found = waiting_.find(address);
+        if (found == waiting_.end())
+        {
+            return;
+        }
+        open_ptr next;
+        while (!next && !found->second.empty())
+        {
+            // Calls that ended while they waited are left out.
+            auto const call = calls_.find(found->second.front());
+            next = call == calls_.end() ? nullptr : call->second;
+            found->second.pop_front();
+        }
+        if (found->second.empty())
+        {
+            waiting_.erase(found);
+        }
+        if (next)
+        {
+            begin(next);
+        }
+    }
+
     connection_ptr take_idle(std::string const& address)
     {
         auto const found = idle_.find(address);
@@ -414,6 +448,11 @@
             on_read(open, error);
             return;
         }
+        // Without this the library reads 512 bytes at a time, each of them
+        // after everything else that the thread has to do.
+        auto const left = open->parser_->content_length_remaining();
+        buffer.reserve(static_cast<std::size_t>(
+            std::min<std::uint64_t>(left.value_or(0), largest_read)));
         http::async_read(
             open->connection_->socket_, buffer, *open->parser_,
             [self = shared_from_this(), open,
@@ -491,6 +530,7 @@
         }
         open->connection_.reset();
         calls_.erase(open->number_);
+        begin_next(open->call_.address_);
         std::exchange(open->done_, nullptr)(std::move(result));
     }
 
@@ -531,6 +571,10 @@
         if (kept.size() + used < limits_.connections_)
         {
             idle->idle_since_ = clock::now();
+            if (idle->buffer_.capacity() > largest_idle_buffer)
+            {
+                idle->buffer_.shrink_to_fit();
+            }
             kept.push_back(std::move(idle));
         }
         else
@@ -595,6 +639,7 @@
             release(open->call_.address_);
             // Handlers that are still to come keep the connection's memory.
             open->connection_.reset();
+            begin_next(open->call_.address_);
         }
     }
 
@@ -605,6 +650,8 @@
     std::uint64_t next_number_ = 1;
     std::map<std::uint64_t, open_ptr> calls_;
     std::unordered_map<std::string, std::size_t> busy_;
+    /// Calls that wait for a connection, by address.
+    std::unordered_map<std::string, std::deque<std::uint64_t>> waiting_;
     std::unordered_map<std::string, idle_list> idle_;
     asio::steady_timer deadline_timer_;
     /// What the timer waits for.
--- a/source/transport/http_client.hpp
+++ b/source/transport/http_client.hpp
@@ -21,7 +21,8 @@
 {
     std::size_t head_bytes_ = 16 * 1024;
     std::size_t body_bytes_ = 8 * 1024 * 1024;
-    /// Connections to one address, busy and idle ones together.
+    /// Connections to one address, busy and idle ones together. Further calls
+    /// wait for one until their time is up.
     std::size_t connections_ = 64;
     duration connect_time_ = std::chrono::milliseconds{500};
     duration idle_time_ = std::chrono::seconds{30};
--- a/tests/transport/http_client_test.cpp
+++ b/tests/transport/http_client_test.cpp
@@ -231,3 +231,82 @@
     CHECK(client.call(address, "1").end_ == http_end::not_sent);
     CHECK(client.call("nowhere", "1").end_ == http_end::not_sent);
 }
+
+TEST_CASE("a call beyond the connections to an address waits for one")
+{
+    struct row
+    {
+        char const* name_;
+        bool first_ends_;
+        duration timeout_;
+        http_end second_;
+    };
+    row const rows[] = {
+        {"the first is answered", true, std::chrono::seconds{20},
+         http_end::whole},
+        {"the first holds its connection", false, std::chrono::milliseconds{50},
+         http_end::not_sent},
+    };
+    for (auto const& each : rows)
+    {
+        CAPTURE(each.name_);
+        std::promise<void> asked;
+        std::promise<void> go_on;
+        fake_server server({[&](raw_socket& peer)
+                            {
+                                peer.read_until("\r\n\r\n");
+                                asked.set_value();
+                                go_on.get_future().wait();
+                                peer.send(reply("1", "x", 1));
+                                if (each.first_ends_)
+                                {
+                                    peer.read_until("\r\n\r\n");
+                                    peer.send(reply("2", "y", 1));
+                                }
+                            }});
+        http_client_limits limits;
+        limits.connections_ = 1;
+        waiting_client client(limits);
+        auto const first =
+            std::async(std::launch::async,
+                       [&] { return client.call(server.address(), "1"); });
+        asked.get_future().wait();
+        auto second = std::async(
+            std::launch::async,
+            [&] { return client.call(server.address(), "2", each.timeout_); });
+        if (!each.first_ends_)
+        {
+            second.wait();
+        }
+        go_on.set_value();
+        CHECK(second.get().end_ == each.second_);
+        first.wait();
+    }
+}
+
+TEST_CASE("a long body is read in a few large pieces")
+{
+    std::string const body(100'000, 'x');
+    fake_server server({[&](raw_socket& peer)
+                        {
+                            peer.read_until("\r\n\r\n");
+                            peer.send(reply("1", body, body.size()));
+                        }});
+    boost::asio::io_context context;
+    http_client client(context, {});
+    http_call call;
+    call.address_ = server.address();
+    call.target_ = "/";
+    http_result answer;
+    client.start(std::move(call),
+                 [&](http_result result)
+                 {
+                     answer = std::move(result);
+                     client.stop();
+                 });
+    auto const handlers = context.run();
+    CHECK(answer.end_ == http_end::whole);
+    CHECK(answer.response_.body_ == body);
+    // One for each 512 bytes would be 200.
+    CHECK(handlers < 60);
+}
