cell: Measure a surge by its mean, feed the neediest pool first

The level of a surge is its mean now, and VMs go one at a time to the pool that has the least share of what it wants.

--- a/source/kernel/cell/demand_meter.cpp
+++ b/source/kernel/cell/demand_meter.cpp
@@ -21,8 +21,8 @@
 constexpr double least_surge_seconds = 0.25;
 /// Time constant with which an earlier surge is forgotten, and the share of it
 /// that is expected of the next one.
-constexpr double peak_seconds = 60;
-constexpr double peak_share = 0.8;
+constexpr double level_seconds = 60;
+constexpr double level_share = 0.8;
 /// Clients repeat a refused job no longer than this.
 constexpr duration repeat_time = std::chrono::seconds{6};
 
@@ -39,7 +39,6 @@
         return;
     }
     auto& entry = rates_[pool];
-    double const fade = std::exp(-to_seconds(now - entry.at_) / peak_seconds);
     entry.rate_ = faded(entry, now) + work / smoothing_seconds;
     entry.at_ = now;
     bool const surged = surging(entry, now);
@@ -52,6 +51,9 @@
     {
         if (!surged)
         {
+            entry.expected_ =
+                entry.level_ *
+                std::exp(-to_seconds(now - entry.level_at_) / level_seconds);
             entry.surge_began_ = entry.arrivals_.front();
             entry.surge_work_ = entry.rate_ * smoothing_seconds;
         }
@@ -62,7 +64,9 @@
         auto const time = to_seconds(now - entry.surge_began_);
         if (time > settled_surge_seconds)
         {
-            entry.peak_ = std::max(entry.peak_ * fade, entry.rate_);
+            // Its mean: the sizes of single jobs differ by far.
+            entry.level_ = entry.surge_work_ / time;
+            entry.level_at_ = now;
         }
     }
 }
@@ -94,9 +98,13 @@
     }
     auto const time =
         std::max(to_seconds(now - entry.surge_began_), least_surge_seconds);
-    double const early =
-        time < settled_surge_seconds ? entry.surge_work_ / time : 0;
-    return std::max({rate, early, entry.peak_ * peak_share});
+    double const mean = entry.surge_work_ / time;
+    if (time >= settled_surge_seconds)
+    {
+        // A few large jobs move the average, a change of the load both.
+        return (rate + mean) / 2;
+    }
+    return std::max({rate, mean, entry.expected_ * level_share});
 }
 
 void demand_meter::forget(time_point now)
--- a/source/kernel/cell/demand_meter.hpp
+++ b/source/kernel/cell/demand_meter.hpp
@@ -31,8 +31,11 @@
     {
         double rate_ = 0;
         time_point at_{};
-        /// The highest rate of late, which fades slowly.
-        double peak_ = 0;
+        /// The mean rate of the newest surge that lasted, and until when.
+        double level_ = 0;
+        time_point level_at_{};
+        /// The same when the present surge began, faded by its age.
+        double expected_ = 0;
         /// When the last jobs came.
         std::deque<time_point> arrivals_;
         /// Since when jobs come thick and fast, and their work.
--- a/source/kernel/cell/pool_plan.cpp
+++ b/source/kernel/cell/pool_plan.cpp
@@ -41,7 +41,8 @@
     struct lack
     {
         pool_load const* load_;
-        std::uint32_t vms_;
+        std::uint32_t has_;
+        std::uint32_t wanted_;
     };
     struct surplus
     {
@@ -49,7 +50,6 @@
         std::uint32_t vms_;
         /// Free ones first.
         std::vector<vm_id> vms_to_give_;
-        std::size_t next_ = 0;
     };
     std::vector<lack> lacks;
     std::vector<surplus> surpluses;
@@ -59,7 +59,7 @@
         auto const has = load.workers_ + load.incoming_;
         if (wanted > has)
         {
-            lacks.push_back({&load, wanted - has});
+            lacks.push_back({&load, has, wanted});
         }
         else if (load.workers_ > wanted)
         {
@@ -70,8 +70,6 @@
             surpluses.push_back(std::move(from));
         }
     }
-    std::sort(lacks.begin(), lacks.end(),
-              [](lack const& a, lack const& b) { return a.vms_ > b.vms_; });
     std::sort(surpluses.begin(), surpluses.end(),
               [](surplus const& a, surplus const& b)
               {
@@ -79,18 +77,27 @@
                              ? a.load_->standby_
                              : a.vms_ > b.vms_;
               });
+    // One at a time to the pool that has the least of what it wants: one that
+    // wants more than all there is would take everything.
     std::vector<planned_move> moves;
-    for (auto& lack : lacks)
+    auto const fed = [](lack const& a, lack const& b)
+    {
+        return std::uint64_t{a.has_} * b.wanted_ <
+               std::uint64_t{b.has_} * a.wanted_;
+    };
+    for (auto& from : surpluses)
     {
-        for (auto& from : surpluses)
+        for (std::size_t next = 0;
+             from.vms_ > 0 && !lacks.empty() && next < from.vms_to_give_.size();
+             ++next, --from.vms_)
         {
-            while (lack.vms_ > 0 && from.vms_ > 0 &&
-                   from.next_ < from.vms_to_give_.size())
+            auto const neediest =
+                std::min_element(lacks.begin(), lacks.end(), fed);
+            moves.push_back({from.vms_to_give_[next], from.load_->pool_,
+                             neediest->load_->pool_});
+            if (++neediest->has_ == neediest->wanted_)
             {
-                moves.push_back({from.vms_to_give_[from.next_++],
-                                 from.load_->pool_, lack.load_->pool_});
-                --from.vms_;
-                --lack.vms_;
+                lacks.erase(neediest);
             }
         }
     }
--- a/tests/kernel/cell/demand_meter_test.cpp
+++ b/tests/kernel/cell/demand_meter_test.cpp
@@ -54,6 +54,19 @@
     CHECK(meter.rate(pool, now) > full / 2);
 }
 
+TEST_CASE("a few large jobs in a turn of demand are not taken for its pace")
+{
+    demand_meter meter;
+    int number = 0;
+    auto now = hand_in(meter, time_point{10s}, 2000ms, 40ms, 1, number);
+    now = hand_in(meter, now, 80ms, 20ms, 15, number);
+    now = hand_in(meter, now, 1000ms, 40ms, 1, number);
+    CHECK(meter.rate(pool, now) < 50);
+    now = hand_in(meter, now, 12'000ms, 2000ms, 1, number);
+    now = hand_in(meter, now, 160ms, 40ms, 1, number);
+    CHECK(meter.rate(pool, now) < 60);
+}
+
 TEST_CASE("a job that a client repeats after a refusal counts once")
 {
     demand_meter meter;
--- a/tests/kernel/cell/pool_plan_test.cpp
+++ b/tests/kernel/cell/pool_plan_test.cpp
@@ -44,6 +44,15 @@
     CHECK(moves_to(moves, "idle") == 0);
 }
 
+TEST_CASE("two queues in their turns share what neither can have whole")
+{
+    auto const moves =
+        plan_moves({make_load("huge", 30, 0, 500), make_load("large", 5, 0, 80),
+                    make_load("idle", 60, 50, 0.2)});
+    CHECK(moves_to(moves, "huge") > 10);
+    CHECK(moves_to(moves, "large") > 5);
+}
+
 TEST_CASE("standby VMs go before those of a pool that serves")
 {
     auto standby = make_load("spare", 3, 3, 0);
