cell: Look for due renewals and stalled runs less often

The owner looked through all workers for due renewals at each event, and for stalled runs each 50 ms. Candidates for a placement leave out workers that may take no task at all. A new worker has a log line, worker_listed.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -304,8 +304,8 @@
                     std::uint32_t step, time_point now);
     bool place_gang(job_id const& id, job_state& job, std::uint32_t occurrence,
                     std::uint32_t step, time_point now);
-    /// Gathers the workers of a pool.
-    void find_candidates(pool_name const& pool);
+    /// Gathers the workers of a pool that may take any task at all.
+    void find_candidates(pool_name const& pool, time_point now);
     /// The best of the candidates; null if none may take a task of the step.
     worker_state* choose(step_id const& id, job_state const& job,
                          time_point now);
@@ -351,6 +351,10 @@
     time_point next_cleanup_{};
     time_point next_review_{};
     time_point next_placement_{};
+    time_point next_renewals_{};
+    time_point next_stall_check_{};
+    /// Between two renewals of one worker, by how many are busy.
+    duration renewal_gap_{0};
 };
 
 } // namespace cuminfold
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -64,13 +64,16 @@
     }
 }
 
-void cell::find_candidates(pool_name const& pool)
+void cell::find_candidates(pool_name const& pool, time_point now)
 {
+    // Breaks only rules that no task could keep there.
+    static job_step const any_task{};
     candidates_.clear();
     for (auto const& name : pool_workers_[pool])
     {
         auto const found = workers_.find(name);
-        if (found != workers_.end())
+        if (found != workers_.end() &&
+            broken_rule({found->second, any_task, 0, now}) == nullptr)
         {
             candidates_.push_back(&found->second);
         }
@@ -81,7 +84,7 @@
                       std::vector<std::pair<job_id, job_state*>>& jobs,
                       time_point now)
 {
-    find_candidates(pool);
+    find_candidates(pool, now);
     if (candidates_.empty())
     {
         return;
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -110,6 +110,7 @@
     {
         return;
     }
+    renewal_gap_ = renewal_gap();
     for (auto& item : workers_)
     {
         auto& worker = item.second;
@@ -218,7 +219,8 @@
     }
     bool const settled = worker.strays_.empty();
     worker.next_renewal_ =
-        now + (settled ? renewal_gap() : options_.repeat_gap_);
+        now + (settled ? std::max(renewal_gap_, options_.renewal_gap_)
+                       : options_.repeat_gap_);
 }
 
 void cell::compare(worker_state& worker, worker_report const& report,
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -13,6 +13,10 @@
 constexpr duration review_gap = std::chrono::milliseconds{50};
 /// Between two placements: each orders all jobs anew.
 constexpr duration placement_gap = std::chrono::milliseconds{4};
+/// Between two looks for workers whose renewal is due: each looks at all.
+constexpr duration renewals_gap = std::chrono::milliseconds{4};
+/// Between two looks for runs that make no progress; they are given seconds.
+constexpr duration stall_check_gap = std::chrono::milliseconds{250};
 
 } // namespace
 
@@ -75,6 +79,11 @@
         note("worker_draining", entry.id_, "entry");
         worker.draining_since_ = now;
     }
+    if (worker.entry_.address_.empty())
+    {
+        note("worker_listed", entry.id_,
+             "vm=" + entry.vm_.text() + " pool=" + entry.pool_.text());
+    }
     worker.entry_ = std::move(entry);
     placement_due_ = true;
 }
@@ -331,7 +340,11 @@
     }
     withdraw_unsent(now);
     drop_lapsed(now);
-    stop_stalled(now);
+    if (now >= next_stall_check_)
+    {
+        next_stall_check_ = now + stall_check_gap;
+        stop_stalled(now);
+    }
     leave_draining(now);
     repeat_stops(now);
     look_for_overdue(now);
@@ -351,7 +364,11 @@
         next_placement_ = now + placement_gap;
         place(now);
     }
-    renew_due(now);
+    if (now >= next_renewals_)
+    {
+        next_renewals_ = now + renewals_gap;
+        renew_due(now);
+    }
 }
 
 std::vector<cell_action> cell::take_actions()
