node: Log the owner's own load each second

How long its events wait and how old its knowledge of workers' entries is: both were needed to find why entries were read late, and neither was to be had.

--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -28,6 +28,15 @@
 /// Left of the notice of a drain for a start that is on its way.
 constexpr duration entries_margin = std::chrono::milliseconds{500};
 
+/// The owner's own load is logged this often.
+constexpr duration load_note_interval = std::chrono::seconds{1};
+
+std::string in_milliseconds(duration time)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 cell_options make_options(node_settings const& settings)
 {
     cell_options options;
@@ -166,18 +175,28 @@
 {
     cell_.set_delay(delay);
     parts_.metrics_.observe("cuminfold_event_delay", delay);
-    bool const late = delay > cell_options{}.delay_limit_;
-    if (late != overloaded_)
+    longest_delay_ = std::max(longest_delay_, delay);
+    if (node_now() >= next_load_note_)
     {
-        overloaded_ = late;
+        next_load_note_ = node_now() + load_note_interval;
         parts_.log_.write(
-            late ? "owner_overloaded" : "owner_keeps_up",
+            "owner_load",
             {{"epoch", std::to_string(record_.epoch_)},
-             {"delay_ms",
-              std::to_string(
-                  std::chrono::duration_cast<std::chrono::milliseconds>(delay)
-                      .count())}},
+             {"longest_delay_ms", in_milliseconds(longest_delay_)},
+             {"entries_age_ms",
+              in_milliseconds(node_now() - follower_->known_at())},
+             {"jobs", std::to_string(cell_.jobs().size())}},
             node_now());
+        longest_delay_ = duration{0};
+    }
+    bool const late = delay > cell_options{}.delay_limit_;
+    if (late != overloaded_)
+    {
+        overloaded_ = late;
+        parts_.log_.write(late ? "owner_overloaded" : "owner_keeps_up",
+                          {{"epoch", std::to_string(record_.epoch_)},
+                           {"delay_ms", in_milliseconds(delay)}},
+                          node_now());
     }
 }
 
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -130,6 +130,9 @@
     bool stopped_ = false;
     bool pump_posted_ = false;
     bool overloaded_ = false;
+    /// Of its events, since the last note of it.
+    duration longest_delay_{0};
+    time_point next_load_note_{};
 
     platform::append_call batch_;
     bool batch_out_ = false;
