--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -237,6 +237,7 @@
     std::uint64_t count_pending(std::string const& route) const;
 
     // cell_records.cpp
+    void drop_ended_from_open();
     void mark(job_state& job);
     job_progress progress_of(job_state const& job) const;
     void give_start(task_id const& task, std::uint32_t run, time_point now);
@@ -330,6 +331,9 @@
     demand_meter demand_;
     std::map<pool_name, std::uint32_t> incoming_;
     std::unordered_map<std::string, job_state> jobs_;
+    /// Those that have not ended, and some that have just done so: ended ones
+    /// stay known for long and would be most of what a loop goes through.
+    std::map<std::string, job_state*> open_;
     std::map<std::string, worker_state> workers_;
     std::map<pool_name, std::vector<std::string>> pool_workers_;
     /// Of the pool that is being placed.
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -98,6 +98,7 @@
     request.max_attempts_ = route.max_attempts_;
     auto const name = request.id_.text();
     auto& job = jobs_[name];
+    open_[name] = &job;
     job.request_ = std::make_shared<job_definition const>(std::move(request));
     job.route_ = route.name_;
     job.pool_ = route.pool_;
@@ -160,9 +161,9 @@
     }
     std::vector<dated_work> ahead;
     bool waiting = false;
-    for (auto const& item : jobs_)
+    for (auto const& item : open_)
     {
-        auto const& job = item.second;
+        auto const& job = *item.second;
         if (job.ended() || job.pool_ != route.pool_ || !job.request_)
         {
             continue;
@@ -284,9 +285,9 @@
                                                        worker.entry_.vm_);
         }
     }
-    for (auto const& item : jobs_)
+    for (auto const& item : open_)
     {
-        auto const& job = item.second;
+        auto const& job = *item.second;
         auto const load = by_pool.find(job.pool_);
         if (load != by_pool.end() && !job.ended() && job.request_)
         {
@@ -346,6 +347,7 @@
             reply(exchange, answer(answer_kind::no_such_job, "never_stored"));
         }
         release_all(job, now);
+        open_.erase(name);
         jobs_.erase(found);
     }
     dirty_ = std::move(kept);
@@ -423,9 +425,9 @@
 std::uint64_t cell::count_pending(std::string const& route) const
 {
     std::uint64_t pending = 0;
-    for (auto const& item : jobs_)
+    for (auto const& item : open_)
     {
-        auto const& job = item.second;
+        auto const& job = *item.second;
         pending +=
             job.stored_ && !job.ended() && !job.begun_ && job.route_ == route
                 ? 1
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -49,10 +49,11 @@
         placement_due_ = true;
         return;
     }
+    drop_ended_from_open();
     std::map<pool_name, std::vector<std::pair<job_id, job_state*>>> by_pool;
-    for (auto& item : jobs_)
+    for (auto const& item : open_)
     {
-        auto& job = item.second;
+        auto& job = *item.second;
         if (!job.ended() && job.request_)
         {
             by_pool[job.pool_].emplace_back(job_id{item.first}, &job);
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -19,6 +19,14 @@
 
 } // namespace
 
+void cell::drop_ended_from_open()
+{
+    for (auto place = open_.begin(); place != open_.end();)
+    {
+        place = place->second->ended() ? open_.erase(place) : std::next(place);
+    }
+}
+
 void cell::mark(job_state& job)
 {
     if (!job.dirty_)
@@ -379,6 +387,7 @@
             job.objective_ =
                 now + chain +
                 (route != nullptr ? route->objective_ : duration{0});
+            open_[place->first] = &job;
         }
         else
         {
@@ -421,6 +430,7 @@
             continue;
         }
         forgotten_.push_back(place->first);
+        open_.erase(place->first);
         place = jobs_.erase(place);
     }
 }
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -53,12 +53,13 @@
 void cell::set_config(fleet_config const& config)
 {
     config_ = config;
-    for (auto& item : jobs_)
+    for (auto const& item : open_)
     {
-        auto const* const route = config_.find_name(item.second.route_);
+        auto& job = *item.second;
+        auto const* const route = config_.find_name(job.route_);
         if (route != nullptr)
         {
-            item.second.pool_ = route->pool_;
+            job.pool_ = route->pool_;
         }
     }
     placement_due_ = true;
@@ -330,12 +331,12 @@
 
 void cell::review(time_point now, calendar_time calendar)
 {
-    for (auto& item : jobs_)
+    for (auto const& item : open_)
     {
-        if (item.second.request_ && item.second.request_->occurrences_ > 0 &&
-            !item.second.ended())
+        auto& job = *item.second;
+        if (job.request_ && job.request_->occurrences_ > 0 && !job.ended())
         {
-            open_occurrences(item.second, calendar);
+            open_occurrences(job, calendar);
         }
     }
     withdraw_unsent(now);
