tests: Add a soak of real nodes under random faults

Nodes run as processes of their own against our stand-in; a proxy lies on each way (store, peers, clients, workers) and delays, resets, cuts one way or silences it; nodes are killed, stopped, paused and sent SIGHUP, one by one, in turn and all at once; the store is down or loses answers; workers crash and drain; versions change. An oracle judges what clients and workers see. The stand-in tells an observer of runs, refuses a gap in sequences and can lose answers; nodes can announce another address for peers (announced_address), as the proxy needs it.

--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -80,6 +80,10 @@
     int run()
     {
         settings_.peers_address_ = peers_.listen(settings_.peers_address_);
+        if (settings_.announced_address_.empty())
+        {
+            settings_.announced_address_ = settings_.peers_address_;
+        }
         settings_.clients_address_ = front_.listen(settings_.clients_address_);
         settings_.health_address_ = health_.listen(settings_.health_address_);
         ownership_ = ownership(make_ownership(), node_now());
@@ -105,7 +109,7 @@
     {
         ownership_options options;
         options.node_ = settings_.name_;
-        options.address_ = settings_.peers_address_;
+        options.address_ = settings_.announced_address_;
         options.life_ = life_;
         options.cpu_milli_ = settings_.cpu_milli();
         return options;
@@ -219,9 +223,9 @@
     {
         platform::append_call call;
         call.topic_ = platform::store_topic::owner;
-        call.records_.push_back(
-            {node_prefix + settings_.name_,
-             encode_node({settings_.peers_address_, settings_.cpu_milli()})});
+        call.records_.push_back({node_prefix + settings_.name_,
+                                 encode_node({settings_.announced_address_,
+                                              settings_.cpu_milli()})});
         store_.append(call, duration{0},
                       [this](platform::append_result const& result) {
                           registered_ = result.outcome_ ==
@@ -373,7 +377,7 @@
         owner_record record;
         record.epoch_ = epoch;
         record.node_ = settings_.name_;
-        record.address_ = settings_.peers_address_;
+        record.address_ = settings_.announced_address_;
         owner_ = std::make_shared<cell_owner>(
             cell_owner::parts{context_, settings_, store_, workers_, machines_,
                               advice_, config_, log_, metrics_},
--- a/source/node/node_settings.hpp
+++ b/source/node/node_settings.hpp
@@ -20,6 +20,9 @@
     std::string clients_address_; ///< `IP:PORT` for clients
     std::string health_address_;  ///< `IP:PORT` for the balancer
     std::string peers_address_;   ///< `IP:PORT` for other nodes
+    /// What other nodes are told instead of the address above; empty: that
+    /// one. For nodes behind a proxy or a translated address.
+    std::string announced_address_;
     std::string store_address_;
     std::string machines_address_;
     /// Of the service that knows which workers a queue's policy allows; empty:
--- a/source/node/node_settings_file.cpp
+++ b/source/node/node_settings_file.cpp
@@ -24,6 +24,7 @@
     in.read("clients_address", settings.clients_address_);
     in.read("health_address", settings.health_address_);
     in.read("peers_address", settings.peers_address_);
+    in.read("announced_address", settings.announced_address_);
     in.read("store_address", settings.store_address_);
     in.read("machines_address", settings.machines_address_);
     in.read("advice_address", settings.advice_address_);
--- a/tests/processes/child_process.cpp
+++ b/tests/processes/child_process.cpp
@@ -16,6 +16,17 @@
 namespace cuminfold
 {
 
+namespace
+{
+
+int status_of(int raw)
+{
+    constexpr int signal_base = 128;
+    return WIFEXITED(raw) ? WEXITSTATUS(raw) : signal_base + WTERMSIG(raw);
+}
+
+} // namespace
+
 child_process::child_process(std::string const& path,
                              std::vector<std::string> arguments,
                              std::string errors)
@@ -56,6 +67,10 @@
     {
         kill();
     }
+    if (copier_.joinable())
+    {
+        copier_.join();
+    }
     ::close(output_);
 }
 
@@ -87,7 +102,40 @@
 
 void child_process::terminate() const
 {
-    ::kill(pid_, SIGTERM);
+    send(SIGTERM);
+}
+
+void child_process::send(int signal) const
+{
+    ::kill(pid_, signal);
+}
+
+int child_process::poll()
+{
+    if (status_ < 0)
+    {
+        int raw = 0;
+        if (waitpid(pid_, &raw, WNOHANG) == pid_)
+        {
+            status_ = status_of(raw);
+        }
+    }
+    return status_;
+}
+
+void child_process::keep_output(std::string const& path)
+{
+    copier_ = std::thread(
+        [from = output_, path]
+        {
+            std::ofstream to(path);
+            char bytes[4096];
+            for (ssize_t count = 0;
+                 (count = ::read(from, bytes, sizeof bytes)) > 0;)
+            {
+                to.write(bytes, count);
+            }
+        });
 }
 
 void child_process::kill()
@@ -98,13 +146,11 @@
 
 int child_process::wait()
 {
-    constexpr int signal_base = 128;
     if (status_ < 0)
     {
         int raw = 0;
         waitpid(pid_, &raw, 0);
-        status_ =
-            WIFEXITED(raw) ? WEXITSTATUS(raw) : signal_base + WTERMSIG(raw);
+        status_ = status_of(raw);
     }
     return status_;
 }
--- a/tests/processes/child_process.hpp
+++ b/tests/processes/child_process.hpp
@@ -2,6 +2,7 @@
 #define CUMINFOLD_TESTS_PROCESSES_CHILD_PROCESS_HPP
 
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <sys/types.h>
@@ -27,6 +28,11 @@
 
     /// Sends SIGTERM.
     void terminate() const;
+    void send(int signal) const;
+    /// The exit status, or 128 and the signal; -1 while it runs.
+    int poll();
+    /// From now on its stdout goes to that file.
+    void keep_output(std::string const& path);
     /// Sends SIGKILL and waits.
     void kill();
     /// Waits for the end; returns the exit status, or 128 and the signal.
@@ -41,6 +47,7 @@
     std::string kept_;
     std::string errors_;
     int status_ = -1;
+    std::thread copier_;
 };
 
 } // namespace cuminfold
