--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -179,8 +179,12 @@
         }
         auto const left = work_left(job, typical);
         waiting = waiting || left.waiting_ > 0;
-        // Jobs that are late already let this one pass.
-        if (!is_late(job, now))
+        if (is_late(job, now))
+        {
+            // It lets this one pass, but for what of it already runs.
+            ahead.push_back({0, left.ready_ - left.waiting_});
+        }
+        else
         {
             ahead.push_back({to_seconds(job.objective_ - now), left.all_});
         }
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -184,7 +184,9 @@
             {{"epoch", std::to_string(record_.epoch_)},
              {"longest_delay_ms", in_milliseconds(longest_delay_)},
              {"entries_age_ms",
-              in_milliseconds(node_now() - follower_->known_at())},
+              workers_ready_
+                  ? in_milliseconds(node_now() - follower_->known_at())
+                  : "unread"},
              {"jobs", std::to_string(cell_.jobs().size())}},
             node_now());
         longest_delay_ = duration{0};
