cell: Believe a client's guess as far as its queue's guesses were worth

Cause: run times were the guess times one learned ratio. A line through the logarithms is learned for each queue now, and a step of which a task has ended is expected to take that long, since tasks of a step are alike. Ruled out: the time to notice an end, which is the same for renewals that waited and others.

The soak takes a path of the program and survives one that does not start.

--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -228,7 +228,8 @@
             {
                 continue;
             }
-            double const each = run_times_.task_work(job.route_, shape, worker);
+            double const each = worker_share(shape.each_, worker) *
+                                to_seconds(expect_task(job, shape, step));
             double const untouched = each * step.waiting_;
             double running = 0;
             for (auto const& task : step.tasks_)
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -65,7 +65,7 @@
     return at && at.task_->phase_ == task_phase::running &&
            !at.shape_->lasting_ &&
            now - at.task_->started_ >
-               run_times_.expect(at.job_->route_, *at.shape_) *
+               expect_task(*at.job_, *at.shape_, *at.step_) *
                        overdue_share_percent / 100 +
                    overdue_time;
 }
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -211,9 +211,12 @@
         worker.strikes_ = 0;
         if (at.task_->own_start_ && at.task_->checkpoint_.empty())
         {
-            run_times_.observe(
-                at.job_->route_, *at.shape_,
-                std::chrono::duration_cast<duration>(now - at.task_->started_));
+            auto const taken =
+                std::chrono::duration_cast<duration>(now - at.task_->started_);
+            run_times_.observe(at.job_->route_, *at.shape_, taken);
+            auto& shortest = at.step_->run_time_;
+            shortest =
+                shortest > duration{0} ? std::min(shortest, taken) : taken;
         }
         finish(end.task_, at, now);
         return;
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -57,6 +57,9 @@
     std::vector<task_state> tasks_;
     std::uint32_t done_ = 0;
     std::uint32_t waiting_ = 0;
+    /// The shortest good run of one of its tasks; 0: none yet. Tasks of a step
+    /// are alike.
+    duration run_time_{0};
 };
 
 /// One time that a job's steps run.
--- a/source/kernel/cell/run_time_book.cpp
+++ b/source/kernel/cell/run_time_book.cpp
@@ -3,6 +3,7 @@
 #include "kernel/cell/placement_rule.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cuminfold
 {
@@ -10,34 +11,79 @@
 namespace
 {
 
-/// Share of a new sample in the moving average.
-constexpr double learning_rate = 0.05;
-/// A single sample counts at most this many times its guess.
-constexpr double largest_ratio = 5.0;
-/// Guesses below this tell nothing about the ratio.
-constexpr duration least_guess = std::chrono::milliseconds{20};
+/// Share of the older samples' weight that is left after a new one.
+constexpr double kept_weight = 0.995;
+/// A guess is taken at its word with this weight until samples say otherwise.
+constexpr double prior_weight = 4;
+/// Guesses and times below this tell nothing about each other.
+constexpr duration least_time = std::chrono::milliseconds{20};
+
+double log_of(duration time)
+{
+    return std::log(to_seconds(std::max(time, least_time)));
+}
 
 } // namespace
 
+run_time_book::fit::fit()
+{
+    // A tenth of a second, a second and ten, each guessed right.
+    for (double const at : {std::log(0.1), 0.0, std::log(10.0)})
+    {
+        add(at, at, prior_weight);
+    }
+}
+
+void run_time_book::fit::add(double guess, double taken, double weight)
+{
+    weight_ += weight;
+    guesses_ += weight * guess;
+    taken_ += weight * taken;
+    squares_ += weight * guess * guess;
+    products_ += weight * guess * taken;
+}
+
+void run_time_book::fit::fade()
+{
+    for (auto* const sum :
+         {&weight_, &guesses_, &taken_, &squares_, &products_})
+    {
+        *sum *= kept_weight;
+    }
+}
+
+double run_time_book::fit::expect(double guess) const
+{
+    double const mean_guess = guesses_ / weight_;
+    double const spread = squares_ / weight_ - mean_guess * mean_guess;
+    double const joint = products_ / weight_ - mean_guess * taken_ / weight_;
+    // All guesses alike: their mean is all there is to know.
+    double const slope =
+        spread > 1e-6 ? std::clamp(joint / spread, 0.0, 1.0) : 0.0;
+    return taken_ / weight_ + slope * (guess - mean_guess);
+}
+
 void run_time_book::observe(std::string const& route, job_step const& step,
                             duration taken)
 {
-    if (step.lasting_ || step.estimate_ < least_guess)
+    if (step.lasting_ || step.estimate_ < least_time)
     {
         return;
     }
-    double const sample =
-        std::min(largest_ratio, to_seconds(taken) / to_seconds(step.estimate_));
-    auto const place = ratios_.try_emplace(route, 1.0).first;
-    place->second += learning_rate * (sample - place->second);
+    auto& fit = fits_[route];
+    fit.fade();
+    fit.add(log_of(step.estimate_), log_of(taken), 1);
 }
 
 duration run_time_book::expect(std::string const& route,
                                job_step const& step) const
 {
-    auto const found = ratios_.find(route);
-    double const ratio = found == ratios_.end() ? 1.0 : found->second;
-    return from_seconds(to_seconds(step.estimate_) * ratio);
+    auto const found = fits_.find(route);
+    if (found == fits_.end() || step.estimate_ < least_time)
+    {
+        return step.estimate_;
+    }
+    return from_seconds(std::exp(found->second.expect(log_of(step.estimate_))));
 }
 
 duration run_time_book::chain(job_definition const& job,
--- a/source/kernel/cell/run_time_book.hpp
+++ b/source/kernel/cell/run_time_book.hpp
@@ -10,7 +10,8 @@
 namespace cuminfold
 {
 
-/// Learns for each queue how run times relate to the clients' guesses.
+/// Learns for each queue how run times relate to the clients' guesses: by how
+/// much, and how far a guess is to be believed at all.
 class run_time_book
 {
 public:
@@ -35,7 +36,24 @@
     double work(job_definition const& job, resource_amount const& worker) const;
 
 private:
-    std::map<std::string, double> ratios_;
+    /// A line through the logarithms of guesses and times; samples fade.
+    class fit
+    {
+    public:
+        fit();
+        void add(double guess, double taken, double weight);
+        void fade();
+        double expect(double guess) const;
+
+    private:
+        double weight_ = 0;
+        double guesses_ = 0;
+        double taken_ = 0;
+        double squares_ = 0;
+        double products_ = 0;
+    };
+
+    std::map<std::string, fit> fits_;
 };
 
 } // namespace cuminfold
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -33,6 +33,7 @@
     std::size_t nodes_ = 3;
     std::uint32_t workers_ = 6;
     std::chrono::seconds time_{10};
+    std::string program_ = CUMINFOLD_NODE;
 };
 
 /// One seed; returns the rules that it broke.
@@ -40,7 +41,8 @@
                               std::filesystem::path const& folder)
 {
     soak_oracle oracle;
-    soak_system system(folder, size.nodes_, size.workers_, oracle);
+    soak_system system(size.program_, folder, size.nodes_, size.workers_,
+                       oracle);
     soak_clients clients(system, oracle, seed);
     soak_faults faults(system, seed + 1);
     auto const step = [&](bool more)
@@ -109,6 +111,7 @@
     add("runs", options::value(&runs), "seeds played, one after the other");
     add("seconds", options::value(&seconds), "time with faults of each");
     add("nodes", options::value(&size.nodes_), "node processes");
+    add("program", options::value(&size.program_), "the nodes' program");
     add("workers", options::value(&size.workers_), "workers");
     try
     {
@@ -136,7 +139,15 @@
                             ("cuminfold-soak." + std::to_string(getpid()) +
                              "." + std::to_string(seed + i));
         std::filesystem::create_directories(folder);
-        bool const broken = !play(seed + i, size, folder).empty();
+        bool broken = true;
+        try
+        {
+            broken = !play(seed + i, size, folder).empty();
+        }
+        catch (std::exception const& error)
+        {
+            std::cout << "seed " << seed + i << ": " << error.what() << '\n';
+        }
         failed += broken ? 1 : 0;
         if (broken)
         {
--- a/tests/soak/soak_system.cpp
+++ b/tests/soak/soak_system.cpp
@@ -17,10 +17,11 @@
 
 } // namespace
 
-soak_system::soak_system(std::filesystem::path folder, std::size_t nodes,
-                         std::uint32_t workers, soak_oracle& oracle)
-    : folder_(std::move(folder)), oracle_(oracle), links_(ring_capacity),
-      platform_(workers, &oracle), nodes_(nodes)
+soak_system::soak_system(std::string program, std::filesystem::path folder,
+                         std::size_t nodes, std::uint32_t workers,
+                         soak_oracle& oracle)
+    : program_(std::move(program)), folder_(std::move(folder)), oracle_(oracle),
+      links_(ring_capacity), platform_(workers, &oracle), nodes_(nodes)
 {
     links_.start();
     on_links(
@@ -101,7 +102,7 @@
                             << "\nadvice_address: " << which.store_->address()
                             << "\nstop_time: 200ms\n";
     which.process_ = std::make_unique<child_process>(
-        CUMINFOLD_NODE, std::vector<std::string>{"--config", settings},
+        program_, std::vector<std::string>{"--config", settings},
         (folder_ / (life + ".errors")).string());
     auto const clients = which.process_->next_address();
     which.process_->next_address();
--- a/tests/soak/soak_system.hpp
+++ b/tests/soak/soak_system.hpp
@@ -33,8 +33,9 @@
 class soak_system
 {
 public:
-    soak_system(std::filesystem::path folder, std::size_t nodes,
-                std::uint32_t workers, soak_oracle& oracle);
+    /// @param program the nodes' program
+    soak_system(std::string program, std::filesystem::path folder,
+                std::size_t nodes, std::uint32_t workers, soak_oracle& oracle);
     ~soak_system();
 
     std::size_t nodes() const
@@ -100,6 +101,7 @@
     void on_links(std::function<void()> const& what);
     fault_link& link(link_place place, std::size_t number);
 
+    std::string program_;
     std::filesystem::path folder_;
     soak_oracle& oracle_;
     io_thread links_;
