--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -145,6 +145,11 @@
     auto& state = job.occurrences_[occurrence].steps_[step];
     auto const& shape = job.request_->steps_[step];
     bool whole = true;
+    // The fullest worker goes first, so one that has taken a task is still the
+    // best for the next one like it, while it may take it.
+    bool const stays_best =
+        !shape.lasting_ && shape.per_worker_ == 0 && advice_for(job) == nullptr;
+    worker_state* worker = nullptr;
     for (std::uint32_t i = 0; i < state.tasks_.size(); ++i)
     {
         auto& task = state.tasks_[i];
@@ -157,7 +162,10 @@
             placement_due_ = true;
             continue;
         }
-        auto* const worker = choose({id, occurrence, step}, job, now);
+        bool const again =
+            stays_best && worker != nullptr &&
+            broken_rule(view_of(*worker, shape, state, now)) == nullptr;
+        worker = again ? worker : choose({id, occurrence, step}, job, now);
         if (worker == nullptr)
         {
             whole = false;
