--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -216,9 +216,6 @@
     bool is_late(job_state const& job, time_point now) const;
     /// The least time that what is not done yet takes.
     duration remaining_chain(job_state const& job) const;
-    /// The expected run time of a task of that step.
-    duration expect_task(job_state const& job, job_step const& shape,
-                         step_state const& step) const;
     static bool is_ready(job_step const& shape,
                          occurrence_state const& occurrence);
 
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -228,8 +228,8 @@
             {
                 continue;
             }
-            double const each = worker_share(shape.each_, worker) *
-                                to_seconds(expect_task(job, shape, step));
+            double const each =
+                worker_share(shape.each_, worker) * to_seconds(step.run_time_);
             double const untouched = each * step.waiting_;
             double running = 0;
             for (auto const& task : step.tasks_)
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -223,13 +223,6 @@
     return false;
 }
 
-duration cell::expect_task(job_state const& job, job_step const& shape,
-                           step_state const& step) const
-{
-    return step.run_time_ > duration{0} ? step.run_time_
-                                        : run_times_.expect(job.route_, shape);
-}
-
 duration cell::remaining_chain(job_state const& job) const
 {
     duration longest{0};
@@ -259,7 +252,7 @@
                                 : runs ? std::min(100U, task.percent_)
                                        : 0);
             }
-            ends[s] += expect_task(job, shape, step) * (100 - least_done) / 100;
+            ends[s] += step.run_time_ * (100 - least_done) / 100;
             longest = std::max(longest, ends[s]);
         }
     }
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -59,6 +59,7 @@
         step_state step;
         step.tasks_.resize(shape.tasks_);
         step.waiting_ = shape.tasks_;
+        step.run_time_ = run_times_.expect(job.route_, shape);
         occurrence.steps_.push_back(std::move(step));
     }
     job.occurrences_.push_back(std::move(occurrence));
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -65,9 +65,7 @@
     return at && at.task_->phase_ == task_phase::running &&
            !at.shape_->lasting_ &&
            now - at.task_->started_ >
-               expect_task(*at.job_, *at.shape_, *at.step_) *
-                       overdue_share_percent / 100 +
-                   overdue_time;
+               at.step_->run_time_ * overdue_share_percent / 100 + overdue_time;
 }
 
 void cell::look_for_overdue(time_point now)
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -120,8 +120,7 @@
             auto const limit =
                 std::max(options_.stall_floor_,
                          std::chrono::duration_cast<duration>(
-                             run_times_.expect(at.job_->route_, *at.shape_) *
-                             options_.stall_share_));
+                             at.step_->run_time_ * options_.stall_share_));
             bool const stalled = worker.answered_ - at.task_->advanced_ > limit;
             if (stalled)
             {
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -214,9 +214,9 @@
             auto const taken =
                 std::chrono::duration_cast<duration>(now - at.task_->started_);
             run_times_.observe(at.job_->route_, *at.shape_, taken);
-            auto& shortest = at.step_->run_time_;
-            shortest =
-                shortest > duration{0} ? std::min(shortest, taken) : taken;
+            at.step_->run_time_ = at.step_->done_ == 0
+                                      ? taken
+                                      : std::min(at.step_->run_time_, taken);
         }
         finish(end.task_, at, now);
         return;
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -57,8 +57,8 @@
     std::vector<task_state> tasks_;
     std::uint32_t done_ = 0;
     std::uint32_t waiting_ = 0;
-    /// The shortest good run of one of its tasks; 0: none yet. Tasks of a step
-    /// are alike.
+    /// What a run of one of its tasks takes: as expected at first, later the
+    /// shortest good run, since tasks of a step are alike.
     duration run_time_{0};
 };
 
