tests: Judge each ended run of a task by itself in the soak

Its trace: the way to worker 1 was cut towards the owner for seconds; 16 runs ended as done there, its lease lapsed before anybody could acknowledge them, and they were rightly started on worker 2. The oracle then took the acknowledged end of the second run for the first one's.

--- a/tests/soak/soak_oracle_test.cpp
+++ b/tests/soak/soak_oracle_test.cpp
@@ -72,6 +72,18 @@
          oracle.crashed("w");
          oracle.started("v", first, 2);
      }},
+    {"a run after an end that is never acknowledged, since its lease lapsed",
+     "",
+     [](soak_oracle& oracle)
+     {
+         oracle.started("w", first, 1);
+         oracle.ended("w", end_of(first, run_end::done));
+         oracle.started("v", first, 2);
+         auto again = end_of(first, run_end::done);
+         again.run_ = 2;
+         oracle.ended("v", again);
+         oracle.noted("v", again);
+     }},
     {"a step before the one that it waits for", "ORDER",
      [](soak_oracle& oracle) { oracle.started("w", second, 1); }},
     {"a job that nobody handed in", "UNASKED",
