--- a/tests/soak/soak_oracle.cpp
+++ b/tests/soak/soak_oracle.cpp
@@ -262,19 +262,6 @@
     return breaches_;
 }
 
-std::size_t soak_oracle::owed() const
-{
-    std::lock_guard<std::mutex> const lock(mutex_);
-    return static_cast<std::size_t>(
-        std::count_if(jobs_.begin(), jobs_.end(),
-                      [](auto const& item)
-                      {
-                          auto const& history = item.second;
-                          return history.accepted_ && !history.cancel_sent_ &&
-                                 !history.lasting_ && !history.completed_shown_;
-                      }));
-}
-
 std::size_t soak_oracle::starts() const
 {
     std::lock_guard<std::mutex> const lock(mutex_);
--- a/tests/soak/soak_oracle.hpp
+++ b/tests/soak/soak_oracle.hpp
@@ -52,8 +52,6 @@
     /// Judges what must hold once all faults are over and time has passed.
     void judge_end();
     std::vector<std::string> breaches() const;
-    /// Accepted jobs that are neither cancelled nor known to have ended.
-    std::size_t owed() const;
     std::size_t starts() const;
 
 private:
