cell: Count pending stops before a drain ends further tasks

Cause: a stop is sent up to 50 ms after it was decided, and is repeated until it is acknowledged. Between the decision and its effect the owner ended the remaining tasks of draining workers without regard to `max_unavailable_`, so that the earlier stop, on a worker that does not drain, took effect while as many others of its step were ended as may be unavailable (AVAIL). A run whose unanswered start was carried out late was stopped in the same way although it did its work.

Change: tasks of draining workers leave beyond the limit only while no stop on another worker is pending for their step. Every path that ends a long-running task asks `may_end()`, also the settling of an unanswered start. A long-running task whose late start was carried out before its stop is kept, and counts as unavailable until that stop can't take effect any more. A task that is unavailable itself no longer counts against its own stop.

Ruled out: keeping the tasks of draining workers until the worker ends.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -370,6 +370,13 @@
     /// Releases the tasks of workers whose leases lapsed without an answer, and
     /// removes workers that are gone.
     void drop_lapsed_workers(time_point now);
+    /// Whether a long-running task may be ended: fewer others of its step than
+    /// `max_unavailable_` are unavailable.
+    bool may_end(task_location const& at, time_point now) const;
+    /// Whether a stop of a task of that step, on a worker that doesn't drain,
+    /// may still be carried out. It was sent within `max_unavailable_`, so that
+    /// no other task may be ended beyond that limit until then.
+    bool has_pending_stop(task_location const& at) const;
     /// @param all ignores `max_unavailable_`
     void evacuate(worker_state& worker, bool all, time_point now);
     void evacuate_draining_workers(time_point now);
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -273,14 +273,25 @@
     auto& state = *at.task_;
     if (report != nullptr)
     {
-        bool const adopt = state.phase_ == task_phase::starting ||
-                           (state.phase_ == task_phase::unresolved &&
-                            state.stop_sent_ == time_point{});
+        // A long-running task whose unanswered start was carried out late does
+        // its work: stopping it now would count against `max_unavailable_`.
+        bool const adopt =
+            state.phase_ == task_phase::starting ||
+            (state.phase_ == task_phase::unresolved &&
+             (state.stop_sent_ == time_point{} ||
+              (at.shape_->long_running_ && !state.stop_accepted_)));
         if (adopt)
         {
+            // The run may still be ended by a stop of the previous owner, or by
+            // one of this owner that got no answer.
+            bool const may_be_stopped =
+                !state.own_start_ || state.stop_sent_ != time_point{};
             state.phase_ = task_phase::running;
             state.started_ = now;
+            state.established_at_ =
+                now + (may_be_stopped ? options_.stop_grace_ : duration{0});
             state.progressed_at_ = now;
+            state.stop_sent_ = {};
         }
         if (state.percent_ != report->percent_)
         {
@@ -324,7 +335,8 @@
             release(task, at, now);
             mark_dirty(*at.job_);
         }
-        else if (state.stop_sent_ == time_point{})
+        else if (state.stop_sent_ == time_point{} &&
+                 (!at.shape_->long_running_ || may_end(at, now)))
         {
             send_stop(worker, task, state.run_, "unanswered_start");
             state.stop_sent_ = now;
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -55,10 +55,12 @@
                 not_started.push_back(task);
                 continue;
             }
-            bool const must_stop = ended ||
-                                   state.phase_ == task_phase::stopping ||
-                                   (state.phase_ == task_phase::unresolved &&
-                                    state.stop_sent_ != time_point{});
+            bool const must_settle =
+                state.phase_ == task_phase::unresolved &&
+                state.stop_sent_ != time_point{} &&
+                (!at.shape_->long_running_ || may_end(at, now));
+            bool const must_stop =
+                ended || must_settle || state.phase_ == task_phase::stopping;
             if (must_stop && !state.stop_accepted_ &&
                 now - state.stop_sent_ >= options_.stop_retry_interval_)
             {
@@ -140,15 +142,34 @@
 bool cell::is_available(task_state const& task, time_point now) const
 {
     auto const worker = workers_.find(task.worker_);
-    // The previous owner may have stopped an adopted run just before the
-    // takeover; the run works until the stop takes effect.
-    bool const is_established =
-        task.own_start_ || now - task.started_ > options_.stop_grace_;
-    return is_established && task.phase_ == task_phase::running &&
+    return task.phase_ == task_phase::running && now >= task.established_at_ &&
            task.unavailable_since_ == time_point{} &&
            worker != workers_.end() && worker->second.unanswered_renewals_ == 0;
 }
 
+bool cell::may_end(task_location const& at, time_point now) const
+{
+    std::uint32_t unavailable = 0;
+    for (auto const& other : at.step_->tasks_)
+    {
+        unavailable += &other != at.task_ && !is_available(other, now) ? 1 : 0;
+    }
+    return unavailable <
+           std::max<std::uint32_t>(1, at.shape_->max_unavailable_);
+}
+
+bool cell::has_pending_stop(task_location const& at) const
+{
+    return std::any_of(at.step_->tasks_.begin(), at.step_->tasks_.end(),
+                       [&](task_state const& task)
+                       {
+                           auto const worker = workers_.find(task.worker_);
+                           return task.phase_ == task_phase::stopping &&
+                                  worker != workers_.end() &&
+                                  !worker->second.entry_.draining_;
+                       });
+}
+
 void cell::evacuate_draining_workers(time_point now)
 {
     for (auto& item : workers_)
@@ -185,14 +206,7 @@
         {
             continue;
         }
-        std::uint32_t unavailable = 0;
-        for (auto const& other : at.step_->tasks_)
-        {
-            unavailable += is_available(other, now) ? 0 : 1;
-        }
-        bool const may_leave =
-            all || unavailable <
-                       std::max<std::uint32_t>(1, at.shape_->max_unavailable_);
+        bool const may_leave = all ? !has_pending_stop(at) : may_end(at, now);
         if (may_leave)
         {
             log_event("task_evacuated", describe(task), worker.entry_.id_);
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -262,6 +262,7 @@
     case call_outcome::accepted:
         at.task_->phase_ = task_phase::running;
         at.task_->started_ = now;
+        at.task_->established_at_ = now;
         at.task_->progressed_at_ = now;
         return;
     case call_outcome::no_answer:
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -45,6 +45,8 @@
     time_point stop_sent_{};
     time_point stop_accepted_at_{};
     time_point started_{};
+    /// From then on no stop that was sent before can end the run.
+    time_point established_at_{};
 
     /// Progress as reported by the worker.
     std::uint32_t percent_ = 0;
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -18,6 +18,11 @@
 constexpr std::uint32_t max_attempts = 3;
 /// Time from an acknowledged cancellation after which no task may start.
 constexpr duration cancel_grace = milliseconds{3000};
+/// A task that does not run counts as unavailable after this time, whatever
+/// ended it.
+constexpr duration unavailable_time = milliseconds{4500};
+/// A stop that is executed later than this after it was sent was held up.
+constexpr duration held_up_time = milliseconds{1000};
 pool_name const pool{"tally"};
 
 } // namespace
@@ -106,6 +111,7 @@
 {
     auto const exchange = next_exchange_++;
     exchanges_[exchange] = "cancel " + id;
+    cancelled_.insert(id);
     cell_->cancel(exchange, job_id{id}, now_);
     process();
 }
@@ -186,6 +192,14 @@
     }
 }
 
+void cell_world::force_stop(std::uint32_t worker, task_id const& task)
+{
+    auto& on = *workers_[worker];
+    auto const run = on.running_.at(task).number_;
+    on.stop(epoch_, task, run, now_);
+    check_stop(on, task, run, now_);
+}
+
 std::string cell_world::violations() const
 {
     std::string lines;
@@ -263,6 +277,34 @@
     }
 }
 
+void cell_world::store(cell_record const& record)
+{
+    auto const set = [&record](auto& stored, auto const& value)
+    {
+        if (value)
+        {
+            stored[record.name_] = *value;
+        }
+        else
+        {
+            stored.erase(record.name_);
+        }
+    };
+    switch (record.kind_)
+    {
+    case record_kind::request:
+        set(stored_jobs_, record.request_);
+        return;
+    case record_kind::progress:
+        set(stored_progress_, record.progress_);
+        return;
+    case record_kind::vm_order:
+    case record_kind::wave:
+        set(stored_texts_[record.kind_], record.text_);
+        return;
+    }
+}
+
 void cell_world::store(cell_batch const& batch)
 {
     schedule(now_ + append_latency,
@@ -279,20 +321,7 @@
                  }
                  for (auto const& record : batch.records_)
                  {
-                     if (record.kind_ == record_kind::request)
-                     {
-                         record.request_
-                             ? (void)(stored_jobs_[record.name_] =
-                                          *record.request_)
-                             : (void)stored_jobs_.erase(record.name_);
-                     }
-                     else if (record.kind_ == record_kind::progress)
-                     {
-                         record.progress_
-                             ? (void)(stored_progress_[record.name_] =
-                                          *record.progress_)
-                             : (void)stored_progress_.erase(record.name_);
-                     }
+                     store(record);
                  }
                  append_in_flight_ = false;
                  cell_->on_batch_stored(now_);
@@ -300,6 +329,14 @@
              });
 }
 
+std::map<std::string, std::string>
+cell_world::stored_texts(record_kind kind) const
+{
+    auto const found = stored_texts_.find(kind);
+    return found == stored_texts_.end() ? std::map<std::string, std::string>{}
+                                        : found->second;
+}
+
 void cell_world::call(std::string const& address, bool may_be_late,
                       std::function<call_outcome()> execute, call_end done)
 {
@@ -393,11 +430,23 @@
 
 void cell_world::carry_out(stop_run const& order)
 {
+    if (faults_.stops_lost_ > 0 && chance(faults_.stops_lost_))
+    {
+        return;
+    }
     call(
         order.address_, true,
-        [this, order, token = epoch_] {
-            return find(order.worker_)
-                ->stop(token, order.task_, order.run_, now_);
+        [this, order, token = epoch_, sent = now_]
+        {
+            auto* const worker = find(order.worker_);
+            auto const before = worker->running_.count(order.task_);
+            auto const outcome =
+                worker->stop(token, order.task_, order.run_, now_);
+            if (before > worker->running_.count(order.task_))
+            {
+                check_stop(*worker, order.task_, order.run_, sent);
+            }
+            return outcome;
         },
         [this, order](call_outcome outcome)
         {
@@ -482,6 +531,7 @@
 {
     auto const name = describe(order.task_);
     auto const id = order.task_.job_.text();
+    stopped_.erase(order.task_);
     ++runs_[id];
     auto const job = submitted_.find(id);
     if (job == submitted_.end() || job->second.text_ != order.job_->text_)
@@ -540,10 +590,56 @@
     }
 }
 
+bool cell_world::is_running(task_id const& task) const
+{
+    return std::any_of(workers_.begin(), workers_.end(),
+                       [&](auto const& worker)
+                       { return worker->running_.count(task) != 0; });
+}
+
+void cell_world::check_stop(fake_worker const& on, task_id const& task,
+                            std::uint32_t run, time_point sent)
+{
+    auto const id = task.job_.text();
+    auto const job = submitted_.find(id);
+    if (job == submitted_.end() || cancelled_.count(id) != 0)
+    {
+        return;
+    }
+    auto const& shape = job->second.steps_[task.step_];
+    if (!shape.long_running_ || shape.max_unavailable_ == 0)
+    {
+        return;
+    }
+    std::uint32_t unavailable = 0;
+    for (std::uint32_t i = 0; i < shape.tasks_; ++i)
+    {
+        task_id other = task;
+        other.index_ = i;
+        auto const last = last_running_.find(other);
+        bool const is_away = stopped_.count(other) != 0 ||
+                             (last != last_running_.end() &&
+                              now_ - last->second > unavailable_time);
+        unavailable +=
+            i != task.index_ && !is_running(other) && is_away ? 1 : 0;
+    }
+    bool const counts = !on.entry_.draining_ && now_ - sent < held_up_time;
+    if (counts && unavailable >= shape.max_unavailable_)
+    {
+        violations_.push_back("AVAIL " + describe(task) + " run " +
+                              std::to_string(run) + " on " + on.entry_.id_);
+    }
+    stopped_.insert(task);
+}
+
 void cell_world::record_ends()
 {
     for (auto const& worker : workers_)
     {
+        for (auto const& run : worker->running_)
+        {
+            last_running_[run.first] = now_;
+        }
         for (auto const& end : worker->ends_)
         {
             if (!ends_seen_.emplace(worker->entry_.id_, end.number_).second)
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -27,6 +27,7 @@
         std::uint32_t answers_lost_ = 0; ///< executed, no answer
         std::uint32_t calls_lost_ = 0;   ///< not executed, no answer
         std::uint32_t calls_late_ = 0;   ///< executed seconds later, no answer
+        std::uint32_t stops_lost_ = 0;   ///< as `calls_lost_`, for stops alone
     };
 
     explicit cell_world(std::uint32_t seed, std::uint32_t workers = 4);
@@ -55,6 +56,8 @@
     /// Starts a task on a worker without the owner, to simulate a defect that
     /// the oracle must detect.
     void force_start(std::uint32_t worker, task_id const& task);
+    /// Stops the present run of a task on a worker without the owner, likewise.
+    void force_stop(std::uint32_t worker, task_id const& task);
     /// Whether the oracle found a violation whose text begins with `rule`.
     bool has_violation(std::string const& rule) const;
     /// Returns all violations, one per line.
@@ -84,6 +87,8 @@
     {
         return now_;
     }
+    /// The stored records of that kind that hold a text, by name.
+    std::map<std::string, std::string> stored_texts(record_kind kind) const;
 
     faults faults_;
     bool store_down_ = false;
@@ -124,8 +129,15 @@
     void carry_out(query_advice const& order);
     void carry_out(answer_client const& answer);
     void store(cell_batch const& batch);
+    void store(cell_record const& record);
     /// Checks a start that a worker accepted and records violations.
     void check_start(start_run const& order, fake_worker const& on);
+    /// Checks a stop that a worker executes and records violations of
+    /// `max_unavailable_`.
+    void check_stop(fake_worker const& on, task_id const& task,
+                    std::uint32_t run, time_point sent);
+    /// Whether a worker runs the task.
+    bool is_running(task_id const& task) const;
     /// Records the runs that ended, and those whose end was acknowledged.
     void record_ends();
     bool chance(std::uint32_t percent);
@@ -143,6 +155,7 @@
 
     std::map<std::string, job_definition> stored_jobs_;
     std::map<std::string, job_progress> stored_progress_;
+    std::map<record_kind, std::map<std::string, std::string>> stored_texts_;
     bool append_in_flight_ = false;
 
     std::map<std::uint64_t, std::string> exchanges_;
@@ -153,6 +166,7 @@
     std::map<std::string, job_definition> submitted_;
     std::map<std::string, std::size_t> runs_;
     std::map<std::string, time_point> cancel_acknowledged_;
+    std::set<std::string> cancelled_;
     std::map<task_id, std::uint32_t> failures_;
     std::set<task_id> done_;
     /// Tasks whose successful end was acknowledged; they must not start again.
@@ -160,6 +174,10 @@
     /// Runs that started after an earlier run of the task was done, but before
     /// that end was acknowledged.
     std::map<task_id, std::uint32_t> started_again_;
+    /// Long-running tasks that a stop ended and that have not started since.
+    std::set<task_id> stopped_;
+    /// When a long-running task was last seen to run.
+    std::map<task_id, time_point> last_running_;
     std::set<std::pair<std::string, std::uint64_t>> ends_seen_;
     std::set<std::pair<std::string, std::uint64_t>> acknowledged_seen_;
 };
