fleet: Restore the orders and maintenance of earlier owners

Cause: a new owner counted only its own orders against `max_count` of a wave and knew neither which VMs the wave had maintained nor that it was completed: the record of an order held no more than its key, and the record of a wave was never written. It began maintenance beside that of the owner before (LIMIT, KNOWN-RED), and maintained VMs again.

Change: the record of a VM's orders says what was ordered and which waves have maintained the VM. `vm_order_book` keeps these records for this owner and earlier ones. A VM whose maintenance an earlier owner may have begun counts as out of service until a list that was requested late enough shows otherwise, and so does each VM of the wave that the list shows in maintenance. A completed wave is recorded, and the records of its VMs are deleted. Records of older programs count as orders of any wave; older programs read the new records by their key alone, as before.

--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -122,8 +122,8 @@
 {
     request,  ///< a job as it was submitted
     progress, ///< a job's status and its tasks' runs
-    vm_order, ///< an order for a VM that may have been sent
-    wave      ///< the VMs that a wave has maintained
+    vm_order, ///< a VM's orders, see `vm_order_record`
+    wave      ///< a wave that is completed
 };
 
 /// One record of a cell's partition. A record without content deletes its key.
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <sstream>
+#include <string>
 #include <utility>
 
 namespace cuminfold
@@ -33,7 +34,8 @@
 } // namespace
 
 fleet_plan::fleet_plan(fleet_plan_options options, cell& owned)
-    : options_(options), cell_(owned)
+    : options_(options), cell_(owned),
+      orders_(options.order_pause_, options.min_down_time_)
 {
 }
 
@@ -70,6 +72,7 @@
         cell_.on_vm_listed(id, vm.worker_, requested_at, now);
         vms_[id] = std::move(vm);
     }
+    orders_.listed(vms_, requested_at);
     for (auto place = operations_.begin(); place != operations_.end();)
     {
         auto const found = vms_.find(place->first);
@@ -97,65 +100,49 @@
     next_list_ = now + options_.list_interval_;
 }
 
-void fleet_plan::restore_order(vm_id const& vm, time_point now)
+void fleet_plan::restore_order(vm_id const& vm, std::string const& text,
+                               time_point now)
 {
-    held_until_[vm] = now + options_.order_pause_;
+    orders_.restore(vm, decode_vm_order_record(text), now);
 }
 
-void fleet_plan::restore_wave(wave_number wave, std::string const& maintained)
+void fleet_plan::restore_wave(wave_number wave)
 {
-    std::istringstream lines(maintained);
-    std::string vm;
-    while (std::getline(lines, vm))
+    waves_[wave].running_reported_ = true;
+    waves_[wave].completed_reported_ = true;
+}
+
+std::uint64_t fleet_plan::append_order_record(vm_id const& vm, std::string text)
+{
+    cell_record record;
+    record.kind_ = record_kind::vm_order;
+    record.name_ = vm.text();
+    if (!text.empty())
     {
-        waves_[wave].maintained_.insert(vm_id{vm});
+        record.text_ = std::move(text);
     }
+    return cell_.append_record(std::move(record));
 }
 
-void fleet_plan::append_wave_record(wave_state const& wave)
+void fleet_plan::append_wave_record(wave_number wave)
 {
     cell_record record;
     record.kind_ = record_kind::wave;
-    record.name_ = std::to_string(wave.order_.number_);
-    record.text_ = std::string();
-    for (auto const& vm : wave.maintained_)
-    {
-        *record.text_ += vm.text() + "\n";
-    }
+    record.name_ = std::to_string(wave);
+    record.text_ = "completed";
     cell_.append_record(std::move(record));
+    orders_.forget_wave(wave, [this](vm_id const& vm, std::string const& text)
+                        { append_order_record(vm, text); });
 }
 
 void fleet_plan::begin_operation(vm_id const& vm, vm_operation operation)
 {
-    cell_record record;
-    record.kind_ = record_kind::vm_order;
-    record.name_ = vm.text();
-    // Only the key of the record is used, but an empty text would count as
-    // none.
-    record.text_ = "1";
-    operation.record_ = cell_.append_record(std::move(record));
+    operation.record_ =
+        append_order_record(vm, encode(orders_.plan(vm, operation.wave_)));
     operations_[vm] = operation;
     cell_.reserve(vm, true);
 }
 
-void fleet_plan::delete_old_orders(time_point now)
-{
-    for (auto place = held_until_.begin(); place != held_until_.end();)
-    {
-        if (now < place->second || operations_.count(place->first) != 0)
-        {
-            ++place;
-            continue;
-        }
-        cell_record record;
-        record.kind_ = record_kind::vm_order;
-        record.name_ = place->first.text();
-        // A record without a text deletes the stored one.
-        cell_.append_record(std::move(record));
-        place = held_until_.erase(place);
-    }
-}
-
 void fleet_plan::end_operation(vm_id const& vm)
 {
     cell_.reserve(vm, false);
@@ -191,14 +178,14 @@
     switch (outcome)
     {
     case vm_outcome::done:
-        waves_[wave].maintained_.insert(vm);
+        append_order_record(vm, encode(orders_.set_maintained(vm, wave)));
         actions_.emplace_back(log_decision{"vm_maintained", vm.text(),
                                            "wave=" + std::to_string(wave)});
         return;
     case vm_outcome::refused:
         actions_.emplace_back(log_decision{"maintenance_refused", vm.text(),
                                            "wave=" + std::to_string(wave)});
-        waves_[wave].maintained_.insert(vm);
+        append_order_record(vm, encode(orders_.set_maintained(vm, wave)));
         end_operation(vm);
         return;
     case vm_outcome::busy:
@@ -245,10 +232,18 @@
     }
     auto& state = found->second;
     state.report_in_flight_ = false;
-    if (stored)
+    if (!stored)
     {
-        (state.running_reported_ ? state.completed_reported_
-                                 : state.running_reported_) = true;
+        return;
+    }
+    if (!state.running_reported_)
+    {
+        state.running_reported_ = true;
+    }
+    else if (!state.completed_reported_)
+    {
+        state.completed_reported_ = true;
+        append_wave_record(wave);
     }
 }
 
@@ -258,19 +253,25 @@
     return found != cell_.config().pools_.end() && found->second.standby_;
 }
 
-bool fleet_plan::is_held(vm_id const& vm, time_point now) const
+bool fleet_plan::is_down_for(wave_number wave, vm_id const& vm) const
 {
-    auto const held = held_until_.find(vm);
-    return held != held_until_.end() && own_orders_.count(vm) == 0 &&
-           now < held->second;
+    auto const operation = operations_.find(vm);
+    if (operation != operations_.end())
+    {
+        return operation->second.wave_ == wave && !operation->second.target_;
+    }
+    auto const listed = vms_.find(vm);
+    return orders_.may_be_down(vm, wave) ||
+           (listed != vms_.end() &&
+            listed->second.status_ == vm_status::maintained);
 }
 
-std::uint32_t fleet_plan::maintenance_count(wave_number wave) const
+std::uint32_t fleet_plan::maintenance_count(wave_state const& wave) const
 {
+    auto const& vms = wave.order_.vms_;
     return static_cast<std::uint32_t>(std::count_if(
-        operations_.begin(), operations_.end(),
-        [&](auto const& item)
-        { return item.second.wave_ == wave && !item.second.target_; }));
+        vms.begin(), vms.end(),
+        [&](vm_id const& vm) { return is_down_for(wave.order_.number_, vm); }));
 }
 
 void fleet_plan::select_vms(wave_state& wave, time_point now)
@@ -279,9 +280,10 @@
     for (auto const& vm : wave.order_.vms_)
     {
         auto const found = vms_.find(vm);
-        if (found == vms_.end() || wave.maintained_.count(vm) != 0 ||
-            operations_.count(vm) != 0 || is_held(vm, now) ||
-            found->second.status_ != vm_status::up)
+        if (found == vms_.end() ||
+            orders_.is_maintained(vm, wave.order_.number_) ||
+            operations_.count(vm) != 0 || orders_.is_held(vm, now) ||
+            orders_.may_be_down(vm) || found->second.status_ != vm_status::up)
         {
             continue;
         }
@@ -297,12 +299,12 @@
     {
         ++pool_size[vm.second.pool_];
         unavailable[vm.second.pool_] +=
-            operations_.count(vm.first) != 0 ||
+            operations_.count(vm.first) != 0 || orders_.may_be_down(vm.first) ||
                     vm.second.status_ != vm_status::up
                 ? 1
                 : 0;
     }
-    auto in_maintenance = maintenance_count(wave.order_.number_);
+    auto in_maintenance = maintenance_count(wave);
     for (auto const& candidate : candidates)
     {
         if (in_maintenance >= wave.order_.max_at_once_)
@@ -334,10 +336,13 @@
     {
         return;
     }
-    bool const all = std::all_of(
-        wave.order_.vms_.begin(), wave.order_.vms_.end(),
-        [&](vm_id const& vm)
-        { return wave.maintained_.count(vm) != 0 || vms_.count(vm) == 0; });
+    bool const all =
+        std::all_of(wave.order_.vms_.begin(), wave.order_.vms_.end(),
+                    [&](vm_id const& vm)
+                    {
+                        return orders_.is_maintained(vm, wave.order_.number_) ||
+                               vms_.count(vm) == 0;
+                    });
     if (!wave.running_reported_ || all)
     {
         wave.report_in_flight_ = true;
@@ -409,7 +414,8 @@
         {
             auto const found = vms_.find(vm);
             return operations_.count(vm) != 0 || found == vms_.end() ||
-                   found->second.status_ != vm_status::up || is_held(vm, now);
+                   found->second.status_ != vm_status::up ||
+                   orders_.is_held(vm, now) || orders_.may_be_down(vm);
         };
         for (auto* const vms : {&load.free_, &load.emptying_})
         {
@@ -470,14 +476,14 @@
         bool const may_be_ordered =
             tasks == 0 || (!may_wait && !operation.target_ &&
                            cell_.long_running_tasks_on(item.first) == 0);
-        if (!may_be_ordered || !can_send_orders || is_held(item.first, now) ||
+        if (!may_be_ordered || !can_send_orders ||
+            orders_.is_held(item.first, now) ||
             !cell_.is_stored(operation.record_))
         {
             continue;
         }
         operation.order_in_flight_ = true;
-        own_orders_.insert(item.first);
-        held_until_[item.first] = now + options_.order_pause_;
+        orders_.sent(item.first, now);
         if (operation.target_)
         {
             actions_.emplace_back(move_vm{item.first, *operation.target_});
@@ -500,7 +506,11 @@
     {
         return;
     }
-    delete_old_orders(now);
+    orders_.expire([this](vm_id const& vm)
+                   { return operations_.count(vm) != 0; },
+                   [this](vm_id const& vm, std::string const& text)
+                   { append_order_record(vm, text); },
+                   now);
     end_finished_moves();
     advance_waves(now);
     balance(now);
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -2,13 +2,13 @@
 #define CUMINFOLD_KERNEL_CELL_FLEET_PLAN_HPP
 
 #include "kernel/cell/cell.hpp"
+#include "kernel/cell/vm_order_book.hpp"
 #include "kernel/cell/wave_order.hpp"
 #include "kernel/time.hpp"
 
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -81,12 +81,13 @@
 
     /// @name Recovery, before the first tick
     /// @{
-    /// Blocks orders to the VM until `order_pause_` after `now`, because a
-    /// previous owner may just have sent one.
-    void restore_order(vm_id const& vm, time_point now);
-    /// Adds VMs that the wave does not have to maintain any more.
-    /// @param maintained names of the VMs, one per line
-    void restore_wave(wave_number wave, std::string const& maintained);
+    /// Adds a stored record of a VM's orders. If a previous owner may just have
+    /// sent one, the VM gets no order until `order_pause_` after `now`.
+    /// @param text as `encode(vm_order_record)` wrote it
+    void restore_order(vm_id const& vm, std::string const& text,
+                       time_point now);
+    /// Adds a stored record of a wave, which says that it was completed.
+    void restore_wave(wave_number wave);
     /// @}
 
     /// Adds or updates waves; waves that are missing in `waves` are kept.
@@ -142,9 +143,6 @@
     struct wave_state
     {
         wave_order order_;
-        /// VMs whose maintenance has begun (`vm_outcome::done`) or was
-        /// refused. The wave selects none of them again.
-        std::set<vm_id> maintained_;
         bool running_reported_ = false;
         bool completed_reported_ = false;
         bool report_in_flight_ = false;
@@ -153,8 +151,6 @@
     void advance_waves(time_point now);
     void balance(time_point now);
     void end_finished_moves();
-    /// Whether an order of a previous owner may still be carried out.
-    bool is_held(vm_id const& vm, time_point now) const;
     void select_vms(wave_state& wave, time_point now);
     void advance_operations(time_point now, bool can_send_orders);
     /// @return false if the VM has no operation any more
@@ -162,15 +158,16 @@
                              time_point now);
     void begin_operation(vm_id const& vm, vm_operation operation);
     void end_operation(vm_id const& vm);
-    /// Stores the wave's maintained VMs as a record, which `restore_wave()`
-    /// reads.
-    void append_wave_record(wave_state const& wave);
-    /// Deletes the order records of VMs whose `held_until_` has passed and
-    /// that have no operation, and erases these VMs from `held_until_`.
-    void delete_old_orders(time_point now);
+    /// @param text empty to delete the record
+    std::uint64_t append_order_record(vm_id const& vm, std::string text);
+    /// Stores that the wave is completed, which `restore_wave()` reads, and
+    /// deletes what is stored of its VMs.
+    void append_wave_record(wave_number wave);
     void report(wave_state& wave);
-    /// VMs that are reserved or down for the wave.
-    std::uint32_t maintenance_count(wave_number wave) const;
+    /// Whether the VM counts as out of service for the wave: it is reserved for
+    /// it, in maintenance, or an earlier owner's order for it is not settled.
+    bool is_down_for(wave_number wave, vm_id const& vm) const;
+    std::uint32_t maintenance_count(wave_state const& wave) const;
     bool is_standby(listed_vm const& vm) const;
 
     fleet_plan_options options_;
@@ -178,14 +175,7 @@
     std::map<vm_id, listed_vm> vms_;
     std::map<wave_number, wave_state> waves_;
     std::map<vm_id, vm_operation> operations_;
-    /// VMs to which this owner has queued an order, or a previous owner may
-    /// have sent one. The record of the order is kept at least until the given
-    /// time. If it is of a previous owner, no order is sent to the VM until
-    /// then; an order of this owner blocks no other.
-    std::map<vm_id, time_point> held_until_;
-    /// VMs with an order of this owner. A VM is added when the action is
-    /// queued, and never removed.
-    std::set<vm_id> own_orders_;
+    vm_order_book orders_;
     time_point next_list_{};
     time_point next_balance_{};
     time_point next_load_log_{};
--- a/source/node/cell_owner_store.cpp
+++ b/source/node/cell_owner_store.cpp
@@ -109,11 +109,11 @@
             }
             else if (record.key_.rfind(vm_order_prefix, 0) == 0)
             {
-                fleet_.restore_order(vm_id{id}, now);
+                fleet_.restore_order(vm_id{id}, *record.value_, now);
             }
             else if (record.key_.rfind(wave_prefix, 0) == 0)
             {
-                fleet_.restore_wave(std::stoll(id), *record.value_);
+                fleet_.restore_wave(std::stoll(id));
             }
         }
         catch (std::exception const& error)
--- a/tests/kernel/cell/fleet_plan_test.cpp
+++ b/tests/kernel/cell/fleet_plan_test.cpp
@@ -189,7 +189,7 @@
 {
     fleet_world world(4);
     auto const began = world.jobs_.now();
-    world.plan_.restore_order(vm_id{"vm0"}, began);
+    world.plan_.restore_order(vm_id{"vm0"}, "move\n", began);
     world.set_wave(2, 2);
     world.run_for(20'000ms);
     REQUIRE(world.ordered_.count(vm_id{"vm0"}) == 1);
@@ -202,10 +202,24 @@
 TEST_CASE("a VM that was maintained before a takeover is not maintained again")
 {
     fleet_world world(4);
-    world.plan_.restore_wave(1, "vm0\nvm1\n");
+    world.plan_.restore_order(vm_id{"vm0"}, "maintained 1\n",
+                              world.jobs_.now());
+    world.plan_.restore_order(vm_id{"vm1"}, "maintain 1\nmaintained 1\n",
+                              world.jobs_.now());
     world.set_wave(3, 3);
     world.run_for(10'000ms);
     CHECK(world.ordered_.count(vm_id{"vm0"}) == 0);
+    CHECK(world.ordered_.count(vm_id{"vm1"}) == 0);
     CHECK(world.ordered_.count(vm_id{"vm2"}) == 1);
     CHECK(world.reported_.count(true) == 1);
 }
+
+TEST_CASE("a wave that was completed before a takeover does not begin again")
+{
+    fleet_world world(4);
+    world.plan_.restore_wave(1);
+    world.set_wave(3, 3);
+    world.run_for(5'000ms);
+    CHECK(world.ordered_.empty());
+    CHECK(world.reported_.empty());
+}
