cell: Bound the owner's reviews of VMs, waves and jobs

Cause: the owner reviewed all waves and operations at each event. For a wave of 270 VMs each review looked at every worker for every VM of the wave, also while the wave was at its limit, which is 150,000 comparisons an event with 540 workers. Each placement, up to 250 a second, sorted all open jobs, although most of them only run.

Change: workers are indexed by VM; waves and operations are reviewed each 20 ms; VMs of a wave are not compared while it is at its limit; placement leaves out jobs without a task that waits.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -337,6 +337,11 @@
     void release_all(worker_state& worker, time_point now);
     void end_incarnation(worker_state& worker, char const* cause,
                          time_point now);
+    /// Removes a worker from `workers_` and its index.
+    std::map<std::string, worker_state>::iterator
+    erase_worker(std::map<std::string, worker_state>::iterator position);
+    /// Names of the workers whose entries name that VM.
+    std::vector<std::string> const& workers_on(vm_id const& vm) const;
     /// Whether the worker counts as capacity for new jobs.
     bool is_usable(worker_state const& worker, time_point now) const;
 
@@ -385,6 +390,9 @@
     void stop_stalled(time_point now);
 
     // cell_placement.cpp
+    /// Whether a task waits for a worker and its step may begin. Placement
+    /// leaves the other jobs out, so that running ones cost it nothing.
+    static bool has_waiting_task(job_state const& job);
     void place(time_point now);
     void place_pool(pool_name const& pool,
                     std::vector<std::pair<job_id, job_state*>>& jobs,
@@ -426,6 +434,9 @@
     std::map<std::string, job_state*> open_jobs_;
     std::map<std::string, worker_state> workers_;
     std::map<pool_name, std::vector<std::string>> pool_workers_;
+    /// The workers in `workers_` by the VM of their entry. A VM has several
+    /// while entries of its earlier incarnations remain.
+    std::map<vm_id, std::vector<std::string>> vm_workers_;
     /// Workers of the pool that is being placed.
     std::vector<worker_state*> candidates_;
     std::set<vm_id> reserved_;
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -44,6 +44,23 @@
                        });
 }
 
+bool cell::has_waiting_task(job_state const& job)
+{
+    for (auto const& occurrence : job.occurrences_)
+    {
+        for (std::size_t s = 0;
+             !occurrence.done_ && s < occurrence.steps_.size(); ++s)
+        {
+            if (occurrence.steps_[s].waiting_ != 0 &&
+                is_ready(job.request_->steps_[s], occurrence))
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 void cell::place(time_point now)
 {
     if (!can_start(now))
@@ -56,7 +73,7 @@
     for (auto const& item : open_jobs_)
     {
         auto& job = *item.second;
-        if (!job.ended() && job.request_)
+        if (!job.ended() && job.request_ && has_waiting_task(job))
         {
             by_pool[job.pool_].emplace_back(job_id{item.first}, &job);
         }
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -106,7 +106,7 @@
         bool const removable = worker.unlisted_ && worker.tasks_.empty() &&
                                now > worker.lease_expires_at_ &&
                                !worker.renewal_in_flight_;
-        position = removable ? workers_.erase(position) : std::next(position);
+        position = removable ? erase_worker(position) : std::next(position);
     }
 }
 
@@ -186,12 +186,9 @@
 
 void cell::evacuate(vm_id const& vm, time_point now)
 {
-    for (auto& item : workers_)
+    for (auto const& name : workers_on(vm))
     {
-        if (item.second.entry_.vm_ == vm)
-        {
-            evacuate(item.second, false, now);
-        }
+        evacuate(workers_.at(name), false, now);
     }
 }
 
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -19,6 +19,11 @@
 /// only after seconds without progress.
 constexpr duration min_stall_check_interval = std::chrono::milliseconds{250};
 
+void remove_name(std::vector<std::string>& names, std::string const& name)
+{
+    names.erase(std::remove(names.begin(), names.end(), name), names.end());
+}
+
 } // namespace
 
 cell::cell(cell_options options, time_point now)
@@ -88,21 +93,47 @@
         log_event("worker_listed", entry.id_,
                   "vm=" + entry.vm_.text() + " pool=" + entry.pool_.text());
     }
+    if (worker.entry_.vm_ != entry.vm_ || worker.entry_.address_.empty())
+    {
+        remove_name(vm_workers_[worker.entry_.vm_], entry.id_);
+        vm_workers_[entry.vm_].push_back(entry.id_);
+    }
     worker.entry_ = std::move(entry);
     placement_due_ = true;
 }
 
+std::vector<std::string> const& cell::workers_on(vm_id const& vm) const
+{
+    static std::vector<std::string> const none;
+    auto const found = vm_workers_.find(vm);
+    return found == vm_workers_.end() ? none : found->second;
+}
+
+std::map<std::string, worker_state>::iterator
+cell::erase_worker(std::map<std::string, worker_state>::iterator position)
+{
+    auto const on_vm = vm_workers_.find(position->second.entry_.vm_);
+    if (on_vm != vm_workers_.end())
+    {
+        remove_name(on_vm->second, position->first);
+        if (on_vm->second.empty())
+        {
+            vm_workers_.erase(on_vm);
+        }
+    }
+    return workers_.erase(position);
+}
+
 void cell::on_vm_listed(vm_id const& vm, std::string const& worker,
                         time_point asked, time_point now)
 {
-    for (auto& item : workers_)
+    for (auto const& name : workers_on(vm))
     {
-        auto& other = item.second;
+        auto& other = workers_.at(name);
         // A worker first seen after the list was requested may be newer than
         // the list.
-        bool const superseded = item.first != worker && !worker.empty() &&
-                                other.entry_.vm_ == vm &&
-                                other.first_seen_ < asked;
+        bool const superseded =
+            name != worker && !worker.empty() && other.first_seen_ < asked;
         if (superseded && !other.incarnation_ended_)
         {
             end_incarnation(other, "vm_has_new_life", now);
@@ -119,14 +150,12 @@
     }
     auto& worker = found->second;
     worker.unlisted_ = true;
-    auto& members = pool_workers_[worker.entry_.pool_];
-    members.erase(std::remove(members.begin(), members.end(), name),
-                  members.end());
+    remove_name(pool_workers_[worker.entry_.pool_], name);
     log_event("worker_gone", name,
               "tasks=" + std::to_string(worker.tasks_.size()));
     if (worker.tasks_.empty() && worker.lease_expires_at_ <= now)
     {
-        workers_.erase(found);
+        erase_worker(found);
     }
 }
 
@@ -140,12 +169,9 @@
     {
         reserved_.erase(vm);
     }
-    for (auto& item : workers_)
+    for (auto const& name : workers_on(vm))
     {
-        if (item.second.entry_.vm_ == vm)
-        {
-            item.second.reserved_ = reserved;
-        }
+        workers_.at(name).reserved_ = reserved;
     }
     placement_due_ = true;
 }
@@ -153,13 +179,10 @@
 std::size_t cell::tasks_on(vm_id const& vm) const
 {
     std::size_t count = 0;
-    for (auto const& item : workers_)
+    for (auto const& name : workers_on(vm))
     {
-        if (item.second.entry_.vm_ == vm)
-        {
-            count +=
-                item.second.tasks_.size() + item.second.orphaned_runs_.size();
-        }
+        auto const& worker = workers_.at(name);
+        count += worker.tasks_.size() + worker.orphaned_runs_.size();
     }
     return count;
 }
@@ -167,13 +190,9 @@
 std::size_t cell::long_running_tasks_on(vm_id const& vm) const
 {
     std::size_t count = 0;
-    for (auto const& item : workers_)
+    for (auto const& name : workers_on(vm))
     {
-        if (item.second.entry_.vm_ != vm)
-        {
-            continue;
-        }
-        for (auto const& task : item.second.tasks_)
+        for (auto const& task : workers_.at(name).tasks_)
         {
             auto const job = jobs_.find(task.job_.text());
             count +=
@@ -188,12 +207,13 @@
 
 bool cell::has_new_incarnation(vm_id const& vm, time_point since) const
 {
-    return std::any_of(workers_.begin(), workers_.end(),
-                       [&](auto const& item)
+    auto const& names = workers_on(vm);
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string const& name)
                        {
-                           return item.second.entry_.vm_ == vm &&
-                                  !item.second.unlisted_ &&
-                                  item.second.first_seen_ > since;
+                           auto const& worker = workers_.at(name);
+                           return !worker.unlisted_ &&
+                                  worker.first_seen_ > since;
                        });
 }
 
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -276,6 +276,11 @@
 
 void fleet_plan::select_vms(wave_state& wave, time_point now)
 {
+    auto in_maintenance = maintenance_count(wave);
+    if (in_maintenance >= wave.order_.max_at_once_)
+    {
+        return;
+    }
     std::vector<std::pair<std::uint64_t, vm_id>> candidates;
     for (auto const& vm : wave.order_.vms_)
     {
@@ -304,7 +309,6 @@
                 ? 1
                 : 0;
     }
-    auto in_maintenance = maintenance_count(wave);
     for (auto const& candidate : candidates)
     {
         if (in_maintenance >= wave.order_.max_at_once_)
@@ -502,10 +506,11 @@
         list_in_flight_ = true;
         actions_.emplace_back(list_vms{});
     }
-    if (!list_received_)
+    if (!list_received_ || now < next_review_)
     {
         return;
     }
+    next_review_ = now + options_.review_interval_;
     orders_.expire([this](vm_id const& vm)
                    { return operations_.count(vm) != 0; },
                    [this](vm_id const& vm, std::string const& text)
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -36,6 +36,9 @@
     /// maintained anyway, unless it runs long-running tasks.
     duration drain_timeout_ = std::chrono::milliseconds{5000};
     duration balance_interval_ = std::chrono::milliseconds{100};
+    /// Minimum interval between two reviews of all waves and operations. The
+    /// owner ticks at each event, and a review looks at every VM.
+    duration review_interval_ = std::chrono::milliseconds{20};
 };
 
 /// Requests the list of VMs from the platform.
@@ -176,6 +179,7 @@
     std::map<wave_number, wave_state> waves_;
     std::map<vm_id, vm_operation> operations_;
     vm_order_book orders_;
+    time_point next_review_{};
     time_point next_list_{};
     time_point next_balance_{};
     time_point next_load_log_{};
