node: Refuse at once while the store is away, with a growing Retry-After

Cause: during an outage of the store an owner refused new jobs by `config_stale` with the hint to try again soon, so that the front repeated the call every 80 ms until the client's deadline; a front without an owner waited 2 s although no owner can take over without the store. Clients were told to come back in one second, so that four tries ended before the outage did.

Change: once the store is known to be out of reach, both are refused at once, as not run where that is proved.

--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -1,6 +1,7 @@
 #include "kernel/cell/cell.hpp"
 
 #include "kernel/cell/admission_check.hpp"
+#include "kernel/cell/outage_retry.hpp"
 
 #include <algorithm>
 
@@ -82,7 +83,9 @@
     {
         client_answer refusal =
             make_answer(answer_kind::unavailable, refusal_cause);
-        refusal.retry_after_ = std::chrono::seconds{1};
+        refusal.retry_after_ = store_stalled(now)
+                                   ? outage_retry_after(now - batch_sent_at_)
+                                   : std::chrono::seconds{1};
         reply(exchange, refusal);
         return;
     }
@@ -351,7 +354,7 @@
         }
         client_answer refusal =
             make_answer(answer_kind::unavailable, "store_stalled");
-        refusal.retry_after_ = std::chrono::seconds{1};
+        refusal.retry_after_ = outage_retry_after(now - batch_sent_at_);
         for (auto const exchange : job.accept_waiters_)
         {
             reply(exchange, refusal);
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -1,5 +1,6 @@
 #include "node/cell_owner.hpp"
 
+#include "kernel/cell/outage_retry.hpp"
 #include "node/node_clock.hpp"
 
 #include <boost/asio/post.hpp>
@@ -271,6 +272,19 @@
     return answer;
 }
 
+client_answer cell_owner::refuse_as_stale(time_point now) const
+{
+    auto answer = make_refusal(answer_kind::unavailable, "config_stale");
+    auto const outage = environment_.config_.store_outage(now);
+    if (outage > duration{0})
+    {
+        // Further attempts would fail as well until the store returns.
+        answer.retry_soon_ = false;
+        answer.retry_after_ = outage_retry_after(outage);
+    }
+    return answer;
+}
+
 void cell_owner::call(client_call call, std::function<void(client_answer)> done)
 {
     if (stopped_ || record_.resigned_)
@@ -307,9 +321,9 @@
     auto const* const route = config.find(call.host_, call.path_);
     if (route == nullptr)
     {
-        done(make_refusal(config_fresh ? answer_kind::no_such_queue
-                                       : answer_kind::unavailable,
-                          config_fresh ? "unknown_queue" : "config_stale"));
+        done(config_fresh
+                 ? make_refusal(answer_kind::no_such_queue, "unknown_queue")
+                 : refuse_as_stale(now));
         return;
     }
     bool valid = false;
@@ -321,7 +335,7 @@
     }
     if (!config_fresh && (job.empty() || call.verb_ == client_verb::submit))
     {
-        done(make_refusal(answer_kind::unavailable, "config_stale"));
+        done(refuse_as_stale(now));
         return;
     }
     auto const exchange = next_exchange_++;
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -156,6 +156,9 @@
     /// Routes a call to the cell, which must be loaded.
     void dispatch(client_call call, std::function<void(client_answer)> done);
     client_answer make_refusal(answer_kind kind, char const* cause) const;
+    /// Refuses a call that a configuration of unknown age can't answer. During
+    /// an outage of the store the client is told when to come back.
+    client_answer refuse_as_stale(time_point now) const;
 
     environment environment_;
     owner_record record_;
--- a/source/node/client_frontend.cpp
+++ b/source/node/client_frontend.cpp
@@ -1,5 +1,6 @@
 #include "node/client_frontend.hpp"
 
+#include "kernel/cell/outage_retry.hpp"
 #include "node/node_clock.hpp"
 #include "node/peer_api.hpp"
 #include "platform/body_codec.hpp"
@@ -20,6 +21,9 @@
 constexpr duration answer_margin = std::chrono::milliseconds{20};
 /// How long a request waits for a reachable owner.
 constexpr duration max_owner_wait = std::chrono::milliseconds{2000};
+/// Without an owner, a request doesn't wait for one if the store has been out
+/// of reach for this long: a takeover needs the store.
+constexpr duration max_store_outage = std::chrono::milliseconds{1500};
 constexpr duration retry_pause = std::chrono::milliseconds{80};
 constexpr duration tick = std::chrono::milliseconds{40};
 /// Clients keep idle connections open between requests.
@@ -262,7 +266,7 @@
     answer.kind_ =
         maybe_stored ? answer_kind::unknown : answer_kind::unavailable;
     answer.cause_ = cause;
-    answer.retry_after_ = std::chrono::seconds{1};
+    answer.retry_after_ = outage_retry_after(handler_.store_outage_());
     finish(exchange, answer);
 }
 
@@ -306,6 +310,12 @@
     }
 }
 
+bool client_frontend::is_without_owner() const
+{
+    return handler_.store_outage_() > max_store_outage &&
+           !handler_.locate_owner_().reachable_;
+}
+
 void client_frontend::arm_timer()
 {
     if (timer_armed_)
@@ -349,6 +359,10 @@
         {
             abort_request(exchange, "deadline_passed");
         }
+        else if (!open.in_flight_ && is_without_owner())
+        {
+            abort_request(exchange, "no_owner_store_lost");
+        }
         else if (!open.in_flight_ && now >= open.owner_deadline_)
         {
             abort_request(exchange, "no_owner");
--- a/source/node/client_frontend.hpp
+++ b/source/node/client_frontend.hpp
@@ -39,6 +39,8 @@
         call_local_;
     /// The newest version of the configuration that this node knows of.
     std::function<std::uint64_t()> config_version_;
+    /// How long this node has not reached the store; 0 while it does.
+    std::function<duration()> store_outage_;
 };
 
 /// Accepts client requests and forwards them to the owner of the cell. A
@@ -99,6 +101,8 @@
                           std::optional<client_answer> const& answer,
                           bool maybe_stored);
     void finish(std::uint64_t exchange, client_answer const& answer);
+    /// Whether no owner is in reach and none can take over at present.
+    bool is_without_owner() const;
     void abort_request(std::uint64_t exchange, char const* cause);
     void arm_timer();
     void on_timer();
--- a/source/node/config_follower.cpp
+++ b/source/node/config_follower.cpp
@@ -32,8 +32,10 @@
     handler.on_records_ = [this](auto const& records) { on_records(records); };
     handler.on_reachable_changed_ = [this](bool reachable)
     {
+        auto const now = node_now();
+        store_lost_at_ = reachable ? std::nullopt : std::make_optional(now);
         log_.write(reachable ? "store_regained" : "store_lost",
-                   {{"topic", "operators"}}, node_now());
+                   {{"topic", "operators"}}, now);
     };
     follower_ = std::make_shared<topic_follower>(
         context, store, platform::store_topic::operators, config_read_wait,
--- a/source/node/config_follower.hpp
+++ b/source/node/config_follower.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace cuminfold
 {
@@ -41,6 +42,11 @@
     {
         return waves_;
     }
+    /// How long the store has been out of reach; 0 while it is in reach.
+    duration store_outage(time_point now) const
+    {
+        return store_lost_at_ ? now - *store_lost_at_ : duration{0};
+    }
     /// The latest time at which `config()` is known to have been the newest.
     time_point current_as_of() const noexcept
     {
@@ -61,6 +67,8 @@
     std::function<void()> on_changed_;
     fleet_config config_;
     std::map<wave_number, wave_order> waves_;
+    /// When the store stopped answering reads; empty while it answers.
+    std::optional<time_point> store_lost_at_;
     std::shared_ptr<topic_follower> follower_;
 };
 
