cell: Let tasks of draining workers leave within their limit at any time

Cause: while a stop was pending on another worker, no further task of the step left a draining worker, although the limit of the step might allow it.

Change: `may_end()` is asked first; only what exceeds the limit waits for the pending stop.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -382,7 +382,7 @@
     /// may still be carried out. It was sent within `max_unavailable_`, so that
     /// no other task may be ended beyond that limit until then.
     bool has_pending_stop(task_location const& at) const;
-    /// @param all ignores `max_unavailable_`
+    /// @param all ignores `max_unavailable_`, unless a stop is pending
     void evacuate(worker_state& worker, bool all, time_point now);
     void evacuate_draining_workers(time_point now);
     /// Whether a long-running task does its work at present.
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -203,7 +203,8 @@
         {
             continue;
         }
-        bool const may_leave = all ? !has_pending_stop(at) : may_end(at, now);
+        bool const may_leave =
+            may_end(at, now) || (all && !has_pending_stop(at));
         if (may_leave)
         {
             log_event("task_evacuated", describe(task), worker.entry_.id_);
