--- a/tests/kernel/cell/availability_test.cpp
+++ b/tests/kernel/cell/availability_test.cpp
@@ -150,7 +150,9 @@
     {
         if (!world.worker(i).running_.empty())
         {
-            world.force_stop(i, world.worker(i).running_.begin()->first);
+            // A copy, since the stop erases the run.
+            task_id const task = world.worker(i).running_.begin()->first;
+            world.force_stop(i, task);
             ++stopped;
         }
     }
