cell: Log the account behind evacuations and maintenance orders

Cause: the log couldn't tell the hypotheses of the incident apart: an order to maintain a VM was logged only with its answer, task_evacuated didn't say what was counted, and neither named the owner's epoch.

Change: maintenance_ordered has the VMs that count against the wave's limit and the age of the platform's list; task_evacuated has the unavailable tasks and the limit; run_stopped and the owner's decisions have their epoch as the last field, so that the fields before it stay as they were.

Result: cell, fleet plan, availability and wave takeover tests pass.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -375,6 +375,11 @@
     /// Releases the tasks of workers whose leases lapsed without an answer, and
     /// removes workers that are gone.
     void drop_lapsed_workers(time_point now);
+    /// Number of the other tasks of that step that are not available.
+    std::uint32_t count_unavailable_others(task_location const& at,
+                                           time_point now) const;
+    /// How many tasks of a step may be unavailable; at least 1.
+    static std::uint32_t max_unavailable(job_step const& shape);
     /// Whether a long-running task may be ended: fewer others of its step than
     /// `max_unavailable_` are unavailable.
     bool may_end(task_location const& at, time_point now) const;
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -147,15 +147,25 @@
            worker != workers_.end() && worker->second.unanswered_renewals_ == 0;
 }
 
-bool cell::may_end(task_location const& at, time_point now) const
+std::uint32_t cell::count_unavailable_others(task_location const& at,
+                                             time_point now) const
 {
     std::uint32_t unavailable = 0;
     for (auto const& other : at.step_->tasks_)
     {
         unavailable += &other != at.task_ && !is_available(other, now) ? 1 : 0;
     }
-    return unavailable <
-           std::max<std::uint32_t>(1, at.shape_->max_unavailable_);
+    return unavailable;
+}
+
+std::uint32_t cell::max_unavailable(job_step const& shape)
+{
+    return std::max<std::uint32_t>(1, shape.max_unavailable_);
+}
+
+bool cell::may_end(task_location const& at, time_point now) const
+{
+    return count_unavailable_others(at, now) < max_unavailable(*at.shape_);
 }
 
 bool cell::has_pending_stop(task_location const& at) const
@@ -207,7 +217,12 @@
             may_end(at, now) || (all && !has_pending_stop(at));
         if (may_leave)
         {
-            log_event("task_evacuated", describe(task), worker.entry_.id_);
+            log_event("task_evacuated", describe(task),
+                      worker.entry_.id_ + " unavailable_others=" +
+                          std::to_string(count_unavailable_others(at, now)) +
+                          " max_unavailable=" +
+                          std::to_string(max_unavailable(*at.shape_)) +
+                          " draining=" + (worker.entry_.draining_ ? "1" : "0"));
             at.task_->phase_ = task_phase::stopping;
             at.task_->unavailable_since_ = now;
         }
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -59,6 +59,7 @@
 {
     list_in_flight_ = false;
     list_received_ = true;
+    list_requested_at_ = requested_at;
     bool const busy = !operations_.empty() ||
                       std::any_of(waves_.begin(), waves_.end(),
                                   [](auto const& wave)
@@ -460,6 +461,21 @@
     }
 }
 
+void fleet_plan::log_maintenance_order(vm_id const& vm, wave_number wave,
+                                       time_point now)
+{
+    using std::chrono::milliseconds;
+    auto const& state = waves_.at(wave);
+    auto const list_age =
+        std::chrono::duration_cast<milliseconds>(now - list_requested_at_);
+    actions_.emplace_back(log_decision{
+        "maintenance_ordered", vm.text(),
+        "wave=" + std::to_string(wave) +
+            " down_or_reserved=" + std::to_string(maintenance_count(state)) +
+            " max_at_once=" + std::to_string(state.order_.max_at_once_) +
+            " list_age_ms=" + std::to_string(list_age.count())});
+}
+
 void fleet_plan::advance_operations(time_point now, bool can_send_orders)
 {
     for (auto& item : operations_)
@@ -494,6 +510,7 @@
         }
         else
         {
+            log_maintenance_order(item.first, operation.wave_, now);
             actions_.emplace_back(maintain_vm{item.first, operation.wave_});
         }
     }
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -170,6 +170,10 @@
     /// Whether the VM counts as out of service for the wave: it is reserved for
     /// it, in maintenance, or an earlier owner's order for it is not settled.
     bool is_down_for(wave_number wave, vm_id const& vm) const;
+    /// Logs an order with the number of VMs that count against the limit of the
+    /// wave, this one included, and the age of the list behind it.
+    void log_maintenance_order(vm_id const& vm, wave_number wave,
+                               time_point now);
     std::uint32_t maintenance_count(wave_state const& wave) const;
     bool is_standby(listed_vm const& vm) const;
 
@@ -185,6 +189,8 @@
     time_point next_load_log_{};
     bool list_in_flight_ = false;
     bool list_received_ = false;
+    /// When the present list was requested.
+    time_point list_requested_at_{};
     std::vector<fleet_action> actions_;
 };
 
--- a/source/node/cell_owner_orders.cpp
+++ b/source/node/cell_owner_orders.cpp
@@ -162,7 +162,8 @@
                             {{"task", describe(action.task_)},
                              {"run", std::to_string(action.run_)},
                              {"worker", action.worker_},
-                             {"cause", action.cause_}},
+                             {"cause", action.cause_},
+                             {"epoch", std::to_string(record_.epoch_)}},
                             node_now());
     environment_.workers_.stop(
         action,
@@ -215,9 +216,11 @@
 
 void cell_owner::run(log_decision const& action)
 {
-    environment_.log_.write(
-        action.event_, {{"subject", action.subject_}, {"cause", action.cause_}},
-        node_now());
+    environment_.log_.write(action.event_,
+                            {{"subject", action.subject_},
+                             {"cause", action.cause_},
+                             {"epoch", std::to_string(record_.epoch_)}},
+                            node_now());
 }
 
 } // namespace cuminfold
