tests: Show that unanswered starts of one step wait for each other

Callers saw LOST: a task that is to last didn't run, with capacity for it.

Cause, since: the stop that settles an unanswered start of a long-running task is sent only if fewer others than max_unavailable are unavailable, and an unanswered start counts as unavailable itself. As many of them as may be unavailable wait for each other for ever.

The world's late calls are executed 2 to 12 s later, as on the platform, half of them within 4 s; stops can be slow; a task that never ran counts as unavailable since its submission, not never.

--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -14,6 +14,12 @@
 constexpr duration step_interval = milliseconds{10};
 constexpr duration one_way_latency = milliseconds{1};
 constexpr duration call_timeout = milliseconds{300};
+/// When a late call is executed, from when it was sent.
+constexpr milliseconds min_late_delay{2000};
+constexpr milliseconds max_late_delay{12'000};
+/// Half of the late calls are executed earlier than this, so that many late
+/// starts still find their lease valid.
+constexpr milliseconds max_lease_late_delay{4000};
 constexpr duration append_latency = milliseconds{12};
 constexpr std::uint32_t max_attempts = 3;
 /// Time from an acknowledged cancellation after which no task may start.
@@ -100,6 +106,7 @@
     job.text_ = "text of " + id;
     job.steps_ = std::move(steps);
     submitted_[id] = job;
+    submitted_at_[id] = now_;
     auto const exchange = next_exchange_++;
     exchanges_[exchange] = id;
     cell_->submit(exchange, config_.routes_[0], job, std::chrono::seconds{30},
@@ -365,7 +372,11 @@
     };
     if (may_be_late && chance(faults_.calls_late_))
     {
-        auto const delay = milliseconds{2000 + random_() % 4000};
+        auto const max_delay =
+            chance(50) ? max_lease_late_delay : max_late_delay;
+        auto const delay =
+            min_late_delay +
+            milliseconds{random_() % (max_delay - min_late_delay).count()};
         schedule(now_ + delay, [run] { run(); });
         schedule(now_ + call_timeout,
                  [answer] { answer(call_outcome::no_answer); });
@@ -430,13 +441,26 @@
 
 void cell_world::carry_out(stop_run const& order)
 {
+    stops_sent_.insert(order.task_);
     if (faults_.stops_lost_ > 0 && chance(faults_.stops_lost_))
     {
         return;
     }
+    if (stop_delay_ > milliseconds{0})
+    {
+        schedule(now_ + stop_delay_, [this, order, epoch = epoch_, sent = now_]
+                 { call_stop(order, epoch, sent); });
+        return;
+    }
+    call_stop(order, epoch_, now_);
+}
+
+void cell_world::call_stop(stop_run const& order, std::uint64_t token,
+                           time_point sent)
+{
     call(
         order.address_, true,
-        [this, order, token = epoch_, sent = now_]
+        [this, order, token, sent]
         {
             auto* const worker = find(order.worker_);
             auto const before = worker->running_.count(order.task_);
@@ -617,9 +641,10 @@
         task_id other = task;
         other.index_ = i;
         auto const last = last_running_.find(other);
-        bool const is_away = stopped_.count(other) != 0 ||
-                             (last != last_running_.end() &&
-                              now_ - last->second > unavailable_time);
+        auto const since =
+            last == last_running_.end() ? submitted_at_.at(id) : last->second;
+        bool const is_away =
+            stopped_.count(other) != 0 || now_ - since > unavailable_time;
         unavailable +=
             i != task.index_ && !is_running(other) && is_away ? 1 : 0;
     }
@@ -694,6 +719,22 @@
     return found == runs_.end() ? 0 : found->second;
 }
 
+std::size_t cell_world::running_tasks(std::string const& id) const
+{
+    std::set<task_id> tasks;
+    for (auto const& worker : workers_)
+    {
+        for (auto const& run : worker->running_)
+        {
+            if (run.first.job_.text() == id)
+            {
+                tasks.insert(run.first);
+            }
+        }
+    }
+    return tasks.size();
+}
+
 std::size_t cell_world::unacknowledged_ends() const
 {
     std::size_t ends = 0;
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -70,6 +70,8 @@
     job_status status(std::string const& id) const;
     /// Number of runs of the job's tasks that workers accepted.
     std::size_t runs_of(std::string const& id) const;
+    /// Number of the job's tasks that run on some worker now.
+    std::size_t running_tasks(std::string const& id) const;
     bool all_ended() const;
     /// Number of ended runs that workers still report because no owner has
     /// acknowledged them.
@@ -92,6 +94,8 @@
 
     faults faults_;
     bool store_down_ = false;
+    /// Added to the time that a stop takes to reach its worker.
+    std::chrono::milliseconds stop_delay_{0};
     /// While set, the owner cannot read the workers' entries.
     bool entries_stale_ = false;
     /// While set, the policy service does not answer. Otherwise it denies the
@@ -104,6 +108,8 @@
     /// Gives the queue a policy.
     /// @param validity of a ticket, from when it was requested
     void set_policy(std::chrono::milliseconds validity);
+    /// Tasks that some owner sent a stop for.
+    std::set<task_id> stops_sent_;
     /// Jobs whose runs all fail.
     std::set<std::string> failing_;
     std::vector<std::string> violations_;
@@ -125,6 +131,8 @@
               std::function<call_outcome()> execute, call_end done);
     void carry_out(start_run const& order);
     void carry_out(stop_run const& order);
+    /// @param sent when the owner with that token sent the stop
+    void call_stop(stop_run const& order, std::uint64_t token, time_point sent);
     void carry_out(renew_worker const& order);
     void carry_out(query_advice const& order);
     void carry_out(answer_client const& answer);
@@ -164,6 +172,7 @@
 
     // State of the oracle.
     std::map<std::string, job_definition> submitted_;
+    std::map<std::string, time_point> submitted_at_;
     std::map<std::string, std::size_t> runs_;
     std::map<std::string, time_point> cancel_acknowledged_;
     std::set<std::string> cancelled_;
