cell: Settle unanswered starts once they have expired

Callers saw LOST: a task of a long-running step didn't run although there was capacity, since its start had got no answer and wasn't settled.

Cause, since: the stop that settles such a start was held back while as many others of the step were unavailable as may be; unanswered starts count as unavailable themselves and waited for each other for ever.

Change: a start carries the end of its lease on the worker's clock, and the worker refuses it from then on. Until that time the stop may end a run that began late, and is counted like other stops. Afterwards it ends nothing and is always sent. The stop stays, so that the run is fenced on the worker, whatever a worker does with a late start.

Ruled out: sending the stop without regard to the limit (the users' page counts a late start that was carried out and stopped); one stop at a time in a fixed order (a silent worker would hold up the others); releasing the task without a stop (a worker that extends late leases would run it twice).

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -383,6 +383,12 @@
     /// Whether a long-running task may be ended: fewer others of its step than
     /// `max_unavailable_` are unavailable.
     bool may_end(task_location const& at, time_point now) const;
+    /// Whether an unanswered start may be settled by a stop. If the start is
+    /// carried out late, the stop ends the run, so that it counts like other
+    /// stops until the worker refuses the start because it has expired.
+    /// @param worker that of the task
+    bool may_settle(task_location const& at, worker_state const& worker,
+                    time_point now) const;
     /// Whether a stop of a task of that step, on a worker that doesn't drain,
     /// may still be carried out. It was sent within `max_unavailable_`, so that
     /// no other task may be ended beyond that limit until then.
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -308,6 +308,7 @@
     order.run_ = run;
     order.job_ = at.job_->request_;
     order.lease_until_ = lease_for(worker, now);
+    at.task_->start_expires_at_ = order.lease_until_;
     order.checkpoint_ = at.task_->checkpoint_;
     order.ticket_ = std::move(ticket);
     actions_.emplace_back(std::move(order));
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -336,7 +336,7 @@
             mark_dirty(*at.job_);
         }
         else if (state.stop_sent_ == time_point{} &&
-                 (!at.shape_->long_running_ || may_end(at, now)))
+                 may_settle(at, worker, now))
         {
             send_stop(worker, task, state.run_, "unanswered_start");
             state.stop_sent_ = now;
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -55,10 +55,9 @@
                 not_started.push_back(task);
                 continue;
             }
-            bool const must_settle =
-                state.phase_ == task_phase::unresolved &&
-                state.stop_sent_ != time_point{} &&
-                (!at.shape_->long_running_ || may_end(at, now));
+            bool const must_settle = state.phase_ == task_phase::unresolved &&
+                                     state.stop_sent_ != time_point{} &&
+                                     may_settle(at, worker, now);
             bool const must_stop =
                 ended || must_settle || state.phase_ == task_phase::stopping;
             if (must_stop && !state.stop_accepted_ &&
@@ -168,6 +167,13 @@
     return count_unavailable_others(at, now) < max_unavailable(*at.shape_);
 }
 
+bool cell::may_settle(task_location const& at, worker_state const& worker,
+                      time_point now) const
+{
+    return !at.shape_->long_running_ ||
+           worker.clock_ >= at.task_->start_expires_at_ || may_end(at, now);
+}
+
 bool cell::has_pending_stop(task_location const& at) const
 {
     return std::any_of(at.step_->tasks_.begin(), at.step_->tasks_.end(),
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -2,6 +2,7 @@
 #define CUMINFOLD_KERNEL_CELL_JOB_STATE_HPP
 
 #include "kernel/cell/job_definition.hpp"
+#include "kernel/cell/worker_clock.hpp"
 #include "kernel/identifier.hpp"
 #include "kernel/time.hpp"
 
@@ -41,6 +42,9 @@
     /// The task was started under this owner's epoch. A worker that has
     /// received a request of this epoch refuses starts of earlier ones.
     bool own_start_ = false;
+    /// The end of the lease that the start requested, on the worker's clock.
+    /// The worker refuses a start that arrives later.
+    worker_clock start_expires_at_{0};
     bool stop_accepted_ = false;
     time_point stop_sent_{};
     time_point stop_accepted_at_{};
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -2,10 +2,10 @@
 #define CUMINFOLD_KERNEL_CELL_WORKER_STATE_HPP
 
 #include "kernel/cell/job_definition.hpp"
+#include "kernel/cell/worker_clock.hpp"
 #include "kernel/identifier.hpp"
 #include "kernel/time.hpp"
 
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -15,9 +15,6 @@
 namespace cuminfold
 {
 
-/// A point on a worker's own monotonic clock.
-using worker_clock = std::chrono::milliseconds;
-
 /// A worker as it registered itself.
 struct worker_registration
 {
