cell: Check the limit of a step again before a stop is sent

Callers saw AVAIL in our own test: an order ended a task of a long-running step while as many others were away as may be.

Cause: an evacuation was decided within max_unavailable, and its stop was sent or repeated for as long as it got no answer, without a look at the step's other tasks. What became unavailable in those seconds (a worker behind a cut, a crash) was left out.

Change: a stop on a worker that doesn't drain is sent only while the limit allows it at that time. Otherwise the task stays, once its worker lists it without an accepted stop (evacuation_withdrawn).

Ruled out: holding the stop back without withdrawing it, which leaves a serving task counted as unavailable and holds up the others of its step.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -383,6 +383,11 @@
     /// Whether a long-running task may be ended: fewer others of its step than
     /// `max_unavailable_` are unavailable.
     bool may_end(task_location const& at, time_point now) const;
+    /// Whether a stop of a task that was decided earlier may be sent now, since
+    /// other tasks of its step may have become unavailable in the meantime.
+    /// @param worker that of the task
+    bool may_be_evacuated(task_location const& at, worker_state const& worker,
+                          time_point now) const;
     /// Whether an unanswered start may be settled by a stop. If the start is
     /// carried out late, the stop ends the run, so that it counts like other
     /// stops until the worker refuses the start because it has expired.
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -275,8 +275,16 @@
     {
         // A long-running task whose unanswered start was carried out late does
         // its work: stopping it now would count against `max_unavailable_`.
+        bool const is_stop_withdrawn =
+            state.phase_ == task_phase::stopping && !state.stop_accepted_ &&
+            !at.job_->ended() && !may_be_evacuated(at, worker, now);
+        if (is_stop_withdrawn)
+        {
+            log_event("evacuation_withdrawn", describe(task),
+                      worker.entry_.id_);
+        }
         bool const adopt =
-            state.phase_ == task_phase::starting ||
+            state.phase_ == task_phase::starting || is_stop_withdrawn ||
             (state.phase_ == task_phase::unresolved &&
              (state.stop_sent_ == time_point{} ||
               (at.shape_->long_running_ && !state.stop_accepted_)));
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -58,8 +58,9 @@
             bool const must_settle = state.phase_ == task_phase::unresolved &&
                                      state.stop_sent_ != time_point{} &&
                                      may_settle(at, worker, now);
-            bool const must_stop =
-                ended || must_settle || state.phase_ == task_phase::stopping;
+            bool const must_evacuate = state.phase_ == task_phase::stopping &&
+                                       may_be_evacuated(at, worker, now);
+            bool const must_stop = ended || must_settle || must_evacuate;
             if (must_stop && !state.stop_accepted_ &&
                 now - state.stop_sent_ >= options_.stop_retry_interval_)
             {
@@ -167,6 +168,13 @@
     return count_unavailable_others(at, now) < max_unavailable(*at.shape_);
 }
 
+bool cell::may_be_evacuated(task_location const& at, worker_state const& worker,
+                            time_point now) const
+{
+    return !at.shape_->long_running_ || worker.entry_.draining_ ||
+           may_end(at, now);
+}
+
 bool cell::may_settle(task_location const& at, worker_state const& worker,
                       time_point now) const
 {
--- a/tests/kernel/cell/availability_test.cpp
+++ b/tests/kernel/cell/availability_test.cpp
@@ -158,3 +158,26 @@
     }
     CHECK(world.has_violation("AVAIL"));
 }
+
+// Guards against an evacuation whose stop got no answer and was repeated after
+// other tasks of the step had become unavailable.
+TEST_CASE("a stop is not repeated once its step has too few available tasks")
+{
+    cell_world world(1, 3);
+    world.run_for(50ms);
+    auto step = serving_step(1);
+    step.tasks_ = 3;
+    world.submit("a", {step});
+    world.run_for(500ms);
+    REQUIRE(world.running_tasks("a") == 3);
+    world.faults_.stops_lost_ = 100;
+    world.owner().evacuate(world.worker(0).entry_.vm_, world.now());
+    world.run_for(300ms);
+    // The task of another worker has no place to go to.
+    world.cut(1, true);
+    world.run_for(8000ms);
+    world.faults_.stops_lost_ = 0;
+    world.run_for(1000ms);
+    CHECK(world.running_tasks("a") == 2);
+    CHECK(world.violations() == "");
+}
