cell: Count a task as unavailable while a stop of its run may arrive

Callers saw AVAIL in our own test: a task was ended while another one of its step had just been ended by a stop that was carried out seconds late.

Cause: a late start that runs although its stop had been sent was kept, and counted as available 0.6 s later. A stop without an answer may be carried out 12 s after it was sent.

Change: the task counts as available once its last stop can't arrive any more (max_late_call_), or after a new start. The time is kept as the latest one over several adoptions and cleared with the run. Stops of earlier owners are refused by the fencing token, so that stop_grace_ still holds for them.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -51,6 +51,8 @@
     duration longest_lease_ = std::chrono::milliseconds{3000};
     /// Time after which a stop has taken effect.
     duration stop_grace_ = std::chrono::milliseconds{600};
+    /// A call without an answer may be carried out this long after it was sent.
+    duration max_late_call_ = std::chrono::seconds{12};
     /// If the store takes longer than this for a batch, it counts as
     /// unreachable and no job is accepted.
     duration store_stall_timeout_ = std::chrono::milliseconds{700};
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -290,14 +290,18 @@
               (at.shape_->long_running_ && !state.stop_accepted_)));
         if (adopt)
         {
-            // The run may still be ended by a stop of the previous owner, or by
-            // one of this owner that got no answer.
-            bool const may_be_stopped =
-                !state.own_start_ || state.stop_sent_ != time_point{};
+            // The run may still be ended by a stop that the worker accepted
+            // from the previous owner, or by one of this owner that got no
+            // answer.
+            auto const last_stop_effect =
+                state.stop_sent_ != time_point{}
+                    ? state.stop_sent_ + options_.max_late_call_
+                : state.own_start_ ? now
+                                   : now + options_.stop_grace_;
+            state.established_at_ =
+                std::max(state.established_at_, last_stop_effect);
             state.phase_ = task_phase::running;
             state.started_ = now;
-            state.established_at_ =
-                now + (may_be_stopped ? options_.stop_grace_ : duration{0});
             state.progressed_at_ = now;
             state.stop_sent_ = {};
         }
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -95,6 +95,7 @@
     at.task_->stop_accepted_ = false;
     at.task_->stop_sent_ = {};
     at.task_->own_start_ = false;
+    at.task_->established_at_ = {};
     at.task_->percent_ = 0;
     ++at.step_->waiting_;
     if (at.task_->unavailable_since_ == time_point{})
--- a/tests/kernel/cell/availability_test.cpp
+++ b/tests/kernel/cell/availability_test.cpp
@@ -181,3 +181,45 @@
     CHECK(world.running_tasks("a") == 2);
     CHECK(world.violations() == "");
 }
+
+// Guards against an account that took a task for available although a stop of
+// its run was still on its way.
+TEST_CASE("a task that an unanswered stop may still end is not available")
+{
+    std::size_t tested = 0;
+    for (std::uint32_t seed = 1; seed <= 100; ++seed)
+    {
+        CAPTURE(seed);
+        cell_world world(seed, 2);
+        world.run_for(50ms);
+        world.faults_ = {0, 0, 100, 100};
+        auto step = serving_step(1);
+        step.tasks_ = 2;
+        world.submit("a", {step});
+        world.run_for(320ms);
+        world.faults_ = {0, 0, 0, 100};
+        world.run_for(3500ms);
+        bool const is_one_stopped =
+            world.running_tasks("a") == 2 && world.stops_sent_.size() == 1;
+        if (!is_one_stopped)
+        {
+            continue;
+        }
+        ++tested;
+        auto const stopped = *world.stops_sent_.begin();
+        std::uint32_t const other =
+            world.worker(0).running_.count(stopped) != 0 ? 1 : 0;
+        auto const vm = world.worker(other).entry_.vm_;
+        world.faults_ = {};
+        world.owner().evacuate(vm, world.now());
+        world.run_for(300ms);
+        CHECK(world.runs_of("a") == 2);
+        // The stop can't be on its way any more.
+        world.run_for(12'000ms);
+        world.owner().evacuate(vm, world.now());
+        world.run_for(1000ms);
+        CHECK(world.runs_of("a") == 3);
+        CHECK(world.running_tasks("a") == 2);
+    }
+    CHECK(tested > 0);
+}
