tests: Drive availability through restarts, reused addresses and lost entries

Cause: the incident's leads name states in which an owner may take a task for available that isn't. The availability test had none of them.

Change: patterns with workers that restart between two renewals, addresses at which another incarnation answers, runs that end by themselves, entries that expire and come back, and all of these at once.

--- a/tests/kernel/cell/availability_test.cpp
+++ b/tests/kernel/cell/availability_test.cpp
@@ -35,6 +35,10 @@
     std::uint32_t crashes_ = 0;
     std::uint32_t takeovers_ = 0;
     std::uint32_t store_outages_ = 0;
+    std::uint32_t ended_runs_ = 0;
+    std::uint32_t expired_entries_ = 0;
+    /// Another incarnation answers at the address of a worker that crashed.
+    bool reuses_addresses_ = false;
 };
 
 load_pattern const load_patterns[] = {
@@ -46,6 +50,11 @@
     {"most orders are carried out late or never", {0, 15, 60}, 5, 40},
     {"owners are replaced during a wave", {0, 0, 5}, 10, 50, 5, 15},
     {"the store is away during a wave", {}, 10, 50, 0, 5, 20},
+    {"workers restart between two renewals", {}, 5, 50, 30},
+    {"addresses are used again", {5, 0, 5}, 5, 50, 30, 5, 0, 0, 0, true},
+    {"runs end by themselves during a wave", {}, 5, 50, 0, 5, 0, 30},
+    {"entries expire and come back", {5, 0, 5}, 5, 50, 5, 5, 0, 0, 25},
+    {"everything at once", {5, 5, 10, 20}, 10, 25, 10, 10, 5, 10, 10, true},
 };
 
 void execute(cell_world& world, load_pattern const& pattern,
@@ -79,6 +88,14 @@
     {
         world.store_down_ = !world.store_down_;
     }
+    else if (is(pattern.ended_runs_))
+    {
+        world.end_runs(worker);
+    }
+    else if (is(pattern.expired_entries_))
+    {
+        world.expire_entry(worker);
+    }
 }
 
 } // namespace
@@ -98,6 +115,7 @@
             world.submit("b", {serving_step(2)});
             world.run_for(500ms);
             world.faults_ = pattern.faults_;
+            world.reuses_addresses_ = pattern.reuses_addresses_;
             for (int i = 0; i < 60; ++i)
             {
                 execute(world, pattern, random);
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -21,6 +21,8 @@
 /// starts still find their lease valid.
 constexpr milliseconds max_lease_late_delay{4000};
 constexpr duration append_latency = milliseconds{12};
+/// How long an expired entry is missing.
+constexpr duration entry_absence = milliseconds{1500};
 constexpr std::uint32_t max_attempts = 3;
 /// Time from an acknowledged cancellation after which no task may start.
 constexpr duration cancel_grace = milliseconds{3000};
@@ -160,6 +162,22 @@
              [this, old] { cell_->on_worker_unlisted(old, now_); });
 }
 
+void cell_world::end_runs(std::uint32_t worker)
+{
+    for (auto& run : workers_[worker]->running_)
+    {
+        run.second.fails_ = true;
+        run.second.ends_ = now_;
+    }
+}
+
+void cell_world::expire_entry(std::uint32_t worker)
+{
+    cell_->on_worker_unlisted(workers_[worker]->entry_.id_, now_);
+    schedule(now_ + entry_absence, [this, worker]
+             { cell_->on_worker_listed(workers_[worker]->entry_, now_); });
+}
+
 void cell_world::drain(std::uint32_t worker)
 {
     workers_[worker]->entry_.draining_ = true;
@@ -357,6 +375,12 @@
         }
     };
     auto* const worker = find(address);
+    if (worker == nullptr && reuses_addresses_)
+    {
+        schedule(now_ + 2 * one_way_latency,
+                 [answer] { answer(call_outcome::incarnation_mismatch); });
+        return;
+    }
     if (worker == nullptr || worker->disconnected_)
     {
         schedule(now_ + call_timeout,
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -47,6 +47,10 @@
     void take_over();
     /// Ends a worker's process and starts a new incarnation on the same VM.
     void crash(std::uint32_t worker);
+    /// Ends a worker's runs as failed, without an order.
+    void end_runs(std::uint32_t worker);
+    /// Removes a worker's entry from the store for a time, while it works on.
+    void expire_entry(std::uint32_t worker);
     /// Reports the worker's entry to the owner as draining.
     void drain(std::uint32_t worker);
     /// Starts or ends a network partition between the owner and a worker.
@@ -94,6 +98,8 @@
 
     faults faults_;
     bool store_down_ = false;
+    /// Calls to a crashed worker's address reach another incarnation.
+    bool reuses_addresses_ = false;
     /// Added to the time that a stop takes to reach its worker.
     std::chrono::milliseconds stop_delay_{0};
     /// While set, the owner cannot read the workers' entries.
