cell: Name the adoption of a reported run

Cause: reconcile_task held the conditions of three phases in one expression, with a comment that stood above another one.

Change: must_adopt() decides by phase, adopt() sets the task. Behaviour is unchanged.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -359,6 +359,11 @@
     void reconcile_task(worker_state& worker, task_id const& task,
                         running_report const* report, time_point asked,
                         time_point now);
+    /// Whether a task that its worker reports as running is to count as
+    /// running from now on.
+    bool must_adopt(task_location const& at, worker_state const& worker,
+                    time_point now) const;
+    void adopt(task_state& task, time_point now);
     void send_due_renewals(time_point now);
     /// Computes the interval between two renewals of one worker from the number
     /// of busy workers.
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -260,6 +260,47 @@
     }
 }
 
+bool cell::must_adopt(task_location const& at, worker_state const& worker,
+                      time_point now) const
+{
+    auto const& task = *at.task_;
+    switch (task.phase_)
+    {
+    case task_phase::starting:
+        return true;
+    case task_phase::unresolved:
+        // A long-running task whose unanswered start was carried out late does
+        // its work: stopping it now would count against `max_unavailable_`.
+        return task.stop_sent_ == time_point{} ||
+               (at.shape_->long_running_ && !task.stop_accepted_);
+    case task_phase::stopping:
+        return !task.stop_accepted_ && !at.job_->ended() &&
+               !may_be_evacuated(at, worker, now);
+    case task_phase::waiting:
+    case task_phase::placed:
+    case task_phase::running:
+    case task_phase::done:
+        return false;
+    }
+    return false;
+}
+
+void cell::adopt(task_state& task, time_point now)
+{
+    // The run may still be ended by a stop that the worker accepted from the
+    // previous owner, or by one of this owner that got no answer.
+    auto const last_stop_effect =
+        task.stop_sent_ != time_point{}
+            ? task.stop_sent_ + options_.max_late_call_
+        : task.own_start_ ? now
+                          : now + options_.stop_grace_;
+    task.established_at_ = std::max(task.established_at_, last_stop_effect);
+    task.phase_ = task_phase::running;
+    task.started_ = now;
+    task.progressed_at_ = now;
+    task.stop_sent_ = {};
+}
+
 void cell::reconcile_task(worker_state& worker, task_id const& task,
                           running_report const* report, time_point asked,
                           time_point now)
@@ -273,37 +314,14 @@
     auto& state = *at.task_;
     if (report != nullptr)
     {
-        // A long-running task whose unanswered start was carried out late does
-        // its work: stopping it now would count against `max_unavailable_`.
-        bool const is_stop_withdrawn =
-            state.phase_ == task_phase::stopping && !state.stop_accepted_ &&
-            !at.job_->ended() && !may_be_evacuated(at, worker, now);
-        if (is_stop_withdrawn)
-        {
-            log_event("evacuation_withdrawn", describe(task),
-                      worker.entry_.id_);
-        }
-        bool const adopt =
-            state.phase_ == task_phase::starting || is_stop_withdrawn ||
-            (state.phase_ == task_phase::unresolved &&
-             (state.stop_sent_ == time_point{} ||
-              (at.shape_->long_running_ && !state.stop_accepted_)));
-        if (adopt)
+        if (must_adopt(at, worker, now))
         {
-            // The run may still be ended by a stop that the worker accepted
-            // from the previous owner, or by one of this owner that got no
-            // answer.
-            auto const last_stop_effect =
-                state.stop_sent_ != time_point{}
-                    ? state.stop_sent_ + options_.max_late_call_
-                : state.own_start_ ? now
-                                   : now + options_.stop_grace_;
-            state.established_at_ =
-                std::max(state.established_at_, last_stop_effect);
-            state.phase_ = task_phase::running;
-            state.started_ = now;
-            state.progressed_at_ = now;
-            state.stop_sent_ = {};
+            if (state.phase_ == task_phase::stopping)
+            {
+                log_event("evacuation_withdrawn", describe(task),
+                          worker.entry_.id_);
+            }
+            adopt(state, now);
         }
         if (state.percent_ != report->percent_)
         {
