--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -148,6 +148,11 @@
                          static_cast<double>(client_frontend_.open_requests()));
             return metrics_.write();
         };
+        handler.on_rejected_ = [this](char const* cause)
+        {
+            metrics_.add("cuminfold_rejected_total", 1, "cause", cause);
+            log_.write("peer_refused", {{"cause", cause}}, node_now());
+        };
         return handler;
     }
 
--- a/source/node/peer_api.cpp
+++ b/source/node/peer_api.cpp
@@ -48,7 +48,8 @@
           context, peer_limits(),
           {[this](std::uint64_t, http_request request, http_responder respond)
            { serve(std::move(request), respond); },
-           [](std::uint64_t) {}, nullptr, nullptr})
+           [](std::uint64_t) {}, nullptr,
+           [this](char const* cause) { handler_.on_rejected_(cause); }})
 {
 }
 
--- a/source/node/peer_api.hpp
+++ b/source/node/peer_api.hpp
@@ -27,6 +27,9 @@
         on_call_;
     /// Returns the metrics in the text format.
     std::function<std::string()> on_metrics_;
+    /// A peer's request or connection was refused; `cause` is the one of
+    /// `http_handler::rejected_`.
+    std::function<void(char const* cause)> on_rejected_;
 };
 
 /// Server for calls between nodes: CBOR over HTTP, since each call is a single
