transport: Close the longest idle connection to admit a new one

A caller behind a cut never closes its connections, and the callers that weren't cut off keep theirs. At the limit each new connection was refused, so that the nodes that had to connect anew, pings included, were kept out until the idle time had passed.

Change: at the limit of connections a server closes the one that was idle longest, if it was idle for a second, so that a request that is on its way isn't cut off; it is counted as idle_connection_evicted. This holds for clients' and workers' servers as well.

Ruled out: a higher limit alone (33 peers may hold 64 connections each, and a node has 4,100 descriptors for clients and workers, too), and a shorter idle time (it closes connections that are needed again, and the wait stays as long).

--- a/source/transport/http_server.cpp
+++ b/source/transport/http_server.cpp
@@ -137,10 +137,36 @@
         accept();
     }
 
+    /// Closes the connection that was idle longest, unless that was short. A
+    /// caller that was cut off has not closed its connections; they would keep
+    /// new ones out until `idle_time_`.
+    void make_room()
+    {
+        std::shared_ptr<detail::http_session> longest_idle;
+        for (auto const& session : shared_->sessions_)
+        {
+            auto const since = session->idle_since();
+            bool const is_longer =
+                since && (!longest_idle || since < longest_idle->idle_since());
+            longest_idle = is_longer ? session : longest_idle;
+        }
+        auto const now = std::chrono::steady_clock::now();
+        if (longest_idle && now - *longest_idle->idle_since() >=
+                                shared_->limits_.eviction_idle_time_)
+        {
+            shared_->count_rejected("idle_connection_evicted");
+            longest_idle->close_if_idle();
+        }
+    }
+
     void admit(tcp::socket socket)
     {
-        std::size_t const open = shared_->sessions_.size();
         std::size_t const limit = shared_->limits_.connections_;
+        if (shared_->sessions_.size() >= limit)
+        {
+            make_room();
+        }
+        std::size_t const open = shared_->sessions_.size();
         if (open >= limit + overflow_connections)
         {
             shared_->count_rejected("too_many_connections");
--- a/source/transport/http_server.hpp
+++ b/source/transport/http_server.hpp
@@ -26,6 +26,9 @@
     duration read_time_ = std::chrono::seconds{10};
     /// Time that a connection may stay without a request.
     duration idle_time_ = std::chrono::seconds{60};
+    /// At the limit of connections, one that was idle for this long makes room
+    /// for a new one.
+    duration eviction_idle_time_ = std::chrono::seconds{1};
     /// Time for the caller to take a response.
     duration write_time_ = std::chrono::seconds{10};
     /// Time after `stop()` in which connections are still taken and idle ones
@@ -49,7 +52,7 @@
     /// limit; empty: a problem document, status 503, outcome `not-run`.
     std::function<http_response(http_request const&)> overloaded_;
     /// A request that was refused for its size or form, or a connection that
-    /// was dropped for its slowness; `what` is a metrics label.
+    /// was dropped for its slowness or to make room; `what` is a metrics label.
     std::function<void(char const* what)> rejected_;
 };
 
--- a/source/transport/http_session.cpp
+++ b/source/transport/http_session.cpp
@@ -97,6 +97,12 @@
     }
 }
 
+std::optional<std::chrono::steady_clock::time_point>
+http_session::idle_since() const
+{
+    return idle_ ? std::make_optional(idle_since_) : std::nullopt;
+}
+
 void http_session::await_request()
 {
     parser_.emplace();
@@ -104,6 +110,7 @@
         static_cast<std::uint32_t>(shared_->limits_.head_bytes_));
     parser_->body_limit(shared_->limits_.body_bytes_);
     idle_ = true;
+    idle_since_ = std::chrono::steady_clock::now();
     if (buffer_.size() != 0)
     {
         idle_ = false;
--- a/source/transport/http_session.hpp
+++ b/source/transport/http_session.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -51,6 +52,8 @@
 
     void start();
     void close_if_idle();
+    /// Since when the connection has no request; none while it has one.
+    std::optional<std::chrono::steady_clock::time_point> idle_since() const;
 
 private:
     using error_code = boost::beast::error_code;
@@ -96,6 +99,7 @@
     bool answered_ = false;
     bool keep_alive_ = true;
     bool idle_ = true;
+    std::chrono::steady_clock::time_point idle_since_{};
     bool rejected_ = false;
     bool reading_ = false;
     bool slow_ = false;
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -318,6 +318,53 @@
     CHECK(first.read_until("released").find("HTTP/1.1 200") == 0);
 }
 
+// Guards against connections of unreachable callers that kept all new ones out
+// of a server.
+TEST_CASE("a new caller takes the place of the longest idle connection")
+{
+    http_server_limits limits;
+    limits.connections_ = 3;
+    limits.eviction_idle_time_ = std::chrono::seconds{0};
+    echo_server server(limits);
+    raw_socket busy(server.address());
+    busy.send("GET /hold HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(server.wait_for("request"));
+    raw_socket first_idle(server.address());
+    raw_socket second_idle(server.address());
+    for (auto* const idle : {&first_idle, &second_idle})
+    {
+        idle->send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+        REQUIRE(idle->read_until("GET /a ").find("HTTP/1.1 200") == 0);
+    }
+    raw_socket fresh(server.address());
+    fresh.send("GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(fresh.read_until("GET /b ").find("HTTP/1.1 200") == 0);
+    CHECK(server.count("idle_connection_evicted") == 1);
+    CHECK(server.count("too_many_connections") == 0);
+    first_idle.read_all();
+    CHECK(first_idle.closed());
+    second_idle.send("GET /c HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(second_idle.read_until("GET /c ").find("HTTP/1.1 200") == 0);
+    server.release_held();
+    CHECK(busy.read_until("released").find("HTTP/1.1 200") == 0);
+}
+
+TEST_CASE("a connection that was idle for a moment only is not closed")
+{
+    http_server_limits limits;
+    limits.connections_ = 1;
+    limits.eviction_idle_time_ = std::chrono::hours{1};
+    echo_server server(limits);
+    raw_socket idle(server.address());
+    idle.send("GET /a HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(idle.read_until("GET /a ").find("HTTP/1.1 200") == 0);
+    raw_socket fresh(server.address());
+    fresh.send("GET /b HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK(fresh.read_all().find("HTTP/1.1 503") == 0);
+    CHECK(server.count("too_many_connections") == 1);
+    CHECK(server.count("idle_connection_evicted") == 0);
+}
+
 TEST_CASE("a server that stops answers what it has and what still comes")
 {
     http_server_limits limits;
