transport: Compare idle connections without copying each

Cause: the search for the longest idle connection assigned a shared pointer for each session.

Change: it is assigned only when a longer idle one is found.

Result: transport_http_test passes, 211 checks as before.

--- a/source/transport/http_server.cpp
+++ b/source/transport/http_server.cpp
@@ -146,9 +146,10 @@
         for (auto const& session : shared_->sessions_)
         {
             auto const since = session->idle_since();
-            bool const is_longer =
-                since && (!longest_idle || since < longest_idle->idle_since());
-            longest_idle = is_longer ? session : longest_idle;
+            if (since && (!longest_idle || since < longest_idle->idle_since()))
+            {
+                longest_idle = session;
+            }
         }
         auto const now = std::chrono::steady_clock::now();
         if (longest_idle && now - *longest_idle->idle_since() >=
