tests: Name the kinds of events of a pattern

Cause: rows of up to ten bare numbers told a reader nothing.

Change: a pattern lists its kinds of events with their shares; the draws are the same.

--- a/tests/kernel/cell/event_pattern.cpp
+++ b/tests/kernel/cell/event_pattern.cpp
@@ -3,6 +3,42 @@
 namespace cuminfold
 {
 
+namespace
+{
+
+void execute(cell_world& world, event_kind kind, std::uint32_t worker)
+{
+    switch (kind)
+    {
+    case event_kind::drain:
+        world.drain(worker);
+        return;
+    case event_kind::evacuation:
+        world.owner().evacuate(world.worker(worker).entry_.vm_, world.now());
+        return;
+    case event_kind::crash:
+        world.crash(worker);
+        return;
+    case event_kind::takeover:
+        world.take_over();
+        return;
+    case event_kind::store_outage:
+        world.store_down_ = !world.store_down_;
+        return;
+    case event_kind::end_of_runs:
+        world.end_runs(worker);
+        return;
+    case event_kind::expired_entry:
+        world.expire_entry(worker);
+        return;
+    case event_kind::cut:
+        world.cut(worker, !world.worker(worker).disconnected_);
+        return;
+    }
+}
+
+} // namespace
+
 job_step serving_step(std::uint32_t max_unavailable)
 {
     constexpr std::int64_t cpu_milli = 2000;
@@ -26,44 +62,15 @@
 {
     auto const worker =
         static_cast<std::uint32_t>(random() % world.worker_count());
-    auto event = static_cast<std::uint32_t>(random() % 100);
-    auto const is = [&](std::uint32_t share)
+    auto remaining = static_cast<std::uint32_t>(random() % 100);
+    for (auto const& event : pattern.events_)
     {
-        bool const chosen = event < share;
-        event -= chosen ? 0 : share;
-        return chosen;
-    };
-    if (is(pattern.drains_))
-    {
-        world.drain(worker);
-    }
-    else if (is(pattern.evacuations_))
-    {
-        world.owner().evacuate(world.worker(worker).entry_.vm_, world.now());
-    }
-    else if (is(pattern.crashes_))
-    {
-        world.crash(worker);
-    }
-    else if (is(pattern.takeovers_))
-    {
-        world.take_over();
-    }
-    else if (is(pattern.store_outages_))
-    {
-        world.store_down_ = !world.store_down_;
-    }
-    else if (is(pattern.ended_runs_))
-    {
-        world.end_runs(worker);
-    }
-    else if (is(pattern.expired_entries_))
-    {
-        world.expire_entry(worker);
-    }
-    else if (is(pattern.cuts_))
-    {
-        world.cut(worker, !world.worker(worker).disconnected_);
+        if (remaining < event.second)
+        {
+            execute(world, event.first, worker);
+            return;
+        }
+        remaining -= event.second;
     }
 }
 
--- a/tests/kernel/cell/event_pattern.hpp
+++ b/tests/kernel/cell/event_pattern.hpp
@@ -6,24 +6,34 @@
 #include <chrono>
 #include <cstdint>
 #include <random>
+#include <utility>
+#include <vector>
 
 namespace cuminfold
 {
 
-/// Random events during which an owner has to move long-running tasks. The
-/// shares are percentages of the events; what remains of 100 does nothing.
+/// An event that makes an owner move or start long-running tasks.
+enum class event_kind : std::uint8_t
+{
+    drain,
+    evacuation,
+    crash,
+    takeover,
+    /// The store goes away or returns.
+    store_outage,
+    end_of_runs,
+    expired_entry,
+    /// A worker is cut off or connected again.
+    cut
+};
+
+/// Random events during which an owner has to keep long-running tasks at work.
 struct event_pattern
 {
     char const* name_;
     cell_world::faults faults_;
-    std::uint32_t drains_ = 0;
-    std::uint32_t evacuations_ = 0;
-    std::uint32_t crashes_ = 0;
-    std::uint32_t takeovers_ = 0;
-    std::uint32_t store_outages_ = 0;
-    std::uint32_t ended_runs_ = 0;
-    std::uint32_t expired_entries_ = 0;
-    std::uint32_t cuts_ = 0;
+    /// The kinds with their shares in percent; the rest of 100 does nothing.
+    std::vector<std::pair<event_kind, std::uint32_t>> events_;
     std::chrono::milliseconds stop_delay_{0};
     /// Another incarnation answers at the address of a worker that crashed.
     bool reuses_addresses_ = false;
