tests: Find long-running tasks that wait in a calm period

Callers saw LOST on an earlier landing: an accepted long-running task doesn't run although a worker has room for it. The cause of that record isn't shown by this test; it finds one candidate.

--- /dev/null
+++ b/tests/kernel/cell/progress_test.cpp
@@ -0,0 +1,91 @@
+#include "kernel/cell/event_pattern.hpp"
+
+#include <doctest/doctest.h>
+
+#include <chrono>
+#include <cstdint>
+#include <random>
+#include <string>
+
+using namespace cuminfold;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint32_t cycles = 5;
+constexpr std::uint32_t events_per_cycle = 20;
+
+event_pattern const scarce_patterns[] = {
+    {"everything at once",
+     {5, 5, 10, 20},
+     {{event_kind::drain, 10},
+      {event_kind::evacuation, 20},
+      {event_kind::crash, 15},
+      {event_kind::takeover, 10},
+      {event_kind::store_outage, 10},
+      {event_kind::end_of_runs, 10},
+      {event_kind::expired_entry, 15},
+      {event_kind::cut, 10}},
+     0ms,
+     true},
+    {"outages and expired entries",
+     {10, 10, 10, 10},
+     {{event_kind::takeover, 10},
+      {event_kind::store_outage, 30},
+      {event_kind::expired_entry, 40},
+      {event_kind::cut, 10}}},
+    {"crashes without end", {0, 5, 5}, {{event_kind::crash, 90}}, 0ms, true},
+    {"slow stops and late calls",
+     {0, 5, 40, 60},
+     {{event_kind::evacuation, 30},
+      {event_kind::drain, 20},
+      {event_kind::crash, 10},
+      {event_kind::takeover, 10}},
+     900ms},
+};
+
+void execute_cycle(cell_world& world, event_pattern const& pattern,
+                   std::mt19937& random)
+{
+    begin_faults(world, pattern);
+    for (std::uint32_t i = 0; i < events_per_cycle; ++i)
+    {
+        execute_event(world, pattern, random);
+        world.run_for(std::chrono::milliseconds{random() % 300});
+    }
+    end_faults(world);
+    world.run_for(cell_world::max_call_delay + recovery_time);
+}
+
+} // namespace
+
+// Guards against long-running tasks that wait although a worker has room.
+TEST_CASE("long-running tasks that wait at the end of a calm period")
+{
+    constexpr std::uint32_t first_seed = 101;
+    constexpr std::uint32_t last_seed = 140;
+    for (auto const& pattern : scarce_patterns)
+    {
+        for (auto seed = first_seed; seed <= last_seed; ++seed)
+        {
+            CAPTURE(std::string(pattern.name_));
+            CAPTURE(seed);
+            std::mt19937 random(seed);
+            // A task needs a worker of its own; one to three are left.
+            cell_world world(seed, serving_tasks + 1 + seed % 3);
+            world.run_for(50ms);
+            world.submit("a", {serving_step(1 + seed % 3)});
+            world.submit("b", {serving_step(2)});
+            world.run_for(500ms);
+            for (std::uint32_t cycle = 0; cycle < cycles; ++cycle)
+            {
+                CAPTURE(cycle);
+                execute_cycle(world, pattern, random);
+                CHECK(world.violations() == "");
+                CHECK(world.running_tasks("a") == serving_tasks);
+                CHECK(world.running_tasks("b") == serving_tasks);
+            }
+        }
+    }
+}
