log: Say for how long a worker is avoided and what a task waits for

Operators couldn't see from the lines why a long-running task doesn't run: worker_avoided had the count of failures without the time that follows from it, and nothing was logged while a task waits.

Change: worker_avoided ends with ms=, the time of the avoidance. The new line long_running_task_waits, at most one a second and step, has the number of tasks that wait and how many workers of the pool each placement rule excludes. A worker is counted for the first rule that it breaks. The workers are only counted when the line is due.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -430,6 +430,9 @@
     /// Returns the best candidate; null if none can take a task of the step.
     worker_state* choose_worker(step_id const& id, job_state const& job,
                                 time_point now);
+    /// Logs for a long-running step without a worker which rules exclude how
+    /// many workers of its pool.
+    void log_wait(step_id const& id, job_state& job, time_point now);
     advice_policy const* advice_for(job_state const& job) const;
     /// Queries the policy service about some of these workers, unless a limit
     /// on such queries forbids it.
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -18,6 +18,9 @@
 /// faster than expected.
 constexpr std::int64_t late_critical_path_percent = 70;
 
+/// Minimum time between two log lines about the wait of one step.
+constexpr duration wait_log_interval = std::chrono::seconds{1};
+
 /// Workers in one query to a policy service: the platform counts one query of
 /// this size for each step.
 constexpr std::size_t workers_per_query = 30;
@@ -190,6 +193,7 @@
             reuse ? worker : choose_worker({id, occurrence, step}, job, now);
         if (worker == nullptr)
         {
+            log_wait({id, occurrence, step}, job, now);
             all_placed = false;
             break;
         }
@@ -245,6 +249,34 @@
     return false;
 }
 
+void cell::log_wait(step_id const& id, job_state& job, time_point now)
+{
+    auto const& shape = job.request_->steps_[id.step_];
+    auto& step = job.occurrences_[id.occurrence_].steps_[id.step_];
+    if (!shape.long_running_ || now - step.wait_logged_at_ < wait_log_interval)
+    {
+        return;
+    }
+    step.wait_logged_at_ = now;
+    std::map<std::string, std::size_t> excluded;
+    for (auto const& name : pool_workers_[job.pool_])
+    {
+        auto const found = workers_.find(name);
+        if (found != workers_.end())
+        {
+            auto const* const rule =
+                violated_rule(view_of(found->second, shape, step, now));
+            ++excluded[rule == nullptr ? "not_allowed" : rule->reason_];
+        }
+    }
+    std::string cause = "waiting=" + std::to_string(step.waiting_);
+    for (auto const& item : excluded)
+    {
+        cause += " " + item.first + "=" + std::to_string(item.second);
+    }
+    log_event("long_running_task_waits", describe(id), cause);
+}
+
 duration cell::remaining_critical_path(job_state const& job) const
 {
     duration longest{0};
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -163,9 +163,15 @@
         auto const doublings =
             std::min(worker.consecutive_failures_ - failures_to_avoid,
                      max_avoidance_doublings);
-        worker.avoided_until_ = now + first_avoidance * (1U << doublings);
+        duration const avoidance = first_avoidance * (1U << doublings);
+        worker.avoided_until_ = now + avoidance;
         log_event("worker_avoided", worker.entry_.id_,
-                  "strikes=" + std::to_string(worker.consecutive_failures_));
+                  "strikes=" + std::to_string(worker.consecutive_failures_) +
+                      " ms=" +
+                      std::to_string(
+                          std::chrono::duration_cast<std::chrono::milliseconds>(
+                              avoidance)
+                              .count()));
     }
 }
 
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -71,6 +71,8 @@
     /// Run time of one task of the step: the predicted one at first, later the
     /// shortest successful run, since the tasks of a step are alike.
     duration run_time_{0};
+    /// When it was last logged that tasks of the step wait for room.
+    time_point wait_logged_at_{};
 };
 
 /// One execution of a job's steps.
--- a/tests/kernel/cell/cell_test.cpp
+++ b/tests/kernel/cell/cell_test.cpp
@@ -174,6 +174,25 @@
     CHECK(world.violations() == "");
 }
 
+// Guards against waits and avoided workers that no line explains.
+TEST_CASE("the lines of a wait name the rules and the time of an avoidance")
+{
+    cell_world world(9, 1);
+    world.failing_.insert("a");
+    world.run_for(50ms);
+    world.submit("a", {cell_world::make_step(1, 1000, 100ms)});
+    auto step = cell_world::make_step(2, 1000, 100ms);
+    step.long_running_ = true;
+    step.per_worker_ = 1;
+    world.submit("b", {step});
+    world.run_for(1000ms);
+    CHECK(world.logged_["worker_avoided"] ==
+          std::vector<std::string>{"strikes=2 ms=2000"});
+    REQUIRE(!world.logged_["long_running_task_waits"].empty());
+    CHECK(world.logged_["long_running_task_waits"][0] ==
+          "waiting=1 anti_affinity=1");
+}
+
 TEST_CASE("a job keeps its attempts when its queue is no longer configured")
 {
     cell_world world(7, 2);
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -291,16 +291,7 @@
     }
     for (auto const& action : cell_->take_actions())
     {
-        std::visit(
-            [this](auto const& each)
-            {
-                using type = std::decay_t<decltype(each)>;
-                if constexpr (!std::is_same_v<type, log_decision>)
-                {
-                    carry_out(each);
-                }
-            },
-            action);
+        std::visit([this](auto const& each) { carry_out(each); }, action);
     }
 }
 
@@ -577,6 +568,11 @@
     exchanges_.erase(found);
 }
 
+void cell_world::carry_out(log_decision const& line)
+{
+    logged_[line.event_].push_back(line.cause_);
+}
+
 void cell_world::check_start(start_run const& order, fake_worker const& on)
 {
     auto const name = describe(order.task_);
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -126,6 +126,8 @@
     /// Jobs whose runs all fail.
     std::set<std::string> failing_;
     std::vector<std::string> violations_;
+    /// The causes that the owners logged, by event.
+    std::map<std::string, std::vector<std::string>> logged_;
 
 private:
     using call_end = std::function<void(call_outcome)>;
@@ -149,6 +151,7 @@
     void carry_out(renew_worker const& order);
     void carry_out(query_advice const& order);
     void carry_out(answer_client const& answer);
+    void carry_out(log_decision const& line);
     void store(cell_batch const& batch);
     void store(cell_record const& record);
     /// Checks a start that a worker accepted and records violations.
