kernel/cell: Place waiting tasks at least every 250 ms

Callers saw in our own tests that a long-running task didn't run although a worker had room for it, without an end.

Cause: a placement takes place only after an event that makes one due. Two of the conditions that exclude a worker end without such an event: an avoidance (worker_avoided) ends with time, and a worker's orphaned runs end with a report that doesn't list them. If nothing else happens to the owner, the task waits for ever.

Change: a placement takes place 250 ms after the last one even if none is due. That covers the conditions of later rules too.

Evidence: on one worker without other events the task ran no more after two failures in a row, nor beside an orphaned run that had ended ("a long-running task that waits for ...", both fail without the change).

How long an avoidance may keep a long-running task waiting is a matter of its own.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -484,6 +484,8 @@
     time_point next_cleanup_{};
     time_point next_periodic_checks_{};
     time_point next_placement_{};
+    /// When the next placement takes place even if none is due.
+    time_point latest_placement_{};
     time_point next_renewals_{};
     time_point next_stall_check_{};
     /// Between two renewals of one worker; depends on the number of busy ones.
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -13,6 +13,9 @@
 constexpr duration min_review_interval = std::chrono::milliseconds{50};
 /// Minimum time between two placements: each sorts all jobs again.
 constexpr duration min_placement_interval = std::chrono::milliseconds{4};
+/// Maximum time between two placements. Time alone may let a worker take tasks
+/// again, without an event that makes a placement due.
+constexpr duration max_placement_interval = std::chrono::milliseconds{250};
 /// Minimum time between two scans of all workers for due renewals.
 constexpr duration min_renewal_scan_interval = std::chrono::milliseconds{4};
 /// Minimum time between two checks for stalled runs; a run counts as stalled
@@ -391,10 +394,12 @@
         next_periodic_checks_ = now + min_review_interval;
         run_periodic_checks(now, calendar);
     }
-    if (placement_due_ && now >= next_placement_)
+    bool const must_place = placement_due_ && now >= next_placement_;
+    if (must_place || now >= latest_placement_)
     {
         placement_due_ = false;
         next_placement_ = now + min_placement_interval;
+        latest_placement_ = now + max_placement_interval;
         place(now);
     }
     if (now >= next_renewals_)
--- a/tests/kernel/cell/progress_test.cpp
+++ b/tests/kernel/cell/progress_test.cpp
@@ -89,3 +89,60 @@
         }
     }
 }
+
+// Guards against tasks that wait for the next event once an avoidance has
+// ended.
+TEST_CASE("a long-running task that waits for an avoided worker alone")
+{
+    struct failure_case
+    {
+        std::uint32_t failures_;
+        std::chrono::milliseconds max_wait_;
+    };
+    failure_case const cases[] = {
+        {1, 500ms}, {2, 2500ms}, {3, 4500ms}, {4, 8500ms}, {5, 16'500ms}};
+    for (auto const& each : cases)
+    {
+        CAPTURE(each.failures_);
+        cell_world world(1, 1);
+        world.run_for(50ms);
+        auto step = serving_step(1);
+        step.tasks_ = 1;
+        world.submit("a", {step});
+        world.run_for(500ms);
+        for (std::uint32_t i = 0; i < each.failures_; ++i)
+        {
+            REQUIRE(world.running_tasks("a") == 1);
+            world.end_runs(0);
+            world.run_for(i + 1 < each.failures_ ? cases[i].max_wait_ + 1500ms
+                                                 : 1200ms + each.max_wait_);
+        }
+        CHECK(world.running_tasks("a") == 1);
+    }
+}
+
+// Guards against tasks that wait for the next event once the last orphaned run
+// has ended.
+TEST_CASE("a long-running task that waits for an orphaned run to end")
+{
+    cell_world world(1, 1);
+    world.run_for(50ms);
+    auto step = serving_step(1);
+    step.tasks_ = 2;
+    world.submit("a", {step});
+    world.run_for(500ms);
+    REQUIRE(world.running_tasks("a") == 1);
+    world.faults_.stops_lost_ = 100;
+    for (std::uint32_t index = 0; index < 2; ++index)
+    {
+        world.force_start(0, {job_id{"a"}, 0, 0, index});
+    }
+    world.run_for(1500ms);
+    step.tasks_ = 1;
+    world.submit("b", {step});
+    world.run_for(500ms);
+    REQUIRE(world.runs_of("b") == 0);
+    world.faults_.stops_lost_ = 0;
+    world.run_for(1000ms);
+    CHECK(world.running_tasks("b") == 1);
+}
