kernel/cell: Look at all steps behind long-running ones without a worker

Callers saw in our own test that a long-running task and a finite job didn't run on an empty worker, without an end.

Cause: a placement ends once 13 steps of a pool couldn't be placed completely. Long-running steps come first in the same order each time and are never late, so that 13 of them that wait for a worker (a label that none has, too few workers for one task each) hold up every step behind them for as long as they wait.

Change: only finite steps count. The bound is there for the cost of many finite steps; long-running ones are few.

Result: "a task with room behind long-running steps that no worker can take" failed (both checks) and passes; the other tests of the cell pass. Not measured: the owner's processor time with many long-running steps that wait.

Ruled out: an order of steps that changes from one placement to the next, since finite steps that can't be placed become late, and late ones come last.

--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -9,8 +9,9 @@
 namespace
 {
 
-/// Once more steps of a pool than this could not be placed completely, the
-/// remaining steps wait for the next placement.
+/// Once more finite steps of a pool than this could not be placed completely,
+/// the remaining steps wait for the next placement. Long-running steps always
+/// come first, so that those without a worker would hold up all others.
 constexpr std::size_t max_failed_steps = 12;
 
 /// A job is late once this percentage of its remaining critical path does not
@@ -158,7 +159,8 @@
                     job.request_->steps_[s].gang_
                         ? place_gang(item.id_, job, k, s, now)
                         : place_step(item.id_, job, k, s, now);
-                failed += all_placed ? 0 : 1;
+                bool const is_finite = !job.request_->steps_[s].long_running_;
+                failed += !all_placed && is_finite ? 1 : 0;
                 if (failed > max_failed_steps)
                 {
                     return;
--- a/tests/kernel/cell/progress_test.cpp
+++ b/tests/kernel/cell/progress_test.cpp
@@ -207,3 +207,25 @@
         }
     }
 }
+
+// Guards against tasks that no placement looks at, since steps before theirs
+// have no worker.
+TEST_CASE("a task with room behind long-running steps that no worker can take")
+{
+    constexpr std::uint32_t blocked_jobs = 20;
+    cell_world world(1, 2);
+    world.run_for(50ms);
+    auto blocked = serving_step(1);
+    blocked.label_ = "missing";
+    for (std::uint32_t i = 0; i < blocked_jobs; ++i)
+    {
+        world.submit("a" + std::to_string(i), {blocked});
+    }
+    auto step = serving_step(1);
+    step.tasks_ = 1;
+    world.submit("b", {step});
+    world.submit("c", {cell_world::make_step(1, 1000, 100ms)});
+    world.run_for(2000ms);
+    CHECK(world.running_tasks("b") == 1);
+    CHECK(world.status("c") == job_status::completed);
+}
