kernel/cell: Release tasks of a worker that answered after its lease

Callers saw in our own test that a long-running task with an unanswered start ran nowhere, without an end, although another worker had room.

Cause: the tasks of a silent worker are released after its lease only if its last answer came before the end of that lease. An answer to an extra renewal that comes between that end and the next review (50 ms) sets the time of the last answer, but extends no lease. If the worker is gone from then on, the condition never holds. Running tasks are released by the report itself, but an unresolved start waits for a stop that the worker doesn't answer.

Change: after such an answer the runs count as ended once the longest lease has passed from there, on the slowest clock that is assumed. The answer may mean that the worker's clock is slower than that, so that a release at once isn't safe.

Ruled out: the answer to a regular renewal, after which the next renewal extends the lease; dropping the condition, which releases tasks of a worker that has just shown that it is late.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -351,6 +351,10 @@
     /// Computes the end of a new lease on the worker's clock, and extends
     /// `lease_expires_at_` to cover it.
     worker_clock lease_for(worker_state& worker, time_point now);
+    /// By when all runs of a worker have ended if it doesn't answer again. An
+    /// answer after the computed end of its lease shows that the worker is
+    /// slower than assumed.
+    time_point runs_end_by(worker_state const& worker) const;
     /// Compares the runs that a worker reports with the tasks assigned to it.
     /// @param asked when the report was requested
     void reconcile(worker_state& worker, worker_report const& report,
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -51,6 +51,17 @@
     return until;
 }
 
+time_point cell::runs_end_by(worker_state const& worker) const
+{
+    if (worker.answered_ <= worker.lease_expires_at_)
+    {
+        return worker.lease_expires_at_;
+    }
+    auto const longest = std::chrono::duration_cast<duration>(
+        options_.longest_lease_ / min_clock_rate);
+    return worker.answered_ + longest + lapse_margin;
+}
+
 bool cell::needs_renewal(worker_state const& worker) const
 {
     if (worker.unlisted_ && worker.tasks_.empty())
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -95,9 +95,7 @@
         auto& worker = position->second;
         bool const silent = worker.unanswered_renewals_ > 0 ||
                             worker.entry_.address_.empty() || worker.unlisted_;
-        if (silent && now > worker.lease_expires_at_ &&
-            !worker.tasks_.empty() &&
-            worker.answered_ <= worker.lease_expires_at_)
+        if (silent && now > runs_end_by(worker) && !worker.tasks_.empty())
         {
             log_event("worker_lapsed", worker.entry_.id_,
                       "tasks=" + std::to_string(worker.tasks_.size()));
--- a/tests/kernel/cell/progress_test.cpp
+++ b/tests/kernel/cell/progress_test.cpp
@@ -229,3 +229,41 @@
     CHECK(world.running_tasks("b") == 1);
     CHECK(world.status("c") == job_status::completed);
 }
+
+// Guards against a task that stays on a worker that is gone, since the last
+// answer of that worker came after the end of its lease.
+TEST_CASE("an unanswered start on a worker that answers after its lease")
+{
+    constexpr std::uint32_t answers = 100;
+    for (std::uint32_t i = 0; i < answers; ++i)
+    {
+        auto const answered_after = 2500ms + std::chrono::milliseconds{10 * i};
+        CAPTURE(answered_after.count());
+        cell_world world(1, 2);
+        world.run_for(50ms);
+        auto step = serving_step(1);
+        step.tasks_ = 1;
+        world.faults_.calls_lost_ = 100;
+        world.submit("a", {step});
+        world.run_for(30ms);
+        auto const& task =
+            world.owner().jobs().at("a").occurrences_[0].steps_[0].tasks_[0];
+        REQUIRE(task.phase_ == task_phase::starting);
+        auto const name = task.worker_;
+        std::uint32_t const holder = world.worker(0).entry_.id_ == name ? 0 : 1;
+        world.cut(holder, true);
+        world.faults_ = {};
+        world.run_for(answered_after);
+        if (task.worker_ != name)
+        {
+            continue;
+        }
+        // An extra renewal is answered, and then the worker is gone for good.
+        worker_report report;
+        report.clock_ = world.worker(holder).clock(world.now());
+        world.owner().on_renewal_response(name, true, call_outcome::accepted,
+                                          report, world.now(), world.now());
+        world.run_for(8000ms);
+        CHECK(world.running_tasks("a") == 1);
+    }
+}
