cell: Give up tasks that crash their workers

Cause: a run that was lost with its worker left no trace. `release_all` set its task back to waiting, and placement put it among others again.

Change: a crash is counted for each task that may have caused it, once another incarnation shows that the worker has ended without an order or a drain. Counts are records of their own (key `c`), which older programs pass over. A suspected task is kept from others: in a group of four after one loss, alone after two. A task is given up after three crashes if it was once the only one with as many (four for a long-running one), or after five. Losses that nothing explains yet delay the next start of a finite task, and hold it from the fourth on.

One commit for both parts: the count without the isolation is no fix.

Ruled out: giving up at two crashes (one of 20 suspects that is hit once more by chance would be failed); failing all suspects; exempting crashes of several workers at once (tasks that crash workers come several at once, too).

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -2,6 +2,7 @@
 #define CUMINFOLD_KERNEL_CELL_CELL_HPP
 
 #include "kernel/cell/cell_action.hpp"
+#include "kernel/cell/crash_counts.hpp"
 #include "kernel/cell/demand_estimator.hpp"
 #include "kernel/cell/fleet_config.hpp"
 #include "kernel/cell/job_definition.hpp"
@@ -95,6 +96,11 @@
     void restore(job_definition request, time_point now);
     void restore(job_id const& job, job_progress const& progress,
                  time_point now);
+    /// Restores the crashes under a job's tasks; called after its progress.
+    /// @param text as `encode(crash_counts)` wrote it
+    /// @throws std::invalid_argument if the text is not readable
+    void restore_crash_counts(job_id const& job, std::string const& text,
+                              time_point now);
     /// Discards progress without a request and computes the objectives of the
     /// open jobs, counted from `now`.
     void finish_restore(time_point now);
@@ -176,8 +182,10 @@
     /// Whether the record with that number was stored.
     bool is_stored(std::uint64_t number) const;
 
-    /// Excludes a VM's workers from placement, or includes them again.
-    void reserve(vm_id const& vm, bool reserved);
+    /// Excludes a VM's workers from placement, since an order to it follows.
+    void reserve(vm_id const& vm, time_point now);
+    /// Includes them again.
+    void end_reservation(vm_id const& vm);
     /// Number of tasks assigned to the VM's workers, in any phase, and of
     /// orphaned runs there.
     std::size_t tasks_on(vm_id const& vm) const;
@@ -333,6 +341,8 @@
     /// Whether orders can be sent and the workers' entries are recent enough to
     /// show which workers drain.
     bool can_start(time_point now) const;
+    /// Counts a call that the worker did not answer.
+    void count_unanswered(worker_state& worker, time_point now);
     void update_clock(worker_state& worker, worker_clock clock, time_point now);
     /// Releases all tasks of a worker on which no run of this cell can exist
     /// any more.
@@ -416,7 +426,49 @@
     bool is_available(task_state const& task, time_point now) const;
     void stop_stalled(time_point now);
 
+    // cell_crashes.cpp
+    /// Remembers which tasks may have crashed a worker whose lease lapsed.
+    void record_loss(worker_state& worker, time_point now);
+    /// The worker's losses were no crashes, or it will not be known.
+    void forget_losses(worker_state& worker);
+    /// The worker's incarnation has ended: counts a crash for each task that
+    /// may have caused it, unless the end was ordered or announced.
+    /// @param can_be_proof the end was seen, and not only concluded
+    void count_crash(worker_state& worker, bool can_be_proof, time_point now);
+    /// The worker's runs that may have crashed it at that time, by task.
+    std::map<task_id, std::uint32_t> suspects_of(worker_state const& worker,
+                                                 time_point lost_at);
+    /// Adds the job's crash counts to the next batch.
+    void store_crashes(job_state& job);
+    /// Logs a crash under a task, and gives the task up if it is due.
+    void judge_crash(task_id const& task, task_location const& at,
+                     std::string const& worker, time_point now);
+    /// Fails the job of a task that has crashed enough workers.
+    void give_up_if_due(task_id const& task, task_location const& at,
+                        time_point now);
+    /// Whether much of the worker's rack, data centre or kind went silent at
+    /// that time, as in a failure of their power, whatever they ran.
+    bool has_common_cause(worker_state const& lost, time_point at) const;
+    static crash_counts crash_counts_of(job_state const& job);
+    /// Adds the job's crash counts to the batch, or deletes them once the job
+    /// has ended.
+    static void append_crash_record(std::string const& id, job_state& job,
+                                    cell_batch& batch);
+    /// The task has run long enough to be no cause of earlier crashes.
+    void clear_crashes(job_state& job, task_state& task);
+    /// Others are kept from the task's worker.
+    void begin_isolation(task_state& task, task_isolation isolation);
+    /// The task may run beside others from now on.
+    static void end_isolation(worker_state& worker, task_state& task);
+
     // cell_placement.cpp
+    /// Places a task that may crash its worker, if there is a worker where that
+    /// harms no other task; else prepares one.
+    void place_isolated(task_id const& task, task_location const& at,
+                        task_isolation isolation, time_point now);
+    /// Keeps other tasks off one more of the candidates that suit the task, up
+    /// to a limit.
+    void isolate_worker(task_location const& at, time_point now);
     /// Whether a task waits for a worker and its step may begin. Placement
     /// leaves the other jobs out, so that running ones cost it nothing.
     static bool has_waiting_task(job_state const& job);
@@ -433,7 +485,7 @@
     void find_candidates(pool_name const& pool, time_point now);
     /// Returns the best candidate; null if none can take a task of the step.
     worker_state* choose_worker(step_id const& id, job_state const& job,
-                                time_point now);
+                                task_isolation isolation, time_point now);
     /// Logs for a long-running step without a worker which rules exclude how
     /// many workers of its pool.
     void log_wait(step_id const& id, job_state& job, time_point now);
@@ -444,7 +496,8 @@
                         std::vector<std::pair<double, std::string>> workers,
                         time_point now);
     placement_view view_of(worker_state const& worker, job_step const& shape,
-                           step_state const& step, time_point now) const;
+                           step_state const& step, task_isolation isolation,
+                           time_point now) const;
     void assign(task_id const& task, task_location const& at,
                 worker_state& worker, std::uint32_t run, time_point now);
 
@@ -469,7 +522,8 @@
     std::map<vm_id, std::vector<std::string>> vm_workers_;
     /// Workers of the pool that is being placed.
     std::vector<worker_state*> candidates_;
-    std::set<vm_id> reserved_;
+    /// Reserved VMs, and since when.
+    std::map<vm_id, time_point> reserved_;
     /// Jobs whose progress the next batch stores.
     std::vector<std::string> dirty_jobs_;
     /// Jobs whose records the next batch ends.
@@ -490,6 +544,9 @@
     time_point next_placement_{};
     /// When the next placement takes place even if none is due.
     time_point latest_placement_{};
+    /// When tasks that wait for an isolated worker are placed again; unset if
+    /// there are none.
+    time_point next_isolation_retry_{};
     time_point next_renewals_{};
     time_point next_stall_check_{};
     /// Between two renewals of one worker; depends on the number of busy ones.
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -123,7 +123,8 @@
     request,  ///< a job as it was submitted
     progress, ///< a job's status and its tasks' runs
     vm_order, ///< a VM's orders, see `vm_order_record`
-    wave      ///< a wave that is completed
+    wave,     ///< a wave that is completed
+    crashes   ///< a job's `crash_counts`
 };
 
 /// One record of a cell's partition. A record without content deletes its key.
--- /dev/null
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -0,0 +1,332 @@
+#include "kernel/cell/cell.hpp"
+
+#include "kernel/cell/crash_counts.hpp"
+#include "kernel/cell/task_isolation.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace cuminfold
+{
+
+namespace
+{
+
+/// Workers that go silent within this time of each other may have one cause.
+constexpr duration common_cause_time = std::chrono::seconds{1};
+/// If this many workers, and half of a rack, a data centre or a kind, go silent
+/// together, a common cause is more likely than tasks that crash them.
+constexpr std::size_t min_common_cause_workers = 3;
+/// How long a task waits for the proof that its worker crashed, if that may be
+/// its last crash.
+constexpr duration crash_proof_wait = std::chrono::seconds{1};
+
+/// Whether the worker had announced its end when it was lost, or may have been
+/// ordered to restart by then.
+bool is_planned_end(worker_state const& worker, time_point lost_at)
+{
+    return worker.entry_.draining_ ||
+           (worker.reserved_ && worker.reserved_since_ <= lost_at);
+}
+
+} // namespace
+
+void cell::record_loss(worker_state& worker, time_point now)
+{
+    if (worker.unanswered_renewals_ == 0 ||
+        is_planned_end(worker, worker.silent_since_))
+    {
+        return;
+    }
+    worker.lost_at_ = now;
+    for (auto const& run : suspects_of(worker, worker.silent_since_))
+    {
+        if (worker.lost_runs_.insert(run).second)
+        {
+            auto const at = find(run.first);
+            ++at.task_->unexplained_losses_;
+            store_crashes(*at.job_);
+            if (needs_crash_proof(*at.task_))
+            {
+                at.task_->not_before_ = now + crash_proof_wait;
+            }
+        }
+    }
+}
+
+std::map<task_id, std::uint32_t> cell::suspects_of(worker_state const& worker,
+                                                   time_point lost_at)
+{
+    std::map<task_id, std::uint32_t> runs;
+    for (auto const& task : worker.tasks_)
+    {
+        auto const at = find(task);
+        if (!at)
+        {
+            continue;
+        }
+        // An idle worker may have crashed before the start was sent.
+        bool const was_gone = at.task_->phase_ == task_phase::unresolved &&
+                              worker.answered_ < at.task_->start_sent_;
+        if (!was_gone &&
+            may_have_crashed(*at.task_, at.shape_->long_running_, lost_at))
+        {
+            at.task_->ran_before_loss_ = ran_before(*at.task_, lost_at);
+            runs.emplace(task, at.task_->run_);
+        }
+    }
+    return runs;
+}
+
+void cell::store_crashes(job_state& job)
+{
+    if (!job.ended())
+    {
+        job.crashes_changed_ = true;
+        mark_dirty(job);
+    }
+}
+
+void cell::forget_losses(worker_state& worker)
+{
+    for (auto const& run : worker.lost_runs_)
+    {
+        auto const at = find(run.first);
+        if (at && at.task_->unexplained_losses_ > 0)
+        {
+            --at.task_->unexplained_losses_;
+            store_crashes(*at.job_);
+            placement_due_ = true;
+        }
+    }
+    worker.lost_runs_.clear();
+}
+
+bool cell::has_common_cause(worker_state const& lost, time_point at) const
+{
+    // By a data centre or label that the lost worker has: its VMs, and how
+    // many of them went silent together.
+    std::map<std::string, std::pair<std::set<vm_id>, std::set<vm_id>>> groups;
+    for (auto const& item : workers_)
+    {
+        auto const& worker = item.second;
+        auto const apart = worker.silent_since_ > at
+                               ? worker.silent_since_ - at
+                               : at - worker.silent_since_;
+        auto const add = [&](std::string const& group)
+        {
+            auto& vms = groups[group];
+            vms.first.insert(worker.entry_.vm_);
+            if (apart < common_cause_time)
+            {
+                vms.second.insert(worker.entry_.vm_);
+            }
+        };
+        for (auto const& label : worker.entry_.labels_)
+        {
+            if (lost.entry_.labels_.count(label) != 0)
+            {
+                add("label " + label);
+            }
+        }
+        if (worker.entry_.data_centre_ == lost.entry_.data_centre_)
+        {
+            add("data centre");
+        }
+    }
+    return std::any_of(groups.begin(), groups.end(),
+                       [](auto const& group)
+                       {
+                           auto const silent = group.second.second.size();
+                           return silent >= min_common_cause_workers &&
+                                  2 * silent >= group.second.first.size();
+                       });
+}
+
+void cell::count_crash(worker_state& worker, bool can_be_proof, time_point now)
+{
+    auto const crashed_at =
+        worker.unanswered_renewals_ > 0 ? worker.silent_since_ : now;
+    auto suspects = worker.lost_runs_;
+    forget_losses(worker);
+    for (auto const& run : suspects_of(worker, crashed_at))
+    {
+        suspects.insert(run);
+    }
+    for (auto run = suspects.begin(); run != suspects.end();)
+    {
+        auto const at = find(run->first);
+        bool const counts = at && !at.job_->ended() &&
+                            at.task_->phase_ != task_phase::done &&
+                            run->second > at.task_->acquitted_run_;
+        run = counts ? std::next(run) : suspects.erase(run);
+    }
+    if (suspects.empty() || is_planned_end(worker, crashed_at))
+    {
+        return;
+    }
+    bool const has_cause = has_common_cause(worker, crashed_at);
+    log_event("worker_crashed", worker.entry_.id_,
+              "suspects=" + std::to_string(suspects.size()) +
+                  " common_cause=" + (has_cause ? "1" : "0"));
+    std::uint32_t most = 0;
+    std::uint32_t tasks_with_most = 0;
+    for (auto const& run : suspects)
+    {
+        auto const crashes = ++find(run.first).task_->crashes_;
+        tasks_with_most = crashes > most    ? 1
+                          : crashes == most ? tasks_with_most + 1
+                                            : tasks_with_most;
+        most = std::max(most, crashes);
+    }
+    bool const has_prime = tasks_with_most == 1 && can_be_proof && !has_cause;
+    for (auto const& run : suspects)
+    {
+        auto const at = find(run.first);
+        if (has_prime && at.task_->crashes_ == most)
+        {
+            ++at.task_->prime_crashes_;
+        }
+        judge_crash(run.first, at, worker.entry_.id_, now);
+    }
+}
+
+void cell::judge_crash(task_id const& task, task_location const& at,
+                       std::string const& worker, time_point now)
+{
+    store_crashes(*at.job_);
+    log_event("task_suspected", describe(task),
+              worker + " run=" + std::to_string(at.task_->run_) +
+                  " crashes=" + std::to_string(at.task_->crashes_) +
+                  " prime=" + std::to_string(at.task_->prime_crashes_));
+    if (at.shape_->long_running_)
+    {
+        at.task_->not_before_ = now + restart_pause(*at.task_);
+    }
+    give_up_if_due(task, at, now);
+}
+
+void cell::give_up_if_due(task_id const& task, task_location const& at,
+                          time_point now)
+{
+    if (is_given_up(*at.task_, at.shape_->long_running_))
+    {
+        fail_job(*at.job_,
+                 describe(task) +
+                     " crashes=" + std::to_string(at.task_->crashes_),
+                 now);
+    }
+}
+
+crash_counts cell::crash_counts_of(job_state const& job)
+{
+    crash_counts counts;
+    for (std::uint32_t k = 0; k < job.occurrences_.size(); ++k)
+    {
+        auto const& steps = job.occurrences_[k].steps_;
+        for (std::uint32_t s = 0; s < steps.size(); ++s)
+        {
+            for (std::uint32_t i = 0; i < steps[s].tasks_.size(); ++i)
+            {
+                auto const& task = steps[s].tasks_[i];
+                auto const losses = task.crashes_ + task.unexplained_losses_;
+                if (losses > 0)
+                {
+                    counts[{job_id{}, k, s, i}] = {losses, task.prime_crashes_};
+                }
+            }
+        }
+    }
+    return counts;
+}
+
+void cell::append_crash_record(std::string const& id, job_state& job,
+                               cell_batch& batch)
+{
+    auto const counts = job.ended() ? crash_counts{} : crash_counts_of(job);
+    bool const is_due = std::exchange(job.crashes_changed_, false) ||
+                        (job.ended() && job.has_crash_record_);
+    if (!is_due || (counts.empty() && !job.has_crash_record_))
+    {
+        return;
+    }
+    job.has_crash_record_ = !counts.empty();
+    cell_record record;
+    record.kind_ = record_kind::crashes;
+    record.name_ = id;
+    if (!counts.empty())
+    {
+        record.text_ = encode(counts);
+    }
+    batch.records_.push_back(std::move(record));
+}
+
+void cell::restore_crash_counts(job_id const& id, std::string const& text,
+                                time_point now)
+{
+    auto const found = jobs_.find(id.text());
+    if (found == jobs_.end() || found->second.ended() ||
+        !found->second.request_)
+    {
+        cell_record record;
+        record.kind_ = record_kind::crashes;
+        record.name_ = id.text();
+        append_record(std::move(record));
+        return;
+    }
+    found->second.has_crash_record_ = true;
+    for (auto const& item : decode_crash_counts(text))
+    {
+        task_id task = item.first;
+        task.job_ = id;
+        auto const at = find(task);
+        if (at)
+        {
+            at.task_->crashes_ = item.second.all_;
+            at.task_->prime_crashes_ = item.second.prime_;
+            at.task_->waiting_since_ = now;
+            begin_isolation(
+                *at.task_,
+                required_isolation(*at.task_, at.shape_->long_running_, now));
+            give_up_if_due(task, at, now);
+        }
+    }
+}
+
+void cell::clear_crashes(job_state& job, task_state& task)
+{
+    task.acquitted_run_ = task.run_;
+    if (task.crashes_ > 0)
+    {
+        task.crashes_ = 0;
+        task.prime_crashes_ = 0;
+        store_crashes(job);
+    }
+}
+
+void cell::begin_isolation(task_state& task, task_isolation isolation)
+{
+    auto const worker = workers_.find(task.worker_);
+    if (worker == workers_.end() || isolation == task_isolation::none ||
+        isolation == task_isolation::waived)
+    {
+        return;
+    }
+    task.isolation_ = isolation;
+    ++worker->second.suspected_tasks_;
+    worker->second.runs_alone_ = isolation != task_isolation::grouped;
+    worker->second.isolated_until_ = {};
+}
+
+void cell::end_isolation(worker_state& worker, task_state& task)
+{
+    if (task.isolation_ != task_isolation::none)
+    {
+        --worker.suspected_tasks_;
+        worker.runs_alone_ = false;
+        task.isolation_ = task_isolation::none;
+    }
+}
+
+} // namespace cuminfold
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -1,5 +1,7 @@
 #include "kernel/cell/cell.hpp"
 
+#include "kernel/cell/task_isolation.hpp"
+
 #include <algorithm>
 #include <tuple>
 
@@ -28,6 +30,11 @@
 /// Added to the score of a worker whose ticket has expired, so that its ticket
 /// is renewed before workers of unknown status are queried.
 constexpr double expired_ticket_bonus = 1000;
+/// How long a worker takes no other tasks, so that it becomes free for a
+/// suspected one.
+constexpr duration isolation_time = std::chrono::milliseconds{2500};
+/// Interval at which tasks that wait for an isolated worker are placed again.
+constexpr duration isolation_retry_interval = std::chrono::milliseconds{50};
 
 /// Sort key of a pool's jobs: jobs on time before late ones, long-running
 /// before finite ones, then lower priority values, then the earliest objective.
@@ -103,7 +110,8 @@
     {
         auto const found = workers_.find(name);
         if (found != workers_.end() &&
-            violated_rule({found->second, empty_step, 0, now}) == nullptr)
+            violated_rule({found->second, empty_step, 0, now, std::nullopt}) ==
+                nullptr)
         {
             candidates_.push_back(&found->second);
         }
@@ -189,28 +197,91 @@
         {
             continue;
         }
+        if (task.not_before_ > now + isolation_retry_interval ||
+            is_held(task, shape.long_running_))
+        {
+            next_isolation_retry_ = now + isolation_retry_interval;
+            continue;
+        }
         if (task.not_before_ > now)
         {
             placement_due_ = true;
             continue;
         }
-        bool const reuse =
-            stays_best && worker != nullptr &&
-            violated_rule(view_of(*worker, shape, state, now)) == nullptr;
+        task_location at{&job, &state, &shape, &task};
+        auto const isolation =
+            required_isolation(task, shape.long_running_, now);
+        if (isolation != task_isolation::none)
+        {
+            place_isolated({id, occurrence, step, i}, at, isolation, now);
+            continue;
+        }
+        bool const reuse = stays_best && worker != nullptr &&
+                           violated_rule(view_of(*worker, shape, state,
+                                                 isolation, now)) == nullptr;
         worker =
-            reuse ? worker : choose_worker({id, occurrence, step}, job, now);
+            reuse ? worker
+                  : choose_worker({id, occurrence, step}, job, isolation, now);
         if (worker == nullptr)
         {
             log_wait({id, occurrence, step}, job, now);
             all_placed = false;
             break;
         }
-        task_location at{&job, &state, &shape, &task};
         assign({id, occurrence, step, i}, at, *worker, task.run_ + 1, now);
     }
     return all_placed;
 }
 
+void cell::place_isolated(task_id const& task, task_location const& at,
+                          task_isolation isolation, time_point now)
+{
+    step_id const step{task.job_, task.occurrence_, task.step_};
+    auto* const worker = choose_worker(step, *at.job_, isolation, now);
+    if (worker == nullptr)
+    {
+        next_isolation_retry_ = now + isolation_retry_interval;
+        isolate_worker(at, now);
+        return;
+    }
+    assign(task, at, *worker, at.task_->run_ + 1, now);
+    begin_isolation(*at.task_, isolation);
+}
+
+void cell::isolate_worker(task_location const& at, time_point now)
+{
+    auto const is_kept_free = [now](worker_state const* worker)
+    { return worker->suspected_tasks_ > 0 || now < worker->isolated_until_; };
+    auto const isolated = static_cast<std::size_t>(
+        std::count_if(candidates_.begin(), candidates_.end(), is_kept_free));
+    if (isolated >= max_isolated_workers(candidates_.size()))
+    {
+        return;
+    }
+    // Finite tasks end soon, long-running ones stay.
+    auto const cost = [](worker_state const& worker) {
+        return std::make_pair(worker.long_running_tasks_, worker.tasks_.size());
+    };
+    worker_state* best = nullptr;
+    for (auto* const worker : candidates_)
+    {
+        auto view =
+            view_of(*worker, *at.shape_, *at.step_, task_isolation::none, now);
+        view.isolation_.reset();
+        if (!is_kept_free(worker) && violated_rule(view) == nullptr &&
+            (best == nullptr || cost(*worker) < cost(*best)))
+        {
+            best = worker;
+        }
+    }
+    if (best != nullptr)
+    {
+        best->isolated_until_ = now + isolation_time;
+        log_event("worker_isolated", best->entry_.id_,
+                  "tasks=" + std::to_string(best->tasks_.size()));
+    }
+}
+
 bool cell::place_gang(job_id const& id, job_state& job,
                       std::uint32_t occurrence, std::uint32_t step,
                       time_point now)
@@ -221,6 +292,11 @@
     std::string checkpoint;
     for (auto const& task : state.tasks_)
     {
+        if (is_held(task, shape.long_running_))
+        {
+            next_isolation_retry_ = now + isolation_retry_interval;
+            return false;
+        }
         if (task.phase_ != task_phase::waiting || task.not_before_ > now)
         {
             placement_due_ = placement_due_ || task.not_before_ > now;
@@ -235,14 +311,23 @@
     std::uint32_t placed = 0;
     for (; placed < state.tasks_.size(); ++placed)
     {
-        auto* const worker = choose_worker({id, occurrence, step}, job, now);
+        task_location at{&job, &state, &shape, &state.tasks_[placed]};
+        auto const isolation =
+            required_isolation(*at.task_, shape.long_running_, now);
+        auto* const worker =
+            choose_worker({id, occurrence, step}, job, isolation, now);
         if (worker == nullptr)
         {
+            if (isolation != task_isolation::none)
+            {
+                next_isolation_retry_ = now + isolation_retry_interval;
+                isolate_worker(at, now);
+            }
             break;
         }
-        task_location at{&job, &state, &shape, &state.tasks_[placed]};
         at.task_->checkpoint_ = checkpoint;
         assign({id, occurrence, step, placed}, at, *worker, run + 1, now);
+        begin_isolation(*at.task_, isolation);
     }
     if (placed == state.tasks_.size())
     {
@@ -251,8 +336,10 @@
     for (std::uint32_t i = 0; i < placed; ++i)
     {
         task_location at{&job, &state, &shape, &state.tasks_[i]};
+        auto const waiting_since = at.task_->waiting_since_;
         at.task_->run_ = run;
         release({id, occurrence, step, i}, at, now);
+        at.task_->waiting_since_ = waiting_since;
     }
     return false;
 }
@@ -272,8 +359,8 @@
         auto const found = workers_.find(name);
         if (found != workers_.end())
         {
-            auto const* const rule =
-                violated_rule(view_of(found->second, shape, step, now));
+            auto const* const rule = violated_rule(
+                view_of(found->second, shape, step, task_isolation::none, now));
             ++excluded[rule == nullptr ? "not_allowed" : rule->reason_];
         }
     }
@@ -330,7 +417,8 @@
 }
 
 placement_view cell::view_of(worker_state const& worker, job_step const& shape,
-                             step_state const& step, time_point now) const
+                             step_state const& step, task_isolation isolation,
+                             time_point now) const
 {
     std::uint32_t same = 0;
     if (shape.per_worker_ != 0 || shape.long_running_)
@@ -340,7 +428,7 @@
             same += task.worker_ == worker.entry_.id_ ? 1 : 0;
         }
     }
-    return {worker, shape, same, now};
+    return {worker, shape, same, now, isolation};
 }
 
 advice_policy const* cell::advice_for(job_state const& job) const
@@ -374,7 +462,7 @@
 }
 
 worker_state* cell::choose_worker(step_id const& id, job_state const& job,
-                                  time_point now)
+                                  task_isolation isolation, time_point now)
 {
     auto const& shape = job.request_->steps_[id.step_];
     auto const& step = job.occurrences_[id.occurrence_].steps_[id.step_];
@@ -385,7 +473,7 @@
     for (auto* const worker : candidates_)
     {
         auto const& name = worker->entry_.id_;
-        auto const view = view_of(*worker, shape, step, now);
+        auto const view = view_of(*worker, shape, step, isolation, now);
         if (violated_rule(view) != nullptr)
         {
             continue;
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -149,6 +149,7 @@
             batch.records_.push_back({record_kind::request, name, job.request_,
                                       std::nullopt, std::nullopt});
         }
+        append_crash_record(name, job, batch);
         batch.records_.push_back({record_kind::progress, name, nullptr,
                                   progress_of(job), std::nullopt});
         if (job.ended() && job.request_written_)
@@ -298,6 +299,7 @@
     }
     at.task_->phase_ = task_phase::starting;
     at.task_->own_start_ = true;
+    at.task_->start_sent_ = now;
     at.task_->started_ = now;
     at.task_->progressed_at_ = now;
     at.job_->begun_ = true;
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -1,5 +1,7 @@
 #include "kernel/cell/cell.hpp"
 
+#include "kernel/cell/task_isolation.hpp"
+
 #include <algorithm>
 
 namespace cuminfold
@@ -181,10 +183,7 @@
     }
     if (outcome != call_outcome::accepted)
     {
-        if (++worker.unanswered_renewals_ == 1)
-        {
-            log_event("worker_silent", name, "renewal");
-        }
+        count_unanswered(worker, now);
         // Only the answer may have been lost: the first retry is immediate.
         worker.next_renewal_ =
             now + (worker.unanswered_renewals_ == 1 ? duration{0}
@@ -198,6 +197,7 @@
         log_event("worker_answers_again", name, "renewal");
         placement_due_ = true;
     }
+    forget_losses(worker);
     update_clock(worker, report.clock_, now);
     if (!extra)
     {
@@ -353,6 +353,11 @@
         {
             state.checkpoint_ = report->checkpoint_;
         }
+        if (!may_have_crashed(state, at.shape_->long_running_, now))
+        {
+            end_isolation(worker, state);
+            clear_crashes(*at.job_, state);
+        }
         return;
     }
     switch (state.phase_)
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -12,6 +12,10 @@
 /// their steps for this long; after that, the rest leave at once.
 constexpr duration gradual_evacuation_time = std::chrono::milliseconds{1200};
 
+/// A worker that was lost longer ago than this and has not returned is not
+/// expected to show any more whether it crashed.
+constexpr duration max_loss_age = std::chrono::seconds{20};
+
 } // namespace
 
 void cell::send_stop(worker_state& worker, task_id const& task,
@@ -99,9 +103,24 @@
         {
             log_event("worker_lapsed", worker.entry_.id_,
                       "tasks=" + std::to_string(worker.tasks_.size()));
+            if (worker.entry_.address_.empty())
+            {
+                // Known from an earlier owner's records alone: nothing will
+                // show how it was lost.
+                count_crash(worker, false, now);
+            }
+            else
+            {
+                record_loss(worker, now);
+            }
             release_all(worker, now);
         }
+        if (now - worker.lost_at_ > max_loss_age)
+        {
+            forget_losses(worker);
+        }
         bool const removable = worker.unlisted_ && worker.tasks_.empty() &&
+                               worker.lost_runs_.empty() &&
                                now > worker.lease_expires_at_ &&
                                !worker.renewal_in_flight_;
         position = removable ? erase_worker(position) : std::next(position);
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -89,12 +89,17 @@
         found->second.best_effort_tasks_ -= at.shape_->best_effort_ ? 1 : 0;
         found->second.tail_bounded_tasks_ -=
             at.shape_->tail_target_ > duration{0} ? 1 : 0;
+        end_isolation(found->second, *at.task_);
     }
+    at.task_->isolation_ = task_isolation::none;
+    at.task_->waiting_since_ = now;
     at.task_->worker_.clear();
     at.task_->phase_ = task_phase::waiting;
     at.task_->stop_accepted_ = false;
     at.task_->stop_sent_ = {};
     at.task_->own_start_ = false;
+    at.task_->start_sent_ = {};
+    at.task_->started_ = {};
     at.task_->established_at_ = {};
     at.task_->percent_ = 0;
     ++at.step_->waiting_;
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -80,7 +80,12 @@
 {
     auto& worker = ensure_worker(entry.id_, now);
     worker.unlisted_ = worker.incarnation_ended_;
-    worker.reserved_ = reserved_.count(entry.vm_) != 0;
+    auto const reservation = reserved_.find(entry.vm_);
+    worker.reserved_ = reservation != reserved_.end();
+    if (worker.reserved_)
+    {
+        worker.reserved_since_ = reservation->second;
+    }
     auto& members = pool_workers_[entry.pool_];
     if (std::find(members.begin(), members.end(), entry.id_) == members.end())
     {
@@ -156,25 +161,31 @@
     remove_name(pool_workers_[worker.entry_.pool_], name);
     log_event("worker_gone", name,
               "tasks=" + std::to_string(worker.tasks_.size()));
-    if (worker.tasks_.empty() && worker.lease_expires_at_ <= now)
+    if (worker.tasks_.empty() && worker.lost_runs_.empty() &&
+        worker.lease_expires_at_ <= now)
     {
         erase_worker(found);
     }
 }
 
-void cell::reserve(vm_id const& vm, bool reserved)
+void cell::reserve(vm_id const& vm, time_point now)
 {
-    if (reserved)
-    {
-        reserved_.insert(vm);
-    }
-    else
+    reserved_.emplace(vm, now);
+    for (auto const& name : workers_on(vm))
     {
-        reserved_.erase(vm);
+        auto& worker = workers_.at(name);
+        worker.reserved_ = true;
+        worker.reserved_since_ = now;
     }
+    placement_due_ = true;
+}
+
+void cell::end_reservation(vm_id const& vm)
+{
+    reserved_.erase(vm);
     for (auto const& name : workers_on(vm))
     {
-        workers_.at(name).reserved_ = reserved;
+        workers_.at(name).reserved_ = false;
     }
     placement_due_ = true;
 }
@@ -220,6 +231,15 @@
                        });
 }
 
+void cell::count_unanswered(worker_state& worker, time_point now)
+{
+    if (++worker.unanswered_renewals_ == 1)
+    {
+        log_event("worker_silent", worker.entry_.id_, "renewal");
+        worker.silent_since_ = now;
+    }
+}
+
 void cell::update_clock(worker_state& worker, worker_clock clock,
                         time_point now)
 {
@@ -255,6 +275,7 @@
                            time_point now)
 {
     log_event("worker_life_ended", worker.entry_.id_, cause);
+    count_crash(worker, true, now);
     release_all(worker, now);
     worker.unlisted_ = true;
     worker.incarnation_ended_ = true;
@@ -304,7 +325,7 @@
         tickets_.refused({task.job_, task.occurrence_, task.step_}, name);
         break;
     case call_outcome::not_sent:
-        ++worker.unanswered_renewals_;
+        count_unanswered(worker, now);
         worker.next_renewal_ = now;
         break;
     case call_outcome::incarnation_mismatch:
@@ -394,6 +415,11 @@
         next_periodic_checks_ = now + min_review_interval;
         run_periodic_checks(now, calendar);
     }
+    if (next_isolation_retry_ != time_point{} && now >= next_isolation_retry_)
+    {
+        next_isolation_retry_ = {};
+        placement_due_ = true;
+    }
     bool const must_place = placement_due_ && now >= next_placement_;
     if (must_place || now >= latest_placement_)
     {
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -85,7 +85,7 @@
         bool const removed = found == vms_.end();
         if (is_up || removed)
         {
-            cell_.reserve(place->first, false);
+            cell_.end_reservation(place->first);
             place = operations_.erase(place);
         }
         else
@@ -141,12 +141,12 @@
     operation.record_ =
         append_order_record(vm, encode(orders_.plan(vm, operation.wave_)));
     operations_[vm] = operation;
-    cell_.reserve(vm, true);
+    cell_.reserve(vm, operation.reserved_at_);
 }
 
 void fleet_plan::end_operation(vm_id const& vm)
 {
-    cell_.reserve(vm, false);
+    cell_.end_reservation(vm);
     operations_.erase(vm);
 }
 
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -30,6 +30,20 @@
     done
 };
 
+/// Which other tasks may run on a task's worker. A task whose worker crashed
+/// may be the cause, so that it is kept from others until that is known.
+enum class task_isolation : std::uint8_t
+{
+    none,    ///< any, unless they are isolated
+    grouped, ///< a few others that are suspected as well
+    alone,   ///< no other task
+    /// Only long-running tasks that are not suspected, in a pool where no
+    /// worker is without.
+    beside_long_running,
+    /// Any that are not suspected: no worker became free in time.
+    waived
+};
+
 /// A task's state at the owner of the cell.
 struct task_state
 {
@@ -39,6 +53,24 @@
     std::string worker_;
     std::string checkpoint_;
 
+    /// Workers that crashed while they ran the task. Stored.
+    std::uint32_t crashes_ = 0;
+    /// Those of them for which no other task had as many crashes, and that
+    /// crashed without much of their rack or data centre. Stored.
+    std::uint32_t prime_crashes_ = 0;
+    /// Workers that stopped answering while they ran the task, of which it is
+    /// not known whether they crashed.
+    std::uint32_t unexplained_losses_ = 0;
+    /// Crashes of runs up to this one do not count: a run has lasted since, or
+    /// the task is done.
+    std::uint32_t acquitted_run_ = 0;
+    /// The latest such run had lasted for a while before its worker was lost.
+    bool ran_before_loss_ = false;
+    /// The isolation that the present placement provides.
+    task_isolation isolation_ = task_isolation::none;
+    /// Since when the task waits for placement again.
+    time_point waiting_since_{};
+
     /// The task was started under this owner's epoch. A worker that has
     /// received a request of this epoch refuses starts of earlier ones.
     bool own_start_ = false;
@@ -48,6 +80,8 @@
     bool stop_accepted_ = false;
     time_point stop_sent_{};
     time_point stop_accepted_at_{};
+    /// When this owner sent the start; unset for runs of earlier owners.
+    time_point start_sent_{};
     time_point started_{};
     /// From then on no stop that was sent before can end the run.
     time_point established_at_{};
@@ -99,6 +133,10 @@
     /// A task of the job was started.
     bool begun_ = false;
     bool long_running_ = false;
+    /// A crash under a task is not in the store yet.
+    bool crashes_changed_ = false;
+    /// The store has a record of the crashes under the job's tasks.
+    bool has_crash_record_ = false;
     /// The job has changes that no batch for the store includes yet.
     bool dirty_ = false;
     time_point arrived_{};
--- a/source/kernel/cell/placement_rule.cpp
+++ b/source/kernel/cell/placement_rule.cpp
@@ -1,5 +1,7 @@
 #include "kernel/cell/placement_rule.hpp"
 
+#include "kernel/cell/task_isolation.hpp"
+
 #include <algorithm>
 #include <array>
 
@@ -75,6 +77,13 @@
     return need.fits(view.worker_.entry_.size_);
 }
 
+/// A task that may crash its worker is kept from the others.
+bool is_isolation_respected(placement_view const& view)
+{
+    return !view.isolation_ ||
+           respects_isolation(view.worker_, *view.isolation_, view.now_);
+}
+
 /// A best-effort task would increase the tail latency of a bounded task on the
 /// same worker.
 bool respects_tail_bounds(placement_view const& view)
@@ -85,7 +94,7 @@
            !(bounded && view.worker_.best_effort_tasks_ > 0);
 }
 
-constexpr std::array<placement_rule, 10> rules = {{
+constexpr std::array<placement_rule, 11> rules = {{
     {"worker_gone", is_listed},
     {"worker_not_fenced", is_fenced},
     {"worker_leaving", accepts_tasks},
@@ -95,6 +104,7 @@
     {"anti_affinity", respects_anti_affinity},
     {"stray_run", has_no_orphaned_runs},
     {"disturbance", respects_tail_bounds},
+    {"isolation", is_isolation_respected},
     {"no_room", has_room},
 }};
 
--- a/source/kernel/cell/placement_rule.hpp
+++ b/source/kernel/cell/placement_rule.hpp
@@ -2,10 +2,12 @@
 #define CUMINFOLD_KERNEL_CELL_PLACEMENT_RULE_HPP
 
 #include "kernel/cell/job_definition.hpp"
+#include "kernel/cell/job_state.hpp"
 #include "kernel/cell/worker_state.hpp"
 #include "kernel/time.hpp"
 
 #include <cstdint>
+#include <optional>
 
 namespace cuminfold
 {
@@ -18,6 +20,8 @@
     /// Number of the step's tasks on that worker.
     std::uint32_t same_step_ = 0;
     time_point now_{};
+    /// The isolation that the task needs; unset if any may be.
+    std::optional<task_isolation> isolation_;
 };
 
 /// A condition that must hold before a task may be placed on a worker.
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -100,6 +100,7 @@
     /// The worker's VM is about to be moved or maintained, so the worker gets
     /// no new tasks.
     bool reserved_ = false;
+    time_point reserved_since_{};
 
     worker_clock clock_{0};
     time_point clock_read_at_{};
@@ -114,6 +115,9 @@
     time_point renewal_sent_{};
     time_point next_renewal_{};
     std::uint32_t unanswered_renewals_ = 0;
+    /// When the first of them failed. A crash breaks the worker's connections,
+    /// so that this is the time of a crash.
+    time_point silent_since_{};
     /// Ends up to this number were read. Those up to `recorded_` are recorded
     /// and may be acknowledged.
     std::uint64_t read_ = 0;
@@ -128,6 +132,16 @@
     /// Best-effort tasks, and tasks with a bound on their tail latency.
     std::uint32_t best_effort_tasks_ = 0;
     std::uint32_t tail_bounded_tasks_ = 0;
+    /// Tasks that were placed with an isolation, and whether one of them runs
+    /// alone.
+    std::uint32_t suspected_tasks_ = 0;
+    bool runs_alone_ = false;
+    /// Until then only suspected tasks are placed on the worker.
+    time_point isolated_until_{};
+    /// Tasks and runs that the worker may have had when its lease lapsed, until
+    /// it answers or turns out to have crashed.
+    std::map<task_id, std::uint32_t> lost_runs_;
+    time_point lost_at_{};
     /// Runs of tasks that no job wants any more. They keep their resources
     /// until they end.
     std::map<task_id, std::uint32_t> orphaned_runs_;
--- a/source/node/cell_owner_store.cpp
+++ b/source/node/cell_owner_store.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <stdexcept>
 #include <utility>
 
 namespace cuminfold
@@ -30,6 +31,7 @@
 constexpr char const* progress_prefix = "p";
 constexpr char const* vm_order_prefix = "v";
 constexpr char const* wave_prefix = "w";
+constexpr char const* crashes_prefix = "c";
 
 char const* key_prefix(record_kind kind)
 {
@@ -43,6 +45,8 @@
         return vm_order_prefix;
     case record_kind::wave:
         return wave_prefix;
+    case record_kind::crashes:
+        return crashes_prefix;
     }
     return progress_prefix;
 }
@@ -88,6 +92,7 @@
 {
     auto const now = node_now();
     std::map<std::string, std::string> progress;
+    std::map<std::string, std::string> crashes;
     std::size_t jobs = 0;
     for (auto const& record : content.records_)
     {
@@ -107,6 +112,10 @@
             {
                 progress[id] = *record.value_;
             }
+            else if (record.key_.rfind(crashes_prefix, 0) == 0)
+            {
+                crashes[id] = *record.value_;
+            }
             else if (record.key_.rfind(vm_order_prefix, 0) == 0)
             {
                 fleet_.restore_order(vm_id{id}, *record.value_, now);
@@ -137,6 +146,20 @@
                 {{"key", item.first}, {"error", error.what()}}, now);
         }
     }
+    for (auto const& item : crashes)
+    {
+        try
+        {
+            cell_.restore_crash_counts(job_id{item.first}, item.second, now);
+        }
+        catch (std::invalid_argument const& error)
+        {
+            environment_.log_.write(
+                "record_skipped",
+                {{"key", crashes_prefix + item.first}, {"error", error.what()}},
+                now);
+        }
+    }
     environment_.log_.write(
         "cell_loaded",
         {{"epoch", std::to_string(record_.epoch_)},
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -21,6 +21,14 @@
 /// starts still find their lease valid.
 constexpr milliseconds max_lease_late_delay{4000};
 constexpr duration append_latency = milliseconds{12};
+/// Time from the start of a deadly task to the crash of its worker.
+constexpr milliseconds deadly_delay{10};
+/// Interval between two lists of VMs.
+constexpr duration vm_list_interval = milliseconds{500};
+/// After this many crashes a task may have fewer further starts than
+/// `max_starts_after_crashes`.
+constexpr std::uint32_t crashes_before_limit = 3;
+constexpr std::uint32_t max_starts_after_crashes = 3;
 /// How long an expired entry is missing.
 constexpr duration entry_absence = milliseconds{1500};
 constexpr std::uint32_t max_attempts = 3;
@@ -145,6 +153,14 @@
     {
         cell_->restore(job_id{progress.first}, progress.second, now_);
     }
+    for (auto const& crashes : stored_texts_[record_kind::crashes])
+    {
+        if (!crashes.second.empty())
+        {
+            cell_->restore_crash_counts(job_id{crashes.first}, crashes.second,
+                                        now_);
+        }
+    }
     for (auto const& worker : workers_)
     {
         cell_->on_worker_listed(worker->entry_, now_);
@@ -166,6 +182,53 @@
              [this, old] { cell_->on_worker_unlisted(old, now_); });
 }
 
+void cell_world::crash_for(std::uint32_t worker, milliseconds down_time)
+{
+    auto& crashed = *workers_[worker];
+    if (crashed.is_down_)
+    {
+        return;
+    }
+    crashed.is_down_ = true;
+    crashed.running_.clear();
+    crashed.ends_.clear();
+    schedule(now_ + down_time, [this, worker] { crash(worker); });
+}
+
+void cell_world::crash_under(task_id const& task, std::string const& worker)
+{
+    for (std::uint32_t i = 0; i < worker_count(); ++i)
+    {
+        auto const& running = workers_[i]->running_;
+        if (workers_[i]->entry_.id_ != worker || running.count(task) == 0)
+        {
+            continue;
+        }
+        ++crashes_[task];
+        for (auto const& run : running)
+        {
+            runs_lost_[run.first] += deadly_.count(run.first) == 0 ? 1 : 0;
+        }
+        crash_for(i, deadly_down_time_);
+    }
+}
+
+std::uint32_t cell_world::crashes_by(task_id const& task) const
+{
+    auto const found = crashes_.find(task);
+    return found == crashes_.end() ? 0 : found->second;
+}
+
+std::uint32_t cell_world::most_runs_lost() const
+{
+    std::uint32_t most = 0;
+    for (auto const& item : runs_lost_)
+    {
+        most = std::max(most, item.second);
+    }
+    return most;
+}
+
 void cell_world::end_runs(std::uint32_t worker)
 {
     for (auto& run : workers_[worker]->running_)
@@ -197,7 +260,9 @@
 {
     for (auto const& worker : workers_)
     {
-        cell_->on_vm_listed(worker->entry_.vm_, worker->entry_.id_, now_, now_);
+        cell_->on_vm_listed(worker->entry_.vm_,
+                            worker->is_down_ ? "" : worker->entry_.id_, now_,
+                            now_);
     }
 }
 
@@ -269,6 +334,11 @@
         worker->advance(now_);
     }
     record_ends();
+    if (lists_vms_ && now_ >= next_vm_list_)
+    {
+        next_vm_list_ = now_ + vm_list_interval;
+        list_vms();
+    }
     if (!store_down_)
     {
         cell_->on_epoch_confirmed(now_);
@@ -320,6 +390,7 @@
         return;
     case record_kind::vm_order:
     case record_kind::wave:
+    case record_kind::crashes:
         set(stored_texts_[record.kind_], record.text_);
         return;
     }
@@ -382,10 +453,16 @@
                  [answer] { answer(call_outcome::no_answer); });
         return;
     }
+    if (worker->is_down_)
+    {
+        schedule(now_ + 2 * one_way_latency,
+                 [answer] { answer(call_outcome::not_sent); });
+        return;
+    }
     auto const run = [this, address, execute]
     {
         auto const* const reached = find(address);
-        return reached == nullptr || reached->disconnected_
+        return reached == nullptr || reached->disconnected_ || reached->is_down_
                    ? call_outcome::no_answer
                    : execute();
     };
@@ -454,6 +531,12 @@
             {
                 check_start(order, *worker);
             }
+            if (deadly_.count(order.task_) != 0)
+            {
+                schedule(now_ + deadly_delay,
+                         [this, task = order.task_, id = order.worker_]
+                         { crash_under(task, id); });
+            }
             return outcome;
         },
         [this, order](call_outcome outcome)
@@ -631,6 +714,11 @@
             }
         }
     }
+    if (crashes_by(order.task_) >= crashes_before_limit &&
+        ++starts_after_crashes_[order.task_] >= max_starts_after_crashes)
+    {
+        violations_.push_back("BUDGET crashes " + name);
+    }
     if (failures_[order.task_] >= max_attempts && !shape.long_running_)
     {
         violations_.push_back("BUDGET " + name);
@@ -748,6 +836,19 @@
     return found == runs_.end() ? 0 : found->second;
 }
 
+std::optional<std::uint32_t>
+cell_world::worker_running(task_id const& task) const
+{
+    for (std::uint32_t i = 0; i < worker_count(); ++i)
+    {
+        if (workers_[i]->running_.count(task) != 0)
+        {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
 std::size_t cell_world::running_tasks(std::string const& id) const
 {
     std::set<task_id> tasks;
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -50,6 +51,9 @@
     void take_over();
     /// Ends a worker's process and starts a new incarnation on the same VM.
     void crash(std::uint32_t worker);
+    /// Ends a worker's process. Its VM is down for `down_time`, then a new
+    /// incarnation starts there.
+    void crash_for(std::uint32_t worker, std::chrono::milliseconds down_time);
     /// Ends a worker's runs as failed, without an order.
     void end_runs(std::uint32_t worker);
     /// Removes a worker's entry from the store for a time, while it works on.
@@ -77,6 +81,8 @@
     job_status status(std::string const& id) const;
     /// Number of runs of the job's tasks that workers accepted.
     std::size_t runs_of(std::string const& id) const;
+    /// The worker that runs the task now, if any.
+    std::optional<std::uint32_t> worker_running(task_id const& task) const;
     /// Number of the job's tasks that run on some worker now.
     std::size_t running_tasks(std::string const& id) const;
     bool all_ended() const;
@@ -127,6 +133,18 @@
     std::set<std::string> failing_;
     /// VMs whose workers fail every run soon after its start.
     std::set<vm_id> failing_vms_;
+    /// Tasks that crash each worker that starts them.
+    std::set<task_id> deadly_;
+    /// How long the VM of a worker that a task crashed is down.
+    std::chrono::milliseconds deadly_down_time_{3300};
+    /// Reports each VM with its present worker to the owner, as the platform's
+    /// list does.
+    bool lists_vms_ = false;
+    /// Number of workers that crashed under a task because of it.
+    std::uint32_t crashes_by(task_id const& task) const;
+    /// Highest number of runs that one task lost by crashes that another task
+    /// caused.
+    std::uint32_t most_runs_lost() const;
     std::vector<std::string> violations_;
     /// The causes that the owners logged, by event.
     std::map<std::string, std::vector<std::string>> logged_;
@@ -164,6 +182,8 @@
                     std::uint32_t run, time_point sent);
     /// Whether a worker runs the task.
     bool is_running(task_id const& task) const;
+    /// Crashes the worker if the task is deadly and still runs there.
+    void crash_under(task_id const& task, std::string const& worker);
     /// Records the runs that ended, and those whose end was acknowledged.
     void record_ends();
     bool chance(std::uint32_t percent);
@@ -195,6 +215,11 @@
     std::map<std::string, time_point> cancel_acknowledged_;
     std::set<std::string> cancelled_;
     std::map<task_id, std::uint32_t> failures_;
+    std::map<task_id, std::uint32_t> crashes_;
+    /// Starts of a task since it caused its third crash.
+    std::map<task_id, std::uint32_t> starts_after_crashes_;
+    std::map<task_id, std::uint32_t> runs_lost_;
+    time_point next_vm_list_{};
     std::set<task_id> done_;
     /// Tasks whose successful end was acknowledged; they must not start again.
     std::set<task_id> acknowledged_done_;
--- a/tests/kernel/cell/fake_worker.hpp
+++ b/tests/kernel/cell/fake_worker.hpp
@@ -63,6 +63,8 @@
     std::vector<end_report> acknowledged_ends_;
     /// No call reaches the worker.
     bool disconnected_ = false;
+    /// The worker's VM is down, so that connections to it are refused.
+    bool is_down_ = false;
     /// How long a run continues after a stop was accepted.
     duration stop_time_{0};
 
--- a/tests/kernel/cell/placement_rule_test.cpp
+++ b/tests/kernel/cell/placement_rule_test.cpp
@@ -68,6 +68,7 @@
          w.best_effort_tasks_ = 1;
          s.tail_target_ = 50ms;
      }},
+    {"isolation", [](worker_state& w, job_step&) { w.suspected_tasks_ = 1; }},
     {"no_room",
      [](worker_state& w, job_step& s)
      {
@@ -95,8 +96,8 @@
         auto worker = make_worker();
         job_step step;
         each.change_(worker, step);
-        auto const* const rule =
-            violated_rule({worker, step, 1, time_point{10s}});
+        auto const* const rule = violated_rule(
+            {worker, step, 1, time_point{10s}, task_isolation::none});
         CHECK(std::string(rule == nullptr ? "" : rule->reason_) ==
               (each.violated_ == nullptr ? "" : each.violated_));
     }
@@ -108,8 +109,8 @@
     holder.long_running_tasks_ = 1;
     auto const empty = make_worker();
     job_step const step;
-    CHECK(placement_score({holder, step, 0, {}}) >
-          placement_score({empty, step, 0, {}}));
+    CHECK(placement_score({holder, step, 0, {}, std::nullopt}) >
+          placement_score({empty, step, 0, {}, std::nullopt}));
 }
 
 TEST_CASE("an avoided worker is the last choice for a long-running task")
@@ -121,6 +122,6 @@
     job_step step;
     step.long_running_ = true;
     step.data_rack_ = "data";
-    CHECK(placement_score({other, step, 10, time_point{10s}}) >
-          placement_score({avoided, step, 0, time_point{10s}}));
+    CHECK(placement_score({other, step, 10, time_point{10s}, std::nullopt}) >
+          placement_score({avoided, step, 0, time_point{10s}, std::nullopt}));
 }
