cell: Take the answer of a VM's next incarnation for the end of the last

Change: when a worker answers the owner for the first time, older incarnations on its VM that are silent have ended. A VM runs one at a time, so that their runs are gone, too, and their tasks need not wait for the lease.

Test: "the next incarnation's answer shows that a worker has crashed" fails without the change (2 checks); availability, unanswered start, takeover and property tests pass.

Ruled out: taking the entry of the next incarnation alone, which an older one may write late.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -349,6 +349,9 @@
     void release_all(worker_state& worker, time_point now);
     void end_incarnation(worker_state& worker, char const* cause,
                          time_point now);
+    /// Ends the silent incarnations that were on the worker's VM before: a VM
+    /// runs one at a time, and this one answers.
+    void end_earlier_incarnations(worker_state const& worker, time_point now);
     /// Removes a worker from `workers_` and its index.
     std::map<std::string, worker_state>::iterator
     erase_worker(std::map<std::string, worker_state>::iterator position);
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -215,6 +215,7 @@
                                                  min_clock_rate) +
             lapse_margin;
         placement_due_ = true;
+        end_earlier_incarnations(worker, now);
     }
     bool ended = false;
     for (auto const& end : report.ended_)
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -281,6 +281,23 @@
     worker.incarnation_ended_ = true;
 }
 
+void cell::end_earlier_incarnations(worker_state const& worker, time_point now)
+{
+    if (worker.entry_.vm_.empty())
+    {
+        return;
+    }
+    for (auto const& name : workers_on(worker.entry_.vm_))
+    {
+        auto& other = workers_.at(name);
+        if (other.first_seen_ < worker.first_seen_ &&
+            other.unanswered_renewals_ > 0 && !other.incarnation_ended_)
+        {
+            end_incarnation(other, "vm_has_new_life", now);
+        }
+    }
+}
+
 void cell::on_start_response(std::string const& name, task_id const& task,
                              std::uint32_t run, call_outcome outcome,
                              time_point now)
--- a/tests/kernel/cell/crashing_task_test.cpp
+++ b/tests/kernel/cell/crashing_task_test.cpp
@@ -153,6 +153,21 @@
     }
 }
 
+// Guards against crashes that are seen late since the platform's list shows the
+// VM down or misses an incarnation.
+TEST_CASE("the next incarnation's answer shows that a worker has crashed")
+{
+    cell_world world(1, 4);
+    world.deadly_.insert(deadly_task);
+    world.run_for(50ms);
+    world.submit("a", {cell_world::make_step(1, 900, 640ms)});
+    world.run_for(5000ms);
+    CHECK(world.stored_texts(record_kind::crashes).count("a") == 1);
+    world.run_for(20'000ms);
+    CHECK(world.status("a") == job_status::failed);
+    CHECK(world.crashes_by(deadly_task) <= max_crashes);
+}
+
 // Guards against a crash under a start that was carried out late, which was
 // taken for the crash of a long run.
 TEST_CASE("a task whose starts are late is given up")
