cell: Withhold starts from workers that have shrunk

Cause: the placement compares with the size in the worker's entry, and the start is sent once the record of the placement was stored. `send_start` checked that the worker was listed, fenced and not draining, and not that the task still fits.

Change: `send_start` compares what is assigned to the worker, the task included, with the worker's present size. Without room the task is released, logged as `start_withheld`, and placed elsewhere, as after an expired ticket. Each placed task is withheld in turn until the rest fits; what runs keeps running. A change of an entry's size is logged as `worker_resized`.

Why it holds: `send_start` is the only place that sends a start, and only once a run; a new owner places the task again, with a new run. `used_` counts tasks from their placement to their proven end: starting, unanswered and stopping ones too. Starts need entries that were read within 1.5 s, so the owner knows a smaller size before it counts.

Ruled out: that tasks on a worker that has shrunk are stopped for that (tested, before and after). Not covered: an orphaned run that is found between a placement and its start; the placement avoids such workers, the start is not withheld.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -299,7 +299,7 @@
     void mark_dirty(job_state& job);
     job_progress progress_of(job_state const& job) const;
     /// Starts a run whose record was stored, unless its worker became unusable
-    /// in the meantime.
+    /// or too small in the meantime.
     void send_start(task_id const& task, std::uint32_t run, time_point now);
     /// Answers the clients whose submission or cancellation was stored.
     void answer_waiting_clients(job_state& job);
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -287,6 +287,15 @@
         return;
     }
     auto& worker = found->second;
+    // `used_` includes the task. The worker may have shrunk since it was
+    // placed.
+    if (!worker.used_.fits(worker.entry_.size_))
+    {
+        log_event("start_withheld", describe(task),
+                  worker.entry_.id_ + " no_room");
+        release(task, at, now);
+        return;
+    }
     bool const checked = advice_for(*at.job_) != nullptr;
     step_id const step{task.job_, task.occurrence_, task.step_};
     auto ticket =
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -22,6 +22,13 @@
 /// only after seconds without progress.
 constexpr duration min_stall_check_interval = std::chrono::milliseconds{250};
 
+std::string describe(resource_amount const& size)
+{
+    return "cpu_milli=" + std::to_string(size.cpu_milli_) +
+           " memory_mb=" + std::to_string(size.memory_mb_) +
+           " accelerators=" + std::to_string(size.accelerators_);
+}
+
 void remove_name(std::vector<std::string>& names, std::string const& name)
 {
     names.erase(std::remove(names.begin(), names.end(), name), names.end());
@@ -101,6 +108,12 @@
         log_event("worker_listed", entry.id_,
                   "vm=" + entry.vm_.text() + " pool=" + entry.pool_.text());
     }
+    else if (!(worker.entry_.size_ == entry.size_))
+    {
+        log_event("worker_resized", entry.id_,
+                  describe(worker.entry_.size_) + " to " +
+                      describe(entry.size_));
+    }
     if (worker.entry_.vm_ != entry.vm_ || worker.entry_.address_.empty())
     {
         remove_name(vm_workers_[worker.entry_.vm_], entry.id_);
--- a/source/kernel/cell/job_definition.hpp
+++ b/source/kernel/cell/job_definition.hpp
@@ -30,6 +30,11 @@
                memory_mb_ <= available.memory_mb_ &&
                accelerators_ <= available.accelerators_;
     }
+    friend bool operator==(resource_amount const& a,
+                           resource_amount const& b) noexcept
+    {
+        return a.fits(b) && b.fits(a);
+    }
     resource_amount& operator+=(resource_amount const& other) noexcept
     {
         cpu_milli_ += other.cpu_milli_;
