--- a/tests/benchmarks/wave_benchmark.cpp
+++ b/tests/benchmarks/wave_benchmark.cpp
@@ -325,9 +325,18 @@
 
 int main(int argc, char** argv)
 {
+    std::string wanted;
+    if (argc > 2 && std::string(argv[1]) == "--scenario")
+    {
+        wanted = argv[2];
+        argc -= 2;
+        argv += 2;
+    }
     if (argc < first_vms_argument + 1)
     {
-        std::fputs("usage: wave_benchmark FOLDER SEEDS VMS...\n", stderr);
+        std::fputs("usage: wave_benchmark [--scenario NAME] FOLDER SEEDS "
+                   "VMS...\n",
+                   stderr);
         return 2;
     }
     config_files const files = read_folder(argv[1]);
@@ -350,6 +359,10 @@
     std::puts("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
     for (auto const& played : scenarios)
     {
+        if (!wanted.empty() && wanted != played.name_)
+        {
+            continue;
+        }
         double baseline = 0;
         for (char const* strategy : {"one_at_a_time", "fixed_share",
                                      "fewest_moves", "fastest_rollout"})
