tests: State how long a task may be missing at any moment of a calm period

The progress test looked at the end of a calm period of 17.3 s alone, so that a task that waits for most of it wasn't seen.

Change: it looks each 50 ms, and states the longest time without all long-running tasks: 5 s, and 8.5 s for patterns with takeovers. VMs are listed each 500 ms in calm periods, as on the platform. The checks at the end stay as they are.

--- a/tests/kernel/cell/progress_test.cpp
+++ b/tests/kernel/cell/progress_test.cpp
@@ -46,8 +46,27 @@
      900ms},
 };
 
-void execute_cycle(cell_world& world, event_pattern const& pattern,
-                   std::mt19937& random)
+/// A task of an earlier owner waits this long for a worker that doesn't answer:
+/// orders are given 5 s after the last confirmation, for leases of 3 s.
+constexpr std::chrono::milliseconds takeover_recovery_time{8500};
+/// Interval between two looks at the tasks.
+constexpr auto sample_interval = 50ms;
+/// Interval between two lists of VMs.
+constexpr auto list_interval = 500ms;
+
+std::chrono::milliseconds max_missing_time(event_pattern const& pattern)
+{
+    bool const has_takeover = std::any_of(
+        pattern.events_.begin(), pattern.events_.end(),
+        [](auto const& event) { return event.first == event_kind::takeover; });
+    return has_takeover ? takeover_recovery_time : recovery_time;
+}
+
+/// Executes random events and a calm period.
+/// @return the longest time in the calm period during which a task was missing
+std::chrono::milliseconds execute_cycle(cell_world& world,
+                                        event_pattern const& pattern,
+                                        std::mt19937& random)
 {
     begin_faults(world, pattern);
     for (std::uint32_t i = 0; i < events_per_cycle; ++i)
@@ -56,13 +75,30 @@
         world.run_for(std::chrono::milliseconds{random() % 300});
     }
     end_faults(world);
-    world.run_for(cell_world::max_call_delay + recovery_time);
+    std::chrono::milliseconds missing{0};
+    std::chrono::milliseconds longest{0};
+    for (std::chrono::milliseconds calm{0};
+         calm < cell_world::max_call_delay + recovery_time;
+         calm += sample_interval)
+    {
+        if (calm % list_interval == 0ms)
+        {
+            world.list_vms();
+        }
+        world.run_for(sample_interval);
+        bool const all_run = world.running_tasks("a") == serving_tasks &&
+                             world.running_tasks("b") == serving_tasks;
+        missing = all_run ? 0ms : missing + sample_interval;
+        longest = std::max(longest, missing);
+    }
+    return longest;
 }
 
 } // namespace
 
-// Guards against long-running tasks that wait although a worker has room.
-TEST_CASE("long-running tasks that wait at the end of a calm period")
+// Guards against long-running tasks that wait although a worker has room, at
+// any moment of a calm period and at its end.
+TEST_CASE("long-running tasks that wait in a calm period")
 {
     constexpr std::uint32_t first_seed = 101;
     constexpr std::uint32_t last_seed = 140;
@@ -82,7 +118,8 @@
             for (std::uint32_t cycle = 0; cycle < cycles; ++cycle)
             {
                 CAPTURE(cycle);
-                execute_cycle(world, pattern, random);
+                auto const missing = execute_cycle(world, pattern, random);
+                CHECK(missing.count() <= max_missing_time(pattern).count());
                 CHECK(world.violations() == "");
                 CHECK(world.running_tasks("a") == serving_tasks);
                 CHECK(world.running_tasks("b") == serving_tasks);
