cell: Don't avoid workers for a long-running task that always fails

What a caller would see: finite jobs that wait without an end. A long-running task that fails by itself goes from worker to worker; each failure counted as one of its worker, and since an avoided worker is the last choice for it, and no longer excluded, each restart lengthened the avoidance of all of them.

Change: after four failures of a long-running task its further ones count as its own; it is restarted after 1 s then.

The case for answers after a lease now requires that one of its answers is late, and no broken rule.

--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -10,6 +10,11 @@
 
 /// Minimum delay before a failed task is started again.
 constexpr duration restart_delay = std::chrono::milliseconds{50};
+/// The same for a long-running task that fails for a reason of its own.
+constexpr duration long_restart_delay = std::chrono::seconds{1};
+/// Failures of a long-running task that count as failures of its workers. One
+/// that fails more often would make placement avoid them all.
+constexpr std::uint32_t max_failures_of_workers = 4;
 /// Number of consecutive failures from which placement avoids a worker.
 constexpr std::uint32_t failures_to_avoid = 2;
 /// How long a worker is avoided at first. Each further failure doubles the
@@ -185,9 +190,15 @@
                           task_location const& at, time_point now)
 {
     ++at.task_->failures_;
-    record_failure(worker, now);
+    bool const is_fault_of_task = at.shape_->long_running_ &&
+                                  at.task_->failures_ > max_failures_of_workers;
+    if (!is_fault_of_task)
+    {
+        record_failure(worker, now);
+    }
     release(task, at, now);
-    at.task_->not_before_ = now + restart_delay;
+    at.task_->not_before_ =
+        now + (is_fault_of_task ? long_restart_delay : restart_delay);
     mark_dirty(*at.job_);
     std::uint32_t failures = at.task_->failures_;
     if (at.shape_->gang_)
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -530,7 +530,10 @@
             planned.ends_ = shape.long_running_ ? time_point::max()
                                                 : now_ + shape.estimate_;
             planned.fails_ = failing_.count(order.task_.job_.text()) != 0;
-            if (failing_vms_.count(worker->entry_.vm_) != 0)
+            bool const ends_early =
+                failing_vms_.count(worker->entry_.vm_) != 0 ||
+                (planned.fails_ && shape.long_running_);
+            if (ends_early)
             {
                 planned.fails_ = true;
                 planned.ends_ = now_ + failing_run_time;
--- a/tests/kernel/cell/progress_test.cpp
+++ b/tests/kernel/cell/progress_test.cpp
@@ -272,6 +272,7 @@
 TEST_CASE("an unanswered start on a worker that answers after its lease")
 {
     constexpr std::uint32_t answers = 100;
+    std::uint32_t answered_late = 0;
     for (std::uint32_t i = 0; i < answers; ++i)
     {
         auto const answered_after = 2500ms + std::chrono::milliseconds{10 * i};
@@ -295,6 +296,10 @@
         {
             continue;
         }
+        answered_late +=
+            world.now() > world.owner().workers().at(name).lease_expires_at_
+                ? 1
+                : 0;
         // An extra renewal is answered, and then the worker is gone for good.
         worker_report report;
         report.clock_ = world.worker(holder).clock(world.now());
@@ -302,5 +307,34 @@
                                           report, world.now(), world.now());
         world.run_for(8000ms);
         CHECK(world.running_tasks("a") == 1);
+        CHECK(world.violations() == "");
+    }
+    CHECK(answered_late > 0);
+}
+
+// Guards against a long-running task that fails by itself on one worker after
+// the other, so that all are avoided and finite tasks wait without an end.
+TEST_CASE("a long-running task that always fails keeps no finite job waiting")
+{
+    for (std::uint32_t seed = 1; seed <= 5; ++seed)
+    {
+        CAPTURE(seed);
+        cell_world world(seed, 3);
+        world.failing_.insert("bad");
+        world.run_for(50ms);
+        auto step = serving_step(1);
+        step.tasks_ = 1;
+        world.submit("bad", {step});
+        world.run_for(20'000ms);
+        for (int i = 0; i < 30; ++i)
+        {
+            world.submit("job" + std::to_string(i),
+                         {cell_world::make_step(2, 1000, 100ms)});
+            world.run_for(1000ms);
+            CHECK(world.status("job" + std::to_string(i)) ==
+                  job_status::completed);
+        }
+        CHECK(world.runs_of("bad") <= 60);
+        CHECK(world.status("bad") == job_status::queued);
     }
 }
