cell: Bound the runs of a late answering worker by the lease that it has

A worker that answers after the computed end of its lease was taken for empty one longest lease later. A lease is computed from the last reading of the worker's clock, which may be 1.5 s old while a renewal waits; if that clock had stood still, a run could outlast the bound by as much, and its task could run twice.

Change: the latest lease that was given is kept on the worker's clock, and what is left of it at the answer counts, if that is longer.

No test shows the fault: the worker of the tests has no clock that stands still.

--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -50,6 +50,7 @@
         std::chrono::duration_cast<duration>(ahead / min_clock_rate) +
         lapse_margin;
     worker.lease_expires_at_ = std::max(worker.lease_expires_at_, lapse);
+    worker.leased_until_ = std::max(worker.leased_until_, until);
     return until;
 }
 
@@ -59,9 +60,12 @@
     {
         return worker.lease_expires_at_;
     }
-    auto const longest = std::chrono::duration_cast<duration>(
-        options_.longest_lease_ / min_clock_rate);
-    return worker.answered_ + longest + lapse_margin;
+    auto const remaining = std::max(options_.longest_lease_,
+                                    std::chrono::duration_cast<duration>(
+                                        worker.leased_until_ - worker.clock_));
+    return worker.answered_ +
+           std::chrono::duration_cast<duration>(remaining / min_clock_rate) +
+           lapse_margin;
 }
 
 bool cell::needs_renewal(worker_state const& worker) const
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -104,6 +104,8 @@
 
     worker_clock clock_{0};
     time_point clock_read_at_{};
+    /// The latest end of a lease that this owner gave, on the worker's clock.
+    worker_clock leased_until_{0};
     /// All runs on the worker end by then unless the lease is renewed.
     time_point lease_expires_at_{};
     /// When the worker last answered.
