cell: Start long-running tasks at once after crashes of their workers

LOST is the graver rule, so the pause, the wait for a proof and the wait for isolation are gone for them. An incarnation's first answer ends all earlier ones of its VM, and not just those that are known to be silent: an empty worker that is long gone was the first choice of an isolated task.

Tried before: giving such a task up after four or five crashes, and pausing only one that is suspected of a third of all crashes; both broke progress_test.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -349,8 +349,8 @@
     void release_all(worker_state& worker, time_point now);
     void end_incarnation(worker_state& worker, char const* cause,
                          time_point now);
-    /// Ends the silent incarnations that were on the worker's VM before: a VM
-    /// runs one at a time, and this one answers.
+    /// Ends the incarnations that were on the worker's VM before: a VM runs one
+    /// at a time, and this one answers.
     void end_earlier_incarnations(worker_state const& worker, time_point now);
     /// Removes a worker from `workers_` and its index.
     std::map<std::string, worker_state>::iterator
@@ -365,8 +365,8 @@
     /// `lease_expires_at_` to cover it.
     worker_clock lease_for(worker_state& worker, time_point now);
     /// By when all runs of a worker have ended if it doesn't answer again. An
-    /// answer after the computed end of its lease shows that the worker is
-    /// slower than assumed.
+    /// answer after the computed end of its lease shows that runs may have
+    /// outlasted it.
     time_point runs_end_by(worker_state const& worker) const;
     /// Compares the runs that a worker reports with the tasks assigned to it.
     /// @param asked when the report was requested
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -47,7 +47,7 @@
             auto const at = find(run.first);
             ++at.task_->unexplained_losses_;
             store_crashes(*at.job_);
-            if (needs_crash_proof(*at.task_))
+            if (needs_crash_proof(*at.task_) && !at.shape_->long_running_)
             {
                 at.task_->not_before_ = now + crash_proof_wait;
             }
@@ -200,10 +200,6 @@
               worker + " run=" + std::to_string(at.task_->run_) +
                   " crashes=" + std::to_string(at.task_->crashes_) +
                   " prime=" + std::to_string(at.task_->prime_crashes_));
-    if (at.shape_->long_running_)
-    {
-        at.task_->not_before_ = now + restart_pause(*at.task_);
-    }
     give_up_if_due(task, at, now);
 }
 
@@ -286,9 +282,7 @@
             at.task_->crashes_ = item.second.all_;
             at.task_->prime_crashes_ = item.second.prime_;
             at.task_->waiting_since_ = now;
-            begin_isolation(
-                *at.task_,
-                required_isolation(*at.task_, at.shape_->long_running_, now));
+            begin_isolation(*at.task_, required_isolation(*at.task_, now));
             give_up_if_due(task, at, now);
         }
     }
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -209,8 +209,7 @@
             continue;
         }
         task_location at{&job, &state, &shape, &task};
-        auto const isolation =
-            required_isolation(task, shape.long_running_, now);
+        auto const isolation = required_isolation(task, now);
         if (isolation != task_isolation::none)
         {
             place_isolated({id, occurrence, step, i}, at, isolation, now);
@@ -237,7 +236,13 @@
                           task_isolation isolation, time_point now)
 {
     step_id const step{task.job_, task.occurrence_, task.step_};
-    auto* const worker = choose_worker(step, *at.job_, isolation, now);
+    auto* worker = choose_worker(step, *at.job_, isolation, now);
+    if (worker == nullptr && at.shape_->long_running_)
+    {
+        // It is to run at all times, so that it doesn't wait for isolation.
+        isolation = task_isolation::waived;
+        worker = choose_worker(step, *at.job_, isolation, now);
+    }
     if (worker == nullptr)
     {
         next_isolation_retry_ = now + isolation_retry_interval;
@@ -312,8 +317,7 @@
     for (; placed < state.tasks_.size(); ++placed)
     {
         task_location at{&job, &state, &shape, &state.tasks_[placed]};
-        auto const isolation =
-            required_isolation(*at.task_, shape.long_running_, now);
+        auto const isolation = required_isolation(*at.task_, now);
         auto* const worker =
             choose_worker({id, occurrence, step}, job, isolation, now);
         if (worker == nullptr)
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -303,8 +303,7 @@
     for (auto const& name : workers_on(worker.entry_.vm_))
     {
         auto& other = workers_.at(name);
-        if (other.first_seen_ < worker.first_seen_ &&
-            other.unanswered_renewals_ > 0 && !other.incarnation_ended_)
+        if (other.first_seen_ < worker.first_seen_ && !other.incarnation_ended_)
         {
             end_incarnation(other, "vm_has_new_life", now);
         }
--- a/source/kernel/cell/task_isolation.cpp
+++ b/source/kernel/cell/task_isolation.cpp
@@ -14,12 +14,8 @@
 constexpr std::uint32_t losses_to_run_alone = 2;
 /// How long a task waits for a worker without other tasks.
 constexpr duration max_isolation_wait = std::chrono::milliseconds{2500};
-/// How long a task that is to run alone waits for any isolation. A long-running
-/// task must run again within some seconds of calm.
+/// How long a task that is to run alone waits for any isolation.
 constexpr duration max_proof_wait = std::chrono::seconds{5};
-constexpr duration max_long_running_proof_wait = std::chrono::seconds{2};
-/// Pause of a long-running task after `max_crashes`; twice that after more.
-constexpr duration first_restart_pause = std::chrono::seconds{6};
 /// With this many lost workers a task is not started again until it is known
 /// how the last ones were lost.
 constexpr std::uint32_t max_unexplained_crashes = 4;
@@ -44,13 +40,6 @@
            (is_proved || task.crashes_ >= max_unproved_crashes);
 }
 
-duration restart_pause(task_state const& task)
-{
-    return task.crashes_ < max_crashes    ? duration{0}
-           : task.crashes_ == max_crashes ? first_restart_pause
-                                          : 2 * first_restart_pause;
-}
-
 bool ran_before(task_state const& task, time_point lost_at)
 {
     return task.started_ != time_point{} &&
@@ -68,8 +57,7 @@
            task.crashes_ + task.unexplained_losses_ >= max_unexplained_crashes;
 }
 
-task_isolation required_isolation(task_state const& task, bool long_running,
-                                  time_point now)
+task_isolation required_isolation(task_state const& task, time_point now)
 {
     auto const losses = task.crashes_ + task.unexplained_losses_;
     auto const waited = now - task.waiting_since_;
@@ -83,9 +71,7 @@
                : waited > max_isolation_wait ? task_isolation::waived
                                              : task_isolation::grouped;
     }
-    auto const proof_wait =
-        long_running ? max_long_running_proof_wait : max_proof_wait;
-    return waited > proof_wait           ? task_isolation::waived
+    return waited > max_proof_wait       ? task_isolation::waived
            : waited > max_isolation_wait ? task_isolation::beside_long_running
                                          : task_isolation::alone;
 }
--- a/source/kernel/cell/task_isolation.hpp
+++ b/source/kernel/cell/task_isolation.hpp
@@ -22,9 +22,6 @@
 /// that it meets many crashes that it has no part in.
 bool is_given_up(task_state const& task, bool long_running);
 
-/// How long a long-running task waits for its next start after its crashes.
-duration restart_pause(task_state const& task);
-
 /// Whether the run had lasted for a while when its worker was lost. Most tasks
 /// that crash their worker do so soon after their start.
 bool ran_before(task_state const& task, time_point lost_at);
@@ -32,8 +29,7 @@
 /// The isolation that the task needs at its next start, by the workers that
 /// were lost under it. A task that has waited for an isolated worker for too
 /// long needs less: it may not wait for ever in a pool that is busy.
-task_isolation required_isolation(task_state const& task, bool long_running,
-                                  time_point now);
+task_isolation required_isolation(task_state const& task, time_point now);
 
 /// Whether the task is to be given up if the workers that it lost have crashed,
 /// so that its next start waits for a moment for the proof.
