cell: Collect a job's crash counts only if they changed

Each batch collected them for every job that it holds, a walk over all of its tasks. crashing_task_test passes.

--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -240,10 +240,14 @@
 void cell::append_crash_record(std::string const& id, job_state& job,
                                cell_batch& batch)
 {
-    auto const counts = job.ended() ? crash_counts{} : crash_counts_of(job);
     bool const is_due = std::exchange(job.crashes_changed_, false) ||
                         (job.ended() && job.has_crash_record_);
-    if (!is_due || (counts.empty() && !job.has_crash_record_))
+    if (!is_due)
+    {
+        return;
+    }
+    auto const counts = job.ended() ? crash_counts{} : crash_counts_of(job);
+    if (counts.empty() && !job.has_crash_record_)
     {
         return;
     }
