--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -198,7 +198,11 @@
     if (worker.unanswered_renewals_ > 0)
     {
         worker.unanswered_renewals_ = 0;
-        log_event("worker_answers_again", name, "renewal");
+        log_event("worker_answers_again", name,
+                  "renewal born=" + describe(report.incarnation_start_) +
+                      " ends_listed=" + std::to_string(report.ended_.size()) +
+                      " ends_read=" + std::to_string(worker.read_) +
+                      " ends_recorded=" + std::to_string(worker.recorded_));
         placement_due_ = true;
     }
     forget_losses(worker);
@@ -370,7 +374,11 @@
     case task_phase::running:
         if (asked > state.started_)
         {
-            log_event("run_vanished", describe(task), worker.entry_.id_);
+            log_event("run_vanished", describe(task),
+                      worker.entry_.id_ +
+                          " run=" + std::to_string(state.run_) +
+                          " ends_read=" + std::to_string(worker.read_) +
+                          " ends_recorded=" + std::to_string(worker.recorded_));
             release(task, at, now);
             mark_dirty(*at.job_);
         }
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -106,7 +106,8 @@
     if (worker.entry_.address_.empty())
     {
         log_event("worker_listed", entry.id_,
-                  "vm=" + entry.vm_.text() + " pool=" + entry.pool_.text());
+                  "vm=" + entry.vm_.text() + " pool=" + entry.pool_.text() +
+                      " born=" + describe(entry.incarnation_start_));
     }
     else if (!(worker.entry_.size_ == entry.size_))
     {
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -15,6 +15,12 @@
 namespace cuminfold
 {
 
+/// The start of an incarnation for logs, in milliseconds since 1970.
+inline std::string describe(calendar_time start)
+{
+    return std::to_string(start.time_since_epoch().count());
+}
+
 /// A worker as it registered itself.
 struct worker_registration
 {
@@ -27,6 +33,9 @@
     resource_amount size_;
     std::set<std::string> labels_;
     bool draining_ = false;
+    /// When the incarnation started, by the worker's calendar; tells the
+    /// incarnations of one id apart. Unset if the platform does not state it.
+    calendar_time incarnation_start_{};
 };
 
 /// A task that a worker reports as running.
@@ -65,6 +74,8 @@
 struct worker_report
 {
     worker_clock clock_{0};
+    /// As in `worker_registration`.
+    calendar_time incarnation_start_{};
     std::vector<running_report> running_;
     std::vector<end_report> ended_;
 };
--- a/source/node/worker_follower.cpp
+++ b/source/node/worker_follower.cpp
@@ -104,6 +104,7 @@
             known->second.address_ == entry.address_ &&
             known->second.pool_ == entry.pool_ &&
             known->second.draining_ == entry.draining_ &&
+            known->second.incarnation_start_ == entry.incarnation_start_ &&
             known->second.labels_ == entry.labels_ &&
             known->second.size_.cpu_milli_ == entry.size_.cpu_milli_ &&
             known->second.size_.memory_mb_ == entry.size_.memory_mb_ &&
