cell: Start no task beside an orphaned run of it

What callers see: a start that is carried out late by a worker's next incarnation runs beside the second start of its task, or the task starts again after that run has ended well (TWICE).

Cause: a run that a report lists and no job wants was stopped, but its task was placed meanwhile; and its end was acknowledged without counting.

Change: a waiting task waits until the worker's report is without that run, or its lease has ended. A run that ends well within the lease completes a task that waits.

--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -197,13 +197,13 @@
         {
             continue;
         }
-        if (task.not_before_ > now + isolation_retry_interval ||
+        if (earliest_start(task) > now + isolation_retry_interval ||
             is_held(task, shape.long_running_))
         {
             next_isolation_retry_ = now + isolation_retry_interval;
             continue;
         }
-        if (task.not_before_ > now)
+        if (earliest_start(task) > now)
         {
             placement_due_ = true;
             continue;
@@ -302,9 +302,9 @@
             next_isolation_retry_ = now + isolation_retry_interval;
             return false;
         }
-        if (task.phase_ != task_phase::waiting || task.not_before_ > now)
+        if (task.phase_ != task_phase::waiting || earliest_start(task) > now)
         {
-            placement_due_ = placement_due_ || task.not_before_ > now;
+            placement_due_ = placement_due_ || earliest_start(task) > now;
             return false;
         }
         if (task.run_ >= run && !task.checkpoint_.empty())
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -3,6 +3,7 @@
 #include "kernel/cell/task_isolation.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminfold
 {
@@ -280,7 +281,15 @@
                      time_point asked, time_point now)
 {
     std::map<task_id, running_report const*> reported;
-    worker.orphaned_runs_.clear();
+    for (auto const& orphan : std::exchange(worker.orphaned_runs_, {}))
+    {
+        auto const at = find(orphan.first);
+        if (at)
+        {
+            at.task_->orphan_ends_by_ = {};
+            placement_due_ = true;
+        }
+    }
     for (auto const& running : report.running_)
     {
         auto const at = find(running.task_);
@@ -293,6 +302,10 @@
         else
         {
             worker.orphaned_runs_[running.task_] = running.run_;
+            if (at)
+            {
+                at.task_->orphan_ends_by_ = worker.lease_expires_at_;
+            }
         }
     }
     auto const tasks = worker.tasks_;
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -221,11 +221,28 @@
                       time_point now)
 {
     auto const at = find(end.task_);
-    if (!at || at.task_->phase_ == task_phase::done ||
-        at.task_->worker_ != worker.entry_.id_ || at.task_->run_ != end.run_)
+    if (!at || at.task_->phase_ == task_phase::done)
     {
         return;
     }
+    bool const is_present_run =
+        at.task_->worker_ == worker.entry_.id_ && at.task_->run_ == end.run_;
+    if (!is_present_run)
+    {
+        // Beyond its lease an end does not count for the platform.
+        bool const is_completed =
+            end.outcome_ == run_end::done && now <= worker.lease_expires_at_ &&
+            at.task_->phase_ == task_phase::waiting &&
+            !at.shape_->long_running_ && !at.shape_->gang_;
+        if (is_completed)
+        {
+            log_event("orphan_completed", describe(end.task_),
+                      worker.entry_.id_ + " run=" + std::to_string(end.run_));
+            occupy(end.task_, at, worker.entry_.id_);
+            finish(end.task_, at, now);
+        }
+        return;
+    }
     if (at.shape_->checkpointing_ && !end.checkpoint_.empty())
     {
         at.task_->checkpoint_ = end.checkpoint_;
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -6,6 +6,7 @@
 #include "kernel/identifier.hpp"
 #include "kernel/time.hpp"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -94,8 +95,16 @@
     time_point unavailable_since_{};
     /// Earliest time of the next start.
     time_point not_before_{};
+    /// Until then an orphaned run of the task may last on a worker.
+    time_point orphan_ends_by_{};
 };
 
+/// When a waiting task may be started again.
+inline time_point earliest_start(task_state const& task)
+{
+    return std::max(task.not_before_, task.orphan_ends_by_);
+}
+
 /// One step of one occurrence.
 struct step_state
 {
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -316,7 +316,8 @@
     return found == known.end() ? 0 : found->second.token_offset_;
 }
 
-void cell_world::force_start(std::uint32_t worker, task_id const& task)
+void cell_world::force_start(std::uint32_t worker, task_id const& task,
+                             std::optional<milliseconds> time)
 {
     auto const& job = submitted_.at(task.job_.text());
     start_run order;
@@ -329,7 +330,7 @@
     fake_worker::run planned;
     planned.used_ = usage_of(job.steps_[task.step_]);
     planned.began_ = now_;
-    planned.ends_ = time_point::max();
+    planned.ends_ = time ? now_ + *time : time_point::max();
     auto const outcome =
         workers_[worker]->start(token_of(order), order, planned, now_);
     if (outcome == call_outcome::accepted)
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -85,7 +85,10 @@
     void list_vms();
     /// Starts a task on a worker without the owner, to simulate a defect that
     /// the oracle must detect.
-    void force_start(std::uint32_t worker, task_id const& task);
+    /// @param time after which the run ends by itself; without an end if absent
+    void
+    force_start(std::uint32_t worker, task_id const& task,
+                std::optional<std::chrono::milliseconds> time = std::nullopt);
     /// Stops the present run of a task on a worker without the owner, likewise.
     void force_stop(std::uint32_t worker, task_id const& task);
     /// Whether the oracle found a violation whose text begins with `rule`.
--- a/tests/kernel/cell/worker_restart_test.cpp
+++ b/tests/kernel/cell/worker_restart_test.cpp
@@ -119,6 +119,46 @@
     CHECK(world.runs_of("second") == 4);
 }
 
+/// What becomes of an orphaned run of a task that waits.
+struct orphan_case
+{
+    char const* name_;
+    std::uint32_t stops_lost_;
+    std::size_t runs_;
+};
+
+// Guards against a second run beside a late start of the first one, and after
+// its end was acknowledged.
+TEST_CASE("a task that waits is not started beside its orphaned run")
+{
+    orphan_case const cases[] = {{"it is stopped", 0, 2},
+                                 {"it ends by itself", 100, 1}};
+    for (auto const& each : cases)
+    {
+        CAPTURE(std::string(each.name_));
+        cell_world world(1, 2, cell_world::restart_ids::kept);
+        world.registration_delay_ = 20ms;
+        world.run_for(50ms);
+        world.entries_stale_ = true;
+        world.run_for(2000ms);
+        world.submit("a", {cell_world::make_step(1, 1000, 800ms)});
+        world.run_for(100ms);
+        REQUIRE(world.runs_of("a") == 0);
+        world.faults_.stops_lost_ = each.stops_lost_;
+        world.crash_for(0, 0ms);
+        world.run_for(10ms);
+        // As a start of before that is carried out late.
+        world.force_start(0, {job_id{"a"}, 0, 0, 0}, 800ms);
+        world.worker(0).stop_time_ = 400ms;
+        world.run_for(100ms);
+        world.entries_stale_ = false;
+        world.run_for(4000ms);
+        CHECK(world.status("a") == job_status::completed);
+        CHECK(world.runs_of("a") == each.runs_);
+        CHECK(world.violations() == "");
+    }
+}
+
 // Guards against any state of a worker's incarnation that is used for the next
 // one under the same id: each restart makes a task run twice, or a worker or a
 // job wait for good.
