cell: Remove a worker from its former pool once its registration changes

What callers see: tasks of a queue run on a worker of another pool (ROUTE).

Cause: a worker left a pool's list only when its entry was removed. One that returns under its id after a move registers another pool in the same entry.

Result: 'a worker that returns in another pool gets no tasks of its former one': 40 of 53 checks failed, now none.

--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -94,6 +94,10 @@
     {
         worker.reserved_since_ = reservation->second;
     }
+    if (worker.entry_.pool_ != entry.pool_)
+    {
+        remove_name(pool_workers_[worker.entry_.pool_], entry.id_);
+    }
     auto& members = pool_workers_[entry.pool_];
     if (std::find(members.begin(), members.end(), entry.id_) == members.end())
     {
--- a/tests/kernel/cell/worker_restart_test.cpp
+++ b/tests/kernel/cell/worker_restart_test.cpp
@@ -119,6 +119,26 @@
     CHECK(world.runs_of("second") == 4);
 }
 
+// Guards against tasks on a worker that serves another pool since a move under
+// its id.
+TEST_CASE(
+    "a worker that returns in another pool gets no tasks of its former one")
+{
+    cell_world world(1, 2, cell_world::restart_ids::kept);
+    world.run_for(100ms);
+    world.crash_for(0, 500ms);
+    world.run_for(500ms);
+    world.worker(0).entry_.pool_ = pool_name{"other"};
+    world.run_for(1000ms);
+    world.submit("a", {cell_world::make_step(24, 1000, 400ms)});
+    for (int i = 0; i < 200 && world.status("a") != job_status::completed; ++i)
+    {
+        world.run_for(10ms);
+        CHECK(world.worker(0).running_.empty());
+    }
+    CHECK(world.status("a") == job_status::completed);
+}
+
 /// What becomes of an orphaned run of a task that waits.
 struct orphan_case
 {
