cell: Drop the tickets of a worker that has restarted

What callers see: starts that the worker refuses for their ticket, which is valid for one incarnation only, and a wait for the next query.

Cause: tickets were cached by the worker's id.

Change: they are dropped with the incarnation and with the worker; the answer to a query of before does not count for it.

--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -57,6 +57,7 @@
                       " ends_recorded=" + std::to_string(worker.recorded_));
         unsettle_tasks(worker, now);
         forget_reported_ends(worker.entry_.id_);
+        tickets_.erase_worker(worker.entry_.id_);
         static_cast<worker_incarnation&>(worker) = worker_incarnation{};
         worker.first_seen_ = now;
         placement_due_ = true;
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -141,6 +141,7 @@
 {
     auto& worker = position->second;
     forget_reported_ends(position->first);
+    tickets_.erase_worker(position->first);
     auto const on_vm = vm_workers_.find(worker.entry_.vm_);
     if (on_vm != vm_workers_.end())
     {
--- a/source/kernel/cell/ticket_cache.cpp
+++ b/source/kernel/cell/ticket_cache.cpp
@@ -99,7 +99,12 @@
     place->second.in_flight_ = false;
     for (auto const& worker : workers)
     {
-        auto& entry = place->second.workers_[worker];
+        auto const known = place->second.workers_.find(worker);
+        if (known == place->second.workers_.end())
+        {
+            continue;
+        }
+        auto& entry = known->second;
         entry.requested_ = false;
         auto const found = std::find_if(allowed.begin(), allowed.end(),
                                         [&](issued_ticket const& each)
@@ -125,7 +130,11 @@
     place->second.not_before_ = now + failure_pause;
     for (auto const& worker : workers)
     {
-        place->second.workers_[worker].requested_ = false;
+        auto const known = place->second.workers_.find(worker);
+        if (known != place->second.workers_.end())
+        {
+            known->second.requested_ = false;
+        }
     }
 }
 
@@ -138,6 +147,14 @@
     }
 }
 
+void ticket_cache::erase_worker(std::string const& worker)
+{
+    for (auto& step : steps_)
+    {
+        step.second.workers_.erase(worker);
+    }
+}
+
 void ticket_cache::erase_job(job_id const& job)
 {
     auto const first = steps_.lower_bound({job, 0, 0});
--- a/source/kernel/cell/ticket_cache.hpp
+++ b/source/kernel/cell/ticket_cache.hpp
@@ -66,6 +66,9 @@
     /// Marks the worker's ticket as expired because the worker refused it.
     void refused(step_id const& step, std::string const& worker);
 
+    /// Drops all entries of the worker, whose tickets end with its incarnation.
+    /// The answer to a query in flight does not count for it.
+    void erase_worker(std::string const& worker);
     /// Drops all entries of the job.
     void erase_job(job_id const& job);
 
