cell: Count the crash that a restart under the id shows

Cause: an answer after silence proved that the worker had not crashed. One that restarts under its id answers as well, so that its losses were forgotten; and a new owner could not tell that a worker had restarted since a run was stored.

Change: the first report of another incarnation counts a crash for the tasks of before that it does not list, unless the end was announced or ordered.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -101,6 +101,12 @@
     /// @throws std::invalid_argument if the text is not readable
     void restore_crash_counts(job_id const& job, std::string const& text,
                               time_point now);
+    /// Restores on which incarnation of a worker its stored runs were started;
+    /// called after the progress of all jobs.
+    /// @param start as the record of kind `incarnation` holds it
+    /// @throws std::invalid_argument if the text is not readable
+    void restore_incarnation(std::string const& worker,
+                             std::string const& start);
     /// Discards progress without a request and computes the objectives of the
     /// open jobs, counted from `now`.
     void finish_restore(time_point now);
@@ -378,6 +384,9 @@
     /// Ends that the worker reported are not acknowledged once they are
     /// recorded.
     void forget_reported_ends(std::string const& worker);
+    /// Adds the worker's incarnation to the next batch, or deletes it there if
+    /// it is unknown.
+    void store_incarnation(worker_state& worker);
 
     // cell_renewals.cpp
     /// Computes the end of a new lease on the worker's clock, and extends
@@ -456,7 +465,9 @@
     /// The worker's incarnation has ended: counts a crash for each task that
     /// may have caused it, unless the end was ordered or announced.
     /// @param can_be_proof the end was seen, and not only concluded
-    void count_crash(worker_state& worker, bool can_be_proof, time_point now);
+    /// @param survivors lists the runs that began on the next incarnation
+    void count_crash(worker_state& worker, bool can_be_proof, time_point now,
+                     worker_report const& survivors = {});
     /// The worker's runs that may have crashed it at that time, by task.
     std::map<task_id, std::uint32_t> suspects_of(worker_state const& worker,
                                                  time_point lost_at);
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -128,14 +128,16 @@
     progress, ///< a job's status and its tasks' runs
     vm_order, ///< a VM's orders, see `vm_order_record`
     wave,     ///< a wave that is completed
-    crashes   ///< a job's `crash_counts`
+    crashes,  ///< a job's `crash_counts`
+    /// The incarnation of a worker on which its stored runs were started.
+    incarnation
 };
 
 /// One record of a cell's partition. A record without content deletes its key.
 struct cell_record
 {
     record_kind kind_ = record_kind::progress;
-    /// Names a job, a VM or a wave.
+    /// Names a job, a VM, a wave or a worker.
     std::string name_;
     std::shared_ptr<job_definition const> request_;
     std::optional<job_progress> progress_;
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -22,11 +22,21 @@
 /// its last crash.
 constexpr duration crash_proof_wait = std::chrono::seconds{1};
 
+/// Whether the report names that run, as running or as ended.
+bool lists(worker_report const& report, task_id const& task, std::uint32_t run)
+{
+    auto const is_run = [&](auto const& row)
+    { return row.run_ == run && row.task_ == task; };
+    return std::any_of(report.running_.begin(), report.running_.end(),
+                       is_run) ||
+           std::any_of(report.ended_.begin(), report.ended_.end(), is_run);
+}
+
 /// Whether the worker had announced its end when it was lost, or may have been
 /// ordered to restart by then.
 bool is_planned_end(worker_state const& worker, time_point lost_at)
 {
-    return worker.entry_.draining_ ||
+    return worker.entry_.draining_ || worker.predecessor_drained_ ||
            (worker.reserved_ && worker.reserved_since_ <= lost_at);
 }
 
@@ -144,7 +154,8 @@
                        });
 }
 
-void cell::count_crash(worker_state& worker, bool can_be_proof, time_point now)
+void cell::count_crash(worker_state& worker, bool can_be_proof, time_point now,
+                       worker_report const& survivors)
 {
     auto const crashed_at =
         worker.unanswered_renewals_ > 0 ? worker.silent_since_ : now;
@@ -159,7 +170,8 @@
         auto const at = find(run->first);
         bool const counts = at && !at.job_->ended() &&
                             at.task_->phase_ != task_phase::done &&
-                            run->second > at.task_->acquitted_run_;
+                            run->second > at.task_->acquitted_run_ &&
+                            !lists(survivors, run->first, run->second);
         run = counts ? std::next(run) : suspects.erase(run);
     }
     if (suspects.empty() || is_planned_end(worker, crashed_at))
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -1,5 +1,9 @@
 #include "kernel/cell/cell.hpp"
 
+#include <charconv>
+#include <stdexcept>
+#include <utility>
+
 namespace cuminfold
 {
 
@@ -21,6 +25,7 @@
                            : worker.entry_.incarnation_start_;
     if (start != known)
     {
+        worker.predecessor_drained_ = worker.entry_.draining_;
         query_incarnation(worker, "entry", now);
     }
 }
@@ -55,6 +60,7 @@
                       " tasks=" + std::to_string(worker.tasks_.size()) +
                       " ends_read=" + std::to_string(worker.read_) +
                       " ends_recorded=" + std::to_string(worker.recorded_));
+        count_crash(worker, has_answered, now, report);
         unsettle_tasks(worker, now);
         forget_reported_ends(worker.entry_.id_);
         tickets_.erase_worker(worker.entry_.id_);
@@ -97,4 +103,46 @@
     }
 }
 
+void cell::store_incarnation(worker_state& worker)
+{
+    if (worker.stored_start_ == worker.incarnation_start_)
+    {
+        return;
+    }
+    worker.stored_start_ = worker.incarnation_start_;
+    cell_record record;
+    record.kind_ = record_kind::incarnation;
+    record.name_ = worker.entry_.id_;
+    if (worker.incarnation_start_ != calendar_time{})
+    {
+        record.text_ = describe(worker.incarnation_start_);
+    }
+    append_record(std::move(record));
+}
+
+void cell::restore_incarnation(std::string const& name,
+                               std::string const& start)
+{
+    std::int64_t milliseconds = 0;
+    auto const* const end = start.data() + start.size();
+    auto const parsed = std::from_chars(start.data(), end, milliseconds);
+    if (parsed.ec != std::errc{} || parsed.ptr != end)
+    {
+        throw std::invalid_argument("not the start of an incarnation: " +
+                                    start);
+    }
+    auto const worker = workers_.find(name);
+    if (worker == workers_.end())
+    {
+        cell_record record;
+        record.kind_ = record_kind::incarnation;
+        record.name_ = name;
+        append_record(std::move(record));
+        return;
+    }
+    worker->second.incarnation_start_ =
+        calendar_time{std::chrono::milliseconds{milliseconds}};
+    worker->second.stored_start_ = worker->second.incarnation_start_;
+}
+
 } // namespace cuminfold
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -171,6 +171,7 @@
             if (at && at.task_->phase_ == task_phase::placed)
             {
                 effects.starts_.emplace_back(task, record.run_);
+                store_incarnation(workers_.at(record.worker_));
             }
         }
     }
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -241,6 +241,7 @@
     if (!worker.fenced_)
     {
         worker.fenced_ = true;
+        worker.predecessor_drained_ = false;
         // From now on the worker refuses leases of earlier owners; the last one
         // that it accepted ends by this time.
         worker.lease_expires_at_ =
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -142,6 +142,8 @@
     auto& worker = position->second;
     forget_reported_ends(position->first);
     tickets_.erase_worker(position->first);
+    worker.incarnation_start_ = {};
+    store_incarnation(worker);
     auto const on_vm = vm_workers_.find(worker.entry_.vm_);
     if (on_vm != vm_workers_.end())
     {
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -106,6 +106,8 @@
     /// The incarnation has answered a request with the worker's present token,
     /// so that it refuses requests with lower ones.
     bool fenced_ = false;
+    /// The incarnation before had announced its end.
+    bool predecessor_drained_ = false;
     /// When the owner learned of the incarnation.
     time_point first_seen_{};
 
@@ -137,6 +139,8 @@
     /// Added to the epoch for the fencing token of requests to the worker.
     /// Raised whenever another incarnation may answer.
     std::uint32_t token_offset_ = 0;
+    /// `incarnation_start_` as stored; unset if the store has none.
+    calendar_time stored_start_{};
     /// The worker's entry was removed from the store, or its incarnation ended.
     bool unlisted_ = false;
     /// Another incarnation runs on the worker's VM or answers at its address.
--- a/source/node/cell_owner_store.cpp
+++ b/source/node/cell_owner_store.cpp
@@ -32,6 +32,7 @@
 constexpr char const* vm_order_prefix = "v";
 constexpr char const* wave_prefix = "w";
 constexpr char const* crashes_prefix = "c";
+constexpr char const* incarnation_prefix = "b";
 
 char const* key_prefix(record_kind kind)
 {
@@ -47,6 +48,8 @@
         return wave_prefix;
     case record_kind::crashes:
         return crashes_prefix;
+    case record_kind::incarnation:
+        return incarnation_prefix;
     }
     return progress_prefix;
 }
@@ -93,6 +96,7 @@
     auto const now = node_now();
     std::map<std::string, std::string> progress;
     std::map<std::string, std::string> crashes;
+    std::map<std::string, std::string> incarnations;
     std::size_t jobs = 0;
     for (auto const& record : content.records_)
     {
@@ -116,6 +120,10 @@
             {
                 crashes[id] = *record.value_;
             }
+            else if (record.key_.rfind(incarnation_prefix, 0) == 0)
+            {
+                incarnations[id] = *record.value_;
+            }
             else if (record.key_.rfind(vm_order_prefix, 0) == 0)
             {
                 fleet_.restore_order(vm_id{id}, *record.value_, now);
@@ -132,34 +140,35 @@
                 {{"key", record.key_}, {"error", error.what()}}, now);
         }
     }
-    for (auto const& item : progress)
+    auto const restore_each =
+        [&](char const* prefix,
+            std::map<std::string, std::string> const& records,
+            auto const& restore)
     {
-        try
+        for (auto const& item : records)
         {
-            cell_.restore(job_id{item.first}, decode_progress(item.second),
-                          now);
-        }
-        catch (decode_error const& error)
-        {
-            environment_.log_.write(
-                "record_skipped",
-                {{"key", item.first}, {"error", error.what()}}, now);
-        }
-    }
-    for (auto const& item : crashes)
-    {
-        try
-        {
-            cell_.restore_crash_counts(job_id{item.first}, item.second, now);
-        }
-        catch (std::invalid_argument const& error)
-        {
-            environment_.log_.write(
-                "record_skipped",
-                {{"key", crashes_prefix + item.first}, {"error", error.what()}},
-                now);
+            try
+            {
+                restore(item.first, item.second);
+            }
+            catch (std::exception const& error)
+            {
+                environment_.log_.write(
+                    "record_skipped",
+                    {{"key", prefix + item.first}, {"error", error.what()}},
+                    now);
+            }
         }
-    }
+    };
+    restore_each(progress_prefix, progress,
+                 [&](std::string const& job, std::string const& bytes)
+                 { cell_.restore(job_id{job}, decode_progress(bytes), now); });
+    restore_each(crashes_prefix, crashes,
+                 [&](std::string const& job, std::string const& text)
+                 { cell_.restore_crash_counts(job_id{job}, text, now); });
+    restore_each(incarnation_prefix, incarnations,
+                 [&](std::string const& worker, std::string const& start)
+                 { cell_.restore_incarnation(worker, start); });
     environment_.log_.write(
         "cell_loaded",
         {{"epoch", std::to_string(record_.epoch_)},
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -179,6 +179,13 @@
                                         now_);
         }
     }
+    for (auto const& start : stored_texts_[record_kind::incarnation])
+    {
+        if (!start.second.empty())
+        {
+            cell_->restore_incarnation(start.first, start.second);
+        }
+    }
     for (auto const& worker : workers_)
     {
         cell_->on_worker_listed(worker->entry_, now_);
@@ -446,6 +453,7 @@
     case record_kind::vm_order:
     case record_kind::wave:
     case record_kind::crashes:
+    case record_kind::incarnation:
         set(stored_texts_[record.kind_], record.text_);
         return;
     }
--- a/tests/kernel/cell/crashing_task_test.cpp
+++ b/tests/kernel/cell/crashing_task_test.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::uint32_t worker_count = 6;
 task_id const deadly_task{job_id{"a"}, 0, 0, 0};
+constexpr cell_world::restart_ids all_restart_ids[] = {
+    cell_world::restart_ids::changed, cell_world::restart_ids::kept};
 
 /// How a job with one task that crashes its workers is run.
 struct crash_case
@@ -69,6 +71,49 @@
      }},
 };
 
+void check_given_up(crash_case const& each, cell_world::restart_ids ids,
+                    std::uint32_t seed)
+{
+    cell_world world(seed, worker_count, ids);
+    world.lists_vms_ = true;
+    world.deadly_.insert(deadly_task);
+    world.run_for(50ms);
+    auto step = cell_world::make_step(4, 900, 640ms);
+    each.shape_(step);
+    world.submit("a", {step});
+    world.submit("sound", {cell_world::make_step(12, 900, 640ms)});
+    for (int second = 0; second < 40; ++second)
+    {
+        each.disturb_(world, second);
+        world.run_for(1000ms);
+    }
+    CHECK(world.status("a") == job_status::failed);
+    CHECK(world.status("sound") == job_status::completed);
+    CHECK(world.crashes_by(deadly_task) >= 2);
+    CHECK(world.crashes_by(deadly_task) <= each.max_crashes_);
+    CHECK(world.violations() == "");
+}
+
+/// Replaces the owner some time after each crash, until the task is given up.
+void play_takeovers(cell_world& world, std::chrono::milliseconds delay)
+{
+    world.lists_vms_ = true;
+    world.deadly_.insert(deadly_task);
+    world.run_for(50ms);
+    world.submit("a", {cell_world::make_step(1, 900, 640ms)});
+    std::uint32_t crashes = 0;
+    for (int i = 0; i < 6000 && world.status("a") != job_status::failed; ++i)
+    {
+        world.run_for(10ms);
+        if (world.crashes_by(deadly_task) > crashes)
+        {
+            crashes = world.crashes_by(deadly_task);
+            world.run_for(delay);
+            world.take_over();
+        }
+    }
+}
+
 } // namespace
 
 // Guards against a task that crashed worker after worker, since nothing counted
@@ -77,28 +122,15 @@
 {
     for (auto const& each : crash_cases)
     {
-        for (std::uint32_t seed = 1; seed <= 5; ++seed)
+        for (auto const ids : all_restart_ids)
         {
-            CAPTURE(std::string(each.name_));
-            CAPTURE(seed);
-            cell_world world(seed, worker_count);
-            world.lists_vms_ = true;
-            world.deadly_.insert(deadly_task);
-            world.run_for(50ms);
-            auto step = cell_world::make_step(4, 900, 640ms);
-            each.shape_(step);
-            world.submit("a", {step});
-            world.submit("sound", {cell_world::make_step(12, 900, 640ms)});
-            for (int second = 0; second < 40; ++second)
+            for (std::uint32_t seed = 1; seed <= 5; ++seed)
             {
-                each.disturb_(world, second);
-                world.run_for(1000ms);
+                CAPTURE(std::string(each.name_));
+                CAPTURE(static_cast<int>(ids));
+                CAPTURE(seed);
+                check_given_up(each, ids, seed);
             }
-            CHECK(world.status("a") == job_status::failed);
-            CHECK(world.status("sound") == job_status::completed);
-            CHECK(world.crashes_by(deadly_task) >= 2);
-            CHECK(world.crashes_by(deadly_task) <= each.max_crashes_);
-            CHECK(world.violations() == "");
         }
     }
 }
@@ -129,27 +161,16 @@
 {
     for (auto delay = 0ms; delay <= 6000ms; delay += 100ms)
     {
-        CAPTURE(delay.count());
-        cell_world world(1, 20);
-        world.lists_vms_ = true;
-        world.deadly_.insert(deadly_task);
-        world.run_for(50ms);
-        world.submit("a", {cell_world::make_step(1, 900, 640ms)});
-        std::uint32_t crashes = 0;
-        for (int i = 0; i < 6000 && world.status("a") != job_status::failed;
-             ++i)
+        for (auto const ids : all_restart_ids)
         {
-            world.run_for(10ms);
-            if (world.crashes_by(deadly_task) > crashes)
-            {
-                crashes = world.crashes_by(deadly_task);
-                world.run_for(delay);
-                world.take_over();
-            }
+            CAPTURE(delay.count());
+            CAPTURE(static_cast<int>(ids));
+            cell_world world(1, 20, ids);
+            play_takeovers(world, delay);
+            CHECK(world.status("a") == job_status::failed);
+            CHECK(world.crashes_by(deadly_task) <= max_unproved_crashes);
+            CHECK(world.violations() == "");
         }
-        CHECK(world.status("a") == job_status::failed);
-        CHECK(world.crashes_by(deadly_task) <= max_unproved_crashes);
-        CHECK(world.violations() == "");
     }
 }
 
