tests: Play late starts before an incarnation's first answer, which fail

What the owner sends can't arrive earlier, and waiting for each unanswered start would hold its task for 12 s.

--- a/tests/kernel/cell/worker_restart_test.cpp
+++ b/tests/kernel/cell/worker_restart_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <iterator>
 #include <random>
 #include <string>
 
@@ -12,6 +14,7 @@
 {
 
 constexpr std::uint32_t worker_count = 5;
+constexpr std::size_t pattern_groups = 6;
 /// Time after the last fault in which all jobs end and all workers are used.
 constexpr auto calm_time = 30'000ms;
 
@@ -98,6 +101,33 @@
     world.run_for(calm_time);
 }
 
+/// Checks every `pattern_groups`th pattern from that one on.
+void check_patterns(std::size_t group)
+{
+    for (std::size_t i = group; i < std::size(restart_patterns);
+         i += pattern_groups)
+    {
+        for (std::uint32_t seed = 1; seed <= 10; ++seed)
+        {
+            auto const& pattern = restart_patterns[i];
+            CAPTURE(std::string(pattern.name_));
+            CAPTURE(seed);
+            cell_world world(seed, worker_count, cell_world::restart_ids::kept);
+            play(world, pattern, seed);
+            CHECK(world.violations() == "");
+            CHECK(world.all_ended());
+            for (std::uint32_t worker = 0; worker < worker_count; ++worker)
+            {
+                auto const& known = world.owner().workers();
+                auto const found = known.find(world.worker(worker).entry_.id_);
+                REQUIRE(found != known.end());
+                CHECK_FALSE(found->second.unlisted_);
+                CHECK(found->second.fenced_);
+            }
+        }
+    }
+}
+
 } // namespace
 
 // Guards against ends that were skipped, and acknowledged unread, since the
@@ -179,29 +209,48 @@
     }
 }
 
-// Guards against any state of a worker's incarnation that is used for the next
-// one under the same id: each restart makes a task run twice, or a worker or a
-// job wait for good.
-TEST_CASE("no task runs twice and all jobs end while workers restart")
+// Guards against a start that is carried out late by an incarnation that has
+// not answered yet, so that it has seen no token: it is not covered so far.
+TEST_CASE("late starts before the first answer of an incarnation")
 {
-    for (auto const& pattern : restart_patterns)
+    auto const pattern =
+        std::find_if(std::begin(restart_patterns), std::end(restart_patterns),
+                     [](restart_pattern const& each)
+                     { return std::string(each.name_) == "with late calls"; });
+    for (std::uint32_t const seed : {40, 61, 70})
     {
-        for (std::uint32_t seed = 1; seed <= 10; ++seed)
-        {
-            CAPTURE(std::string(pattern.name_));
-            CAPTURE(seed);
-            cell_world world(seed, worker_count, cell_world::restart_ids::kept);
-            play(world, pattern, seed);
-            CHECK(world.violations() == "");
-            CHECK(world.all_ended());
-            for (std::uint32_t worker = 0; worker < worker_count; ++worker)
-            {
-                auto const& known = world.owner().workers();
-                auto const found = known.find(world.worker(worker).entry_.id_);
-                REQUIRE(found != known.end());
-                CHECK_FALSE(found->second.unlisted_);
-                CHECK(found->second.fenced_);
-            }
-        }
+        CAPTURE(seed);
+        cell_world world(seed, worker_count, cell_world::restart_ids::kept);
+        play(world, *pattern, seed);
+        CHECK(world.violations() == "");
     }
 }
+
+// Guards against any state of a worker's incarnation that is used for the next
+// one under the same id: each restart makes a task run twice, or a worker or a
+// job wait for good. One case for each group, so that they run beside each
+// other.
+TEST_CASE("restarts of workers, pattern group 0")
+{
+    check_patterns(0);
+}
+TEST_CASE("restarts of workers, pattern group 1")
+{
+    check_patterns(1);
+}
+TEST_CASE("restarts of workers, pattern group 2")
+{
+    check_patterns(2);
+}
+TEST_CASE("restarts of workers, pattern group 3")
+{
+    check_patterns(3);
+}
+TEST_CASE("restarts of workers, pattern group 4")
+{
+    check_patterns(4);
+}
+TEST_CASE("restarts of workers, pattern group 5")
+{
+    check_patterns(5);
+}
