cell: Log runs that are lost and losses that are discarded

Cause: the log could not tell a crash that was left out from one that was discarded; neither left a line.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -458,6 +458,9 @@
     void stop_stalled(time_point now);
 
     // cell_crashes.cpp
+    /// Logs a run that ends without a report, since its worker is lost.
+    void log_loss(task_id const& task, task_location const& at,
+                  worker_state const& worker);
     /// Remembers which tasks may have crashed a worker whose lease lapsed.
     void record_loss(worker_state& worker, time_point now);
     /// The worker's losses were no crashes, or it will not be known.
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -42,6 +42,21 @@
 
 } // namespace
 
+void cell::log_loss(task_id const& task, task_location const& at,
+                    worker_state const& worker)
+{
+    if (at.task_->phase_ != task_phase::placed)
+    {
+        log_event(
+            "run_lost", describe(task),
+            worker.entry_.id_ + " run=" + std::to_string(at.task_->run_) +
+                " phase=" + std::to_string(static_cast<int>(at.task_->phase_)) +
+                " crashes=" + std::to_string(at.task_->crashes_) +
+                " unexplained=" +
+                std::to_string(at.task_->unexplained_losses_));
+    }
+}
+
 void cell::record_loss(worker_state& worker, time_point now)
 {
     if (worker.unanswered_renewals_ == 0 ||
@@ -309,6 +324,9 @@
     task.acquitted_run_ = task.run_;
     if (task.crashes_ > 0)
     {
+        log_event("crashes_cleared", job.request_->id_.text(),
+                  "run=" + std::to_string(task.run_) +
+                      " crashes=" + std::to_string(task.crashes_));
         task.crashes_ = 0;
         task.prime_crashes_ = 0;
         store_crashes(job);
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -118,6 +118,11 @@
         }
         if (now - worker.lost_at_ > max_loss_age)
         {
+            if (!worker.lost_runs_.empty())
+            {
+                log_event("losses_unexplained", worker.entry_.id_,
+                          "runs=" + std::to_string(worker.lost_runs_.size()));
+            }
             forget_losses(worker);
         }
         bool const removable = worker.unlisted_ && worker.tasks_.empty() &&
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -283,6 +283,7 @@
         auto const at = find(task);
         if (at)
         {
+            log_loss(task, at, worker);
             release(task, at, now);
             if (!at.job_->ended())
             {
