--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -21,8 +21,6 @@
 /// starts still find their lease valid.
 constexpr milliseconds max_lease_late_delay{4000};
 constexpr duration append_latency = milliseconds{12};
-/// Time from the start of a deadly task to the crash of its worker.
-constexpr milliseconds deadly_delay{10};
 /// Interval between two lists of VMs.
 constexpr duration vm_list_interval = milliseconds{500};
 /// After this many crashes a task may have fewer further starts than
@@ -599,7 +597,7 @@
             }
             if (deadly_.count(order.task_) != 0)
             {
-                schedule(now_ + deadly_delay,
+                schedule(now_ + deadly_delay_,
                          [this, task = order.task_, id = order.worker_]
                          { crash_under(task, id); });
             }
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -161,6 +161,8 @@
     std::set<vm_id> failing_vms_;
     /// Tasks that crash each worker that starts them.
     std::set<task_id> deadly_;
+    /// Time from the start of such a task to the crash of its worker.
+    std::chrono::milliseconds deadly_delay_{10};
     /// How long the VM of a worker that a task crashed is down.
     std::chrono::milliseconds deadly_down_time_{3300};
     /// Reports each VM with its present worker to the owner, as the platform's
