cell: Bound the starts of a task by the runs that nobody reported

What callers saw: BUDGET, a task started three times more after three workers had crashed under it. Cause: the bound held for crashes that were proved; a start without an answer on an idle worker, a loss that nothing explains for 20 s and a run older than 2 s counted for nothing, and a run that lasted cleared the count. Class: an action bounded by evidence that may never come. Change: start_budget counts lost runs, and from the third on each start, stored before the start is sent; five at most. Why it works: no start is sent that the stored count doesn't include, so that neither a missing answer nor a takeover hides it.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -101,6 +101,9 @@
     /// @throws std::invalid_argument if the text is not readable
     void restore_crash_counts(job_id const& job, std::string const& text,
                               time_point now);
+    /// The same for the starts that count under a job's tasks.
+    /// @param text as `encode(start_counts)` wrote it
+    void restore_start_counts(job_id const& job, std::string const& text);
     /// Restores on which incarnation of a worker its stored runs were started;
     /// called after the progress of all jobs.
     /// @param start as the record of kind `incarnation` holds it
@@ -381,6 +384,8 @@
                            time_point now);
     /// Leaves it to the next report which of the worker's tasks run there.
     void unsettle_tasks(worker_state& worker, time_point now);
+    /// Deletes a record of an earlier owner.
+    void delete_record(record_kind kind, std::string const& name);
     /// Ends that the worker reported are not acknowledged once they are
     /// recorded.
     void forget_reported_ends(std::string const& worker);
@@ -486,10 +491,35 @@
     /// that time, as in a failure of their power, whatever they ran.
     bool has_common_cause(worker_state const& lost, time_point at) const;
     static crash_counts crash_counts_of(job_state const& job);
-    /// Adds the job's crash counts to the batch, or deletes them once the job
-    /// has ended.
-    static void append_crash_record(std::string const& id, job_state& job,
-                                    cell_batch& batch);
+    static start_counts start_counts_of(job_state const& job);
+    /// The job that an earlier owner stored counts of. Deletes their record and
+    /// returns null if it has ended.
+    job_state* find_counted(record_kind kind, job_id const& id);
+    /// Adds the job's crash and start counts to the batch if they have changed,
+    /// or deletes them once the job has ended.
+    static void append_count_records(std::string const& id, job_state& job,
+                                     cell_batch& batch);
+    /// Reports an event of a run to its task's `start_budget`, and adds a
+    /// change to the next batch.
+    void update_budget(task_location const& at,
+                       void (start_budget::*event)(std::uint32_t) noexcept,
+                       std::uint32_t run);
+    /// Counts the runs of finite tasks on a worker that is lost, unless its end
+    /// was ordered or announced.
+    /// @param survivors lists the runs that began on the next incarnation
+    /// @return the runs that were counted, by task
+    std::map<task_id, std::uint32_t>
+    count_lost_runs(worker_state const& worker, time_point now,
+                    worker_report const& survivors = {});
+    /// The runs that were released when the worker's lease lapsed have not
+    /// crashed it.
+    void forgive_lapsed_runs(worker_state& worker);
+    /// Whether it may still turn out that a lost run of the task was no crash.
+    bool may_be_forgiven(task_id const& task) const;
+    /// Whether the task may not be started now, since too many of its runs were
+    /// lost. Fails its job if none of them can be forgiven any more.
+    bool is_out_of_starts(task_id const& task, task_location const& at,
+                          time_point now);
     /// The task has run long enough to be no cause of earlier crashes.
     void clear_crashes(job_state& job, task_state& task);
     /// Others are kept from the task's worker.
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -129,6 +129,7 @@
     vm_order, ///< a VM's orders, see `vm_order_record`
     wave,     ///< a wave that is completed
     crashes,  ///< a job's `crash_counts`
+    starts,   ///< a job's `start_counts`
     /// The incarnation of a worker on which its stored runs were started.
     incarnation
 };
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -40,6 +40,53 @@
            (worker.reserved_ && worker.reserved_since_ <= lost_at);
 }
 
+/// Calls the function with each task of the job, without the job's id in the
+/// task's, and its state.
+template <class Function>
+void for_each_task(job_state const& job, Function const& function)
+{
+    for (std::uint32_t k = 0; k < job.occurrences_.size(); ++k)
+    {
+        auto const& steps = job.occurrences_[k].steps_;
+        for (std::uint32_t s = 0; s < steps.size(); ++s)
+        {
+            for (std::uint32_t i = 0; i < steps[s].tasks_.size(); ++i)
+            {
+                function({job_id{}, k, s, i}, steps[s].tasks_[i]);
+            }
+        }
+    }
+}
+
+/// Adds a job's counts to the batch if they have changed, or deletes them once
+/// the job has ended.
+/// @param has_record whether the store has a record of that kind; updated
+/// @param counts returns the present ones
+template <class Counts>
+void append_counts(record_kind kind, std::string const& id, bool ended,
+                   bool changed, bool& has_record, Counts const& counts,
+                   cell_batch& batch)
+{
+    if (!changed && !(ended && has_record))
+    {
+        return;
+    }
+    auto text = ended ? std::string() : encode(counts());
+    if (text.empty() && !has_record)
+    {
+        return;
+    }
+    has_record = !text.empty();
+    cell_record record;
+    record.kind_ = kind;
+    record.name_ = id;
+    if (has_record)
+    {
+        record.text_ = std::move(text);
+    }
+    batch.records_.push_back(std::move(record));
+}
+
 } // namespace
 
 void cell::log_loss(task_id const& task, task_location const& at,
@@ -245,64 +292,67 @@
 crash_counts cell::crash_counts_of(job_state const& job)
 {
     crash_counts counts;
-    for (std::uint32_t k = 0; k < job.occurrences_.size(); ++k)
-    {
-        auto const& steps = job.occurrences_[k].steps_;
-        for (std::uint32_t s = 0; s < steps.size(); ++s)
-        {
-            for (std::uint32_t i = 0; i < steps[s].tasks_.size(); ++i)
-            {
-                auto const& task = steps[s].tasks_[i];
-                auto const losses = task.crashes_ + task.unexplained_losses_;
-                if (losses > 0)
-                {
-                    counts[{job_id{}, k, s, i}] = {losses, task.prime_crashes_};
-                }
-            }
-        }
-    }
+    for_each_task(job,
+                  [&](task_id const& task, task_state const& state)
+                  {
+                      auto const losses =
+                          state.crashes_ + state.unexplained_losses_;
+                      if (losses > 0)
+                      {
+                          counts[task] = {losses, state.prime_crashes_};
+                      }
+                  });
     return counts;
 }
 
-void cell::append_crash_record(std::string const& id, job_state& job,
-                               cell_batch& batch)
+start_counts cell::start_counts_of(job_state const& job)
 {
-    bool const is_due = std::exchange(job.crashes_changed_, false) ||
-                        (job.ended() && job.has_crash_record_);
-    if (!is_due)
-    {
-        return;
-    }
-    auto const counts = job.ended() ? crash_counts{} : crash_counts_of(job);
-    if (counts.empty() && !job.has_crash_record_)
-    {
-        return;
-    }
-    job.has_crash_record_ = !counts.empty();
-    cell_record record;
-    record.kind_ = record_kind::crashes;
-    record.name_ = id;
-    if (!counts.empty())
+    start_counts counts;
+    for_each_task(job,
+                  [&](task_id const& task, task_state const& state)
+                  {
+                      if (state.start_budget_.used() > 0)
+                      {
+                          counts[task] = state.start_budget_.used();
+                      }
+                  });
+    return counts;
+}
+
+void cell::append_count_records(std::string const& id, job_state& job,
+                                cell_batch& batch)
+{
+    append_counts(
+        record_kind::crashes, id, job.ended(),
+        std::exchange(job.crashes_changed_, false), job.has_crash_record_,
+        [&] { return crash_counts_of(job); }, batch);
+    append_counts(
+        record_kind::starts, id, job.ended(),
+        std::exchange(job.start_counts_changed_, false), job.has_start_record_,
+        [&] { return start_counts_of(job); }, batch);
+}
+
+job_state* cell::find_counted(record_kind kind, job_id const& id)
+{
+    auto const found = jobs_.find(id.text());
+    if (found == jobs_.end() || found->second.ended() ||
+        !found->second.request_)
     {
-        record.text_ = encode(counts);
+        delete_record(kind, id.text());
+        return nullptr;
     }
-    batch.records_.push_back(std::move(record));
+    return &found->second;
 }
 
 void cell::restore_crash_counts(job_id const& id, std::string const& text,
                                 time_point now)
 {
-    auto const found = jobs_.find(id.text());
-    if (found == jobs_.end() || found->second.ended() ||
-        !found->second.request_)
+    auto* const job = find_counted(record_kind::crashes, id);
+    if (job == nullptr)
     {
-        cell_record record;
-        record.kind_ = record_kind::crashes;
-        record.name_ = id.text();
-        append_record(std::move(record));
         return;
     }
-    found->second.has_crash_record_ = true;
+    job->has_crash_record_ = true;
     for (auto const& item : decode_crash_counts(text))
     {
         task_id task = item.first;
@@ -319,6 +369,88 @@
     }
 }
 
+void cell::restore_start_counts(job_id const& id, std::string const& text)
+{
+    auto* const job = find_counted(record_kind::starts, id);
+    if (job == nullptr)
+    {
+        return;
+    }
+    job->has_start_record_ = true;
+    for (auto const& item : decode_start_counts(text))
+    {
+        task_id task = item.first;
+        task.job_ = id;
+        auto const at = find(task);
+        if (at)
+        {
+            bool const is_on_worker = !at.task_->worker_.empty();
+            at.task_->start_budget_.restore(item.second,
+                                            is_on_worker ? at.task_->run_ : 0);
+        }
+    }
+}
+
+void cell::update_budget(task_location const& at,
+                         void (start_budget::*event)(std::uint32_t) noexcept,
+                         std::uint32_t run)
+{
+    auto& budget = at.task_->start_budget_;
+    auto const before = budget.used();
+    (budget.*event)(run);
+    if (budget.used() != before && !at.job_->ended())
+    {
+        at.job_->start_counts_changed_ = true;
+        mark_dirty(*at.job_);
+    }
+}
+
+std::map<task_id, std::uint32_t>
+cell::count_lost_runs(worker_state const& worker, time_point now,
+                      worker_report const& survivors)
+{
+    std::map<task_id, std::uint32_t> counted;
+    auto const lost_at =
+        worker.unanswered_renewals_ > 0 ? worker.silent_since_ : now;
+    if (is_planned_end(worker, lost_at))
+    {
+        return counted;
+    }
+    for (auto const& task : worker.tasks_)
+    {
+        auto const at = find(task);
+        bool const counts = at && !at.shape_->long_running_ &&
+                            at.task_->phase_ != task_phase::placed &&
+                            !lists(survivors, task, at.task_->run_);
+        if (counts)
+        {
+            update_budget(at, &start_budget::on_lost, at.task_->run_);
+            counted.emplace(task, at.task_->run_);
+        }
+    }
+    return counted;
+}
+
+void cell::forgive_lapsed_runs(worker_state& worker)
+{
+    for (auto const& run : worker.lapsed_runs_)
+    {
+        auto const at = find(run.first);
+        if (at)
+        {
+            update_budget(at, &start_budget::on_worker_found, run.second);
+        }
+    }
+    worker.lapsed_runs_.clear();
+}
+
+bool cell::may_be_forgiven(task_id const& task) const
+{
+    return std::any_of(workers_.begin(), workers_.end(),
+                       [&](auto const& worker)
+                       { return worker.second.lapsed_runs_.count(task) != 0; });
+}
+
 void cell::clear_crashes(job_state& job, task_state& task)
 {
     task.acquitted_run_ = task.run_;
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -61,6 +61,7 @@
                       " ends_read=" + std::to_string(worker.read_) +
                       " ends_recorded=" + std::to_string(worker.recorded_));
         count_crash(worker, has_answered, now, report);
+        count_lost_runs(worker, now, report);
         unsettle_tasks(worker, now);
         forget_reported_ends(worker.entry_.id_);
         tickets_.erase_worker(worker.entry_.id_);
@@ -120,6 +121,14 @@
     append_record(std::move(record));
 }
 
+void cell::delete_record(record_kind kind, std::string const& name)
+{
+    cell_record record;
+    record.kind_ = kind;
+    record.name_ = name;
+    append_record(std::move(record));
+}
+
 void cell::restore_incarnation(std::string const& name,
                                std::string const& start)
 {
@@ -134,10 +143,7 @@
     auto const worker = workers_.find(name);
     if (worker == workers_.end())
     {
-        cell_record record;
-        record.kind_ = record_kind::incarnation;
-        record.name_ = name;
-        append_record(std::move(record));
+        delete_record(record_kind::incarnation, name);
         return;
     }
     worker->second.incarnation_start_ =
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -158,7 +158,7 @@
             for (std::uint32_t s = 0;
                  !occurrence.done_ && s < occurrence.steps_.size(); ++s)
             {
-                if (occurrence.steps_[s].waiting_ == 0 ||
+                if (job.ended() || occurrence.steps_[s].waiting_ == 0 ||
                     !is_ready(job.request_->steps_[s], occurrence))
                 {
                     continue;
@@ -209,6 +209,14 @@
             continue;
         }
         task_location at{&job, &state, &shape, &task};
+        if (is_out_of_starts({id, occurrence, step, i}, at, now))
+        {
+            if (job.ended())
+            {
+                return true;
+            }
+            continue;
+        }
         auto const isolation = required_isolation(task, now);
         if (isolation != task_isolation::none)
         {
@@ -232,6 +240,27 @@
     return all_placed;
 }
 
+bool cell::is_out_of_starts(task_id const& task, task_location const& at,
+                            time_point now)
+{
+    if (!at.task_->start_budget_.is_spent())
+    {
+        return false;
+    }
+    if (may_be_forgiven(task))
+    {
+        next_isolation_retry_ = now + isolation_retry_interval;
+    }
+    else
+    {
+        fail_job(*at.job_,
+                 describe(task) + " starts=" +
+                     std::to_string(at.task_->start_budget_.used()),
+                 now);
+    }
+    return true;
+}
+
 void cell::place_isolated(task_id const& task, task_location const& at,
                           task_isolation isolation, time_point now)
 {
@@ -295,7 +324,7 @@
     auto const& shape = job.request_->steps_[step];
     std::uint32_t run = 0;
     std::string checkpoint;
-    for (auto const& task : state.tasks_)
+    for (auto& task : state.tasks_)
     {
         if (is_held(task, shape.long_running_))
         {
@@ -307,6 +336,13 @@
             placement_due_ = placement_due_ || earliest_start(task) > now;
             return false;
         }
+        auto const index =
+            static_cast<std::uint32_t>(&task - state.tasks_.data());
+        if (is_out_of_starts({id, occurrence, step, index},
+                             {&job, &state, &shape, &task}, now))
+        {
+            return false;
+        }
         if (task.run_ >= run && !task.checkpoint_.empty())
         {
             checkpoint = task.checkpoint_;
@@ -341,8 +377,8 @@
     {
         task_location at{&job, &state, &shape, &state.tasks_[i]};
         auto const waiting_since = at.task_->waiting_since_;
-        at.task_->run_ = run;
         release({id, occurrence, step, i}, at, now);
+        at.task_->run_ = run;
         at.task_->waiting_since_ = waiting_since;
     }
     return false;
@@ -522,6 +558,10 @@
     {
         at.task_->unavailable_since_ = now;
     }
+    if (!at.shape_->long_running_)
+    {
+        update_budget(at, &start_budget::on_placed, run);
+    }
     occupy(task, at, worker.entry_.id_);
     mark_dirty(*at.job_);
 }
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -149,7 +149,7 @@
             batch.records_.push_back({record_kind::request, name, job.request_,
                                       std::nullopt, std::nullopt});
         }
-        append_crash_record(name, job, batch);
+        append_count_records(name, job, batch);
         batch.records_.push_back({record_kind::progress, name, nullptr,
                                   progress_of(job), std::nullopt});
         if (job.ended() && job.request_written_)
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -232,6 +232,7 @@
         placement_due_ = true;
     }
     forget_losses(worker);
+    forgive_lapsed_runs(worker);
     update_clock(worker, report.clock_, now);
     if (!extra)
     {
@@ -429,6 +430,10 @@
         if (!state.own_start_ ||
             (state.stop_accepted_ && asked > state.stop_accepted_at_))
         {
+            if (state.own_start_ && state.phase_ == task_phase::unresolved)
+            {
+                update_budget(at, &start_budget::on_not_started, state.run_);
+            }
             release(task, at, now);
             mark_dirty(*at.job_);
         }
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -114,6 +114,8 @@
             {
                 record_loss(worker, now);
             }
+            worker.lapsed_runs_ = count_lost_runs(worker, now);
+            worker.lost_at_ = now;
             release_all(worker, now);
         }
         if (now - worker.lost_at_ > max_loss_age)
@@ -124,11 +126,12 @@
                           "runs=" + std::to_string(worker.lost_runs_.size()));
             }
             forget_losses(worker);
+            worker.lapsed_runs_.clear();
         }
-        bool const removable = worker.unlisted_ && worker.tasks_.empty() &&
-                               worker.lost_runs_.empty() &&
-                               now > worker.lease_expires_at_ &&
-                               !worker.renewal_in_flight_;
+        bool const removable =
+            worker.unlisted_ && worker.tasks_.empty() &&
+            worker.lost_runs_.empty() && worker.lapsed_runs_.empty() &&
+            now > worker.lease_expires_at_ && !worker.renewal_in_flight_;
         position = removable ? erase_worker(position) : std::next(position);
     }
 }
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -97,6 +97,10 @@
             at.shape_->tail_target_ > duration{0} ? 1 : 0;
         end_isolation(found->second, *at.task_);
     }
+    if (at.task_->phase_ == task_phase::placed)
+    {
+        update_budget(at, &start_budget::on_not_started, at.task_->run_);
+    }
     at.task_->isolation_ = task_isolation::none;
     at.task_->waiting_since_ = now;
     at.task_->worker_.clear();
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -186,7 +186,7 @@
     log_event("worker_gone", name,
               "tasks=" + std::to_string(worker.tasks_.size()));
     if (worker.tasks_.empty() && worker.lost_runs_.empty() &&
-        worker.lease_expires_at_ <= now)
+        worker.lapsed_runs_.empty() && worker.lease_expires_at_ <= now)
     {
         erase_worker(found);
     }
@@ -301,6 +301,8 @@
 {
     log_event("worker_life_ended", worker.entry_.id_, cause);
     count_crash(worker, true, now);
+    count_lost_runs(worker, now);
+    worker.lapsed_runs_.clear();
     release_all(worker, now);
     worker.unlisted_ = true;
     worker.incarnation_ended_ = true;
@@ -374,6 +376,7 @@
     }
     log_event("start_refused", describe(task),
               "outcome=" + std::to_string(static_cast<int>(outcome)));
+    update_budget(at, &start_budget::on_not_started, run);
     release(task, at, now);
     mark_dirty(*at.job_);
 }
--- a/source/kernel/cell/crash_counts.cpp
+++ b/source/kernel/cell/crash_counts.cpp
@@ -1,7 +1,8 @@
 #include "kernel/cell/crash_counts.hpp"
 
+#include "kernel/cell/task_rows.hpp"
+
 #include <sstream>
-#include <stdexcept>
 
 namespace cuminfold
 {
@@ -11,9 +12,8 @@
     std::ostringstream text;
     for (auto const& item : counts)
     {
-        text << item.first.occurrence_ << ' ' << item.first.step_ << ' '
-             << item.first.index_ << ' ' << item.second.all_ << ' '
-             << item.second.prime_ << '\n';
+        detail::append_row(text, item.first,
+                           {item.second.all_, item.second.prime_});
     }
     return text.str();
 }
@@ -24,16 +24,8 @@
     std::istringstream lines(text);
     for (std::string line; std::getline(lines, line);)
     {
-        std::istringstream fields(line);
-        task_id task;
         crash_count count;
-        std::string rest;
-        fields >> task.occurrence_ >> task.step_ >> task.index_ >> count.all_ >>
-            count.prime_;
-        if (!fields || fields >> rest)
-        {
-            throw std::invalid_argument("not a line of crash counts: " + line);
-        }
+        auto const task = detail::read_row(line, {&count.all_, &count.prime_});
         counts[task] = count;
     }
     return counts;
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -2,6 +2,7 @@
 #define CUMINFOLD_KERNEL_CELL_JOB_STATE_HPP
 
 #include "kernel/cell/job_definition.hpp"
+#include "kernel/cell/start_budget.hpp"
 #include "kernel/cell/worker_clock.hpp"
 #include "kernel/identifier.hpp"
 #include "kernel/time.hpp"
@@ -62,6 +63,8 @@
     /// Workers that stopped answering while they ran the task, of which it is
     /// not known whether they crashed.
     std::uint32_t unexplained_losses_ = 0;
+    /// Of a finite task. Stored.
+    start_budget start_budget_;
     /// Crashes of runs up to this one do not count: a run has lasted since, or
     /// the task is done.
     std::uint32_t acquitted_run_ = 0;
@@ -146,6 +149,9 @@
     bool crashes_changed_ = false;
     /// The store has a record of the crashes under the job's tasks.
     bool has_crash_record_ = false;
+    /// The same for the tasks' `start_budget::used()`.
+    bool start_counts_changed_ = false;
+    bool has_start_record_ = false;
     /// The job has changes that no batch for the store includes yet.
     bool dirty_ = false;
     time_point arrived_{};
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -124,6 +124,10 @@
     /// The renewal in flight acknowledges the ends up to this number.
     std::uint64_t acknowledging_ = 0;
 
+    /// Tasks and runs that were released when the lease lapsed, until the
+    /// worker answers or it is known how it ended.
+    std::map<task_id, std::uint32_t> lapsed_runs_;
+
     /// Until then only suspected tasks are placed on the worker.
     time_point isolated_until_{};
     /// Failed or stalled runs since the last successful one.
--- a/source/node/cell_owner_store.cpp
+++ b/source/node/cell_owner_store.cpp
@@ -32,6 +32,7 @@
 constexpr char const* vm_order_prefix = "v";
 constexpr char const* wave_prefix = "w";
 constexpr char const* crashes_prefix = "c";
+constexpr char const* starts_prefix = "s";
 constexpr char const* incarnation_prefix = "b";
 
 char const* key_prefix(record_kind kind)
@@ -48,6 +49,8 @@
         return wave_prefix;
     case record_kind::crashes:
         return crashes_prefix;
+    case record_kind::starts:
+        return starts_prefix;
     case record_kind::incarnation:
         return incarnation_prefix;
     }
@@ -96,6 +99,7 @@
     auto const now = node_now();
     std::map<std::string, std::string> progress;
     std::map<std::string, std::string> crashes;
+    std::map<std::string, std::string> starts;
     std::map<std::string, std::string> incarnations;
     std::size_t jobs = 0;
     for (auto const& record : content.records_)
@@ -120,6 +124,10 @@
             {
                 crashes[id] = *record.value_;
             }
+            else if (record.key_.rfind(starts_prefix, 0) == 0)
+            {
+                starts[id] = *record.value_;
+            }
             else if (record.key_.rfind(incarnation_prefix, 0) == 0)
             {
                 incarnations[id] = *record.value_;
@@ -166,6 +174,9 @@
     restore_each(crashes_prefix, crashes,
                  [&](std::string const& job, std::string const& text)
                  { cell_.restore_crash_counts(job_id{job}, text, now); });
+    restore_each(starts_prefix, starts,
+                 [&](std::string const& job, std::string const& text)
+                 { cell_.restore_start_counts(job_id{job}, text); });
     restore_each(incarnation_prefix, incarnations,
                  [&](std::string const& worker, std::string const& start)
                  { cell_.restore_incarnation(worker, start); });
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -177,6 +177,13 @@
                                         now_);
         }
     }
+    for (auto const& starts : stored_texts_[record_kind::starts])
+    {
+        if (!starts.second.empty())
+        {
+            cell_->restore_start_counts(job_id{starts.first}, starts.second);
+        }
+    }
     for (auto const& start : stored_texts_[record_kind::incarnation])
     {
         if (!start.second.empty())
@@ -451,6 +458,7 @@
     case record_kind::vm_order:
     case record_kind::wave:
     case record_kind::crashes:
+    case record_kind::starts:
     case record_kind::incarnation:
         set(stored_texts_[record.kind_], record.text_);
         return;
--- a/tests/kernel/cell/start_budget_test.cpp
+++ b/tests/kernel/cell/start_budget_test.cpp
@@ -1,9 +1,13 @@
+#include "kernel/cell/start_budget.hpp"
+
 #include "kernel/cell/cell_world.hpp"
 
 #include <doctest/doctest.h>
 
 #include <cstdint>
+#include <stdexcept>
 #include <string>
+#include <vector>
 
 using namespace cuminfold;
 using namespace std::chrono_literals;
@@ -105,3 +109,113 @@
         }
     }
 }
+
+// Guards against the same for each time from a start to the crash, and each way
+// in which the crash shows.
+TEST_CASE("starts after three crashes are bounded for each kind of crash")
+{
+    struct crash_kind
+    {
+        std::chrono::milliseconds delay_;
+        std::chrono::milliseconds down_time_;
+        cell_world::restart_ids ids_;
+        bool lists_vms_;
+        std::uint32_t tasks_;
+    };
+    std::vector<crash_kind> kinds;
+    for (auto const delay : {0ms, 10ms, 300ms, 2600ms})
+    {
+        for (auto const down_time : {500ms, 3300ms, 25'000ms})
+        {
+            for (auto const lists_vms : {false, true})
+            {
+                for (auto const tasks : {1U, 4U})
+                {
+                    kinds.push_back({delay, down_time,
+                                     cell_world::restart_ids::changed,
+                                     lists_vms, tasks});
+                    kinds.push_back({delay, down_time,
+                                     cell_world::restart_ids::kept, lists_vms,
+                                     tasks});
+                }
+            }
+        }
+    }
+    for (auto const& kind : kinds)
+    {
+        CAPTURE(kind.delay_.count());
+        CAPTURE(kind.down_time_.count());
+        CAPTURE(static_cast<int>(kind.ids_));
+        CAPTURE(kind.lists_vms_);
+        CAPTURE(kind.tasks_);
+        constexpr std::uint32_t workers = 12;
+        cell_world world(1, workers, kind.ids_);
+        world.lists_vms_ = kind.lists_vms_;
+        world.deadly_delay_ = kind.delay_;
+        world.deadly_down_time_ = kind.down_time_;
+        world.deadly_.insert(deadly_task);
+        world.run_for(50ms);
+        world.submit("a", {cell_world::make_step(kind.tasks_, 900, 5000ms)});
+        constexpr int sound_jobs = 10;
+        constexpr int max_seconds = 200;
+        for (int second = 0;
+             second < max_seconds && world.status("a") != job_status::failed;
+             ++second)
+        {
+            if (second < sound_jobs)
+            {
+                world.submit("sound" + std::to_string(second),
+                             {cell_world::make_step(6, 900, 640ms)});
+            }
+            world.run_for(1000ms);
+        }
+        CHECK(world.status("a") == job_status::failed);
+        CHECK(world.violations() == "");
+    }
+}
+
+TEST_CASE("start_budget counts lost runs, and each start after three of them")
+{
+    start_budget budget;
+    for (std::uint32_t run = 1; run <= 3; ++run)
+    {
+        budget.on_placed(run);
+        budget.on_lost(run);
+        CHECK(budget.used() == run);
+    }
+    budget.on_placed(4);
+    budget.on_not_started(4);
+    CHECK(budget.used() == 3);
+    budget.on_placed(5);
+    CHECK_FALSE(budget.is_spent());
+    // However run 5 ends, it has counted.
+    budget.on_placed(6);
+    budget.on_lost(6);
+    CHECK(budget.used() == 5);
+    CHECK(budget.is_spent());
+    budget.on_worker_found(6);
+    CHECK_FALSE(budget.is_spent());
+}
+
+TEST_CASE("start_budget counts a run once across owners")
+{
+    start_budget budget;
+    budget.restore(4, 7);
+    budget.on_lost(7);
+    CHECK(budget.used() == 4);
+    budget.restore(2, 7);
+    budget.on_lost(7);
+    CHECK(budget.used() == 3);
+}
+
+TEST_CASE("start counts are read back as they were written")
+{
+    start_counts const counts = {{{job_id{}, 0, 0, 3}, 1},
+                                 {{job_id{}, 2, 1, 0}, 5}};
+    CHECK(decode_start_counts(encode(counts)) == counts);
+    CHECK(decode_start_counts("").empty());
+    for (auto const* const text : {"x", "0 0 0", "0 0 0 1 2"})
+    {
+        CHECK_THROWS_AS(decode_start_counts(text), std::invalid_argument);
+    }
+}
