cell: Take a crash for an ordered restart only once the order was sent

Cause: a reservation was taken for the order, which follows seconds later and only once the VM has no tasks. Change: the plan reports the order when it sends it; a reservation alone excuses no loss.

Measured: 'a crash on a VM that is reserved for an order counts', 8 of 8 checks failed before, 0 now; kernel_crashing_task_test passes its 1,922 checks, in which 'ordered restarts' now sends the order as the plan does.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -191,7 +191,10 @@
     bool is_stored(std::uint64_t number) const;
 
     /// Excludes a VM's workers from placement, since an order to it follows.
-    void reserve(vm_id const& vm, time_point now);
+    void reserve(vm_id const& vm);
+    /// The order to a reserved VM is sent: from now on its workers may end
+    /// because of it.
+    void on_vm_order_sent(vm_id const& vm, time_point now);
     /// Includes them again.
     void end_reservation(vm_id const& vm);
     /// Number of tasks assigned to the VM's workers, in any phase, and of
@@ -588,7 +591,7 @@
     std::map<vm_id, std::vector<std::string>> vm_workers_;
     /// Workers of the pool that is being placed.
     std::vector<worker_state*> candidates_;
-    /// Reserved VMs, and since when.
+    /// Reserved VMs, and when their order was sent, as in `worker_state`.
     std::map<vm_id, time_point> reserved_;
     /// Jobs whose progress the next batch stores.
     std::vector<std::string> dirty_jobs_;
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -32,12 +32,12 @@
            std::any_of(report.ended_.begin(), report.ended_.end(), is_run);
 }
 
-/// Whether the worker had announced its end when it was lost, or may have been
-/// ordered to restart by then.
+/// Whether the worker had announced its end when it was lost, or an order to
+/// restart it had been sent.
 bool is_planned_end(worker_state const& worker, time_point lost_at)
 {
     return worker.entry_.draining_ || worker.predecessor_drained_ ||
-           (worker.reserved_ && worker.reserved_since_ <= lost_at);
+           (worker.reserved_ && worker.order_sent_at_ <= lost_at);
 }
 
 /// Calls the function with each task of the job, without the job's id in the
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -92,7 +92,7 @@
     worker.reserved_ = reservation != reserved_.end();
     if (worker.reserved_)
     {
-        worker.reserved_since_ = reservation->second;
+        worker.order_sent_at_ = reservation->second;
     }
     if (worker.entry_.pool_ != entry.pool_)
     {
@@ -192,18 +192,32 @@
     }
 }
 
-void cell::reserve(vm_id const& vm, time_point now)
+void cell::reserve(vm_id const& vm)
 {
-    reserved_.emplace(vm, now);
+    auto const reservation = reserved_.emplace(vm, time_point::max()).first;
     for (auto const& name : workers_on(vm))
     {
         auto& worker = workers_.at(name);
         worker.reserved_ = true;
-        worker.reserved_since_ = now;
+        worker.order_sent_at_ = reservation->second;
     }
     placement_due_ = true;
 }
 
+void cell::on_vm_order_sent(vm_id const& vm, time_point now)
+{
+    auto const found = reserved_.find(vm);
+    if (found == reserved_.end() || found->second <= now)
+    {
+        return;
+    }
+    found->second = now;
+    for (auto const& name : workers_on(vm))
+    {
+        workers_.at(name).order_sent_at_ = now;
+    }
+}
+
 void cell::end_reservation(vm_id const& vm)
 {
     reserved_.erase(vm);
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -141,7 +141,7 @@
     operation.record_ =
         append_order_record(vm, encode(orders_.plan(vm, operation.wave_)));
     operations_[vm] = operation;
-    cell_.reserve(vm, operation.reserved_at_);
+    cell_.reserve(vm);
 }
 
 void fleet_plan::end_operation(vm_id const& vm)
@@ -504,6 +504,7 @@
         }
         operation.order_in_flight_ = true;
         orders_.sent(item.first, now);
+        cell_.on_vm_order_sent(item.first, now);
         if (operation.target_)
         {
             actions_.emplace_back(move_vm{item.first, *operation.target_});
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -152,7 +152,9 @@
     /// The worker's VM is about to be moved or maintained, so the worker gets
     /// no new tasks.
     bool reserved_ = false;
-    time_point reserved_since_{};
+    /// When the order for the reserved VM was sent; `time_point::max()` until
+    /// then.
+    time_point order_sent_at_ = time_point::max();
 
     /// All runs on the worker end by then unless the lease is renewed.
     time_point lease_expires_at_{};
--- a/tests/kernel/cell/crashing_task_test.cpp
+++ b/tests/kernel/cell/crashing_task_test.cpp
@@ -61,7 +61,7 @@
              world.owner().end_reservation(vm);
              if (world.worker(i).is_down_)
              {
-                 world.owner().reserve(vm, world.now());
+                 world.owner().reserve(vm);
              }
          }
      }},
@@ -298,10 +298,12 @@
     {"ordered restarts",
      [](cell_world& world, std::uint32_t worker)
      {
-         world.owner().reserve(world.worker(worker).entry_.vm_, world.now());
+         auto const vm = world.worker(worker).entry_.vm_;
+         world.owner().reserve(vm);
+         world.owner().on_vm_order_sent(vm, world.now());
          world.crash_for(worker, 500ms);
          world.run_for(1200ms);
-         world.owner().end_reservation(world.worker(worker).entry_.vm_);
+         world.owner().end_reservation(vm);
      }},
     {"crashes of one worker each",
      [](cell_world& world, std::uint32_t worker)
--- a/tests/kernel/cell/start_budget_test.cpp
+++ b/tests/kernel/cell/start_budget_test.cpp
@@ -174,6 +174,40 @@
     }
 }
 
+// Guards against crashes that are taken for ordered restarts, since the VM was
+// reserved for an order that was not sent yet.
+TEST_CASE("a crash on a VM that is reserved for an order counts")
+{
+    for (std::uint32_t seed = 1; seed <= 4; ++seed)
+    {
+        CAPTURE(seed);
+        cell_world world(seed, 12);
+        world.lists_vms_ = true;
+        world.deadly_.insert(deadly_task);
+        world.run_for(50ms);
+        world.submit("a", {cell_world::make_step(1, 900, 640ms)});
+        for (int i = 0; i < 20'000 && world.status("a") != job_status::failed;
+             ++i)
+        {
+            for (std::uint32_t k = 0; k < world.worker_count(); ++k)
+            {
+                auto const& vm = world.worker(k).entry_.vm_;
+                if (world.worker_running(deadly_task) == k)
+                {
+                    world.owner().reserve(vm);
+                }
+                else if (!world.worker(k).is_down_ && i % 200 == 0)
+                {
+                    world.owner().end_reservation(vm);
+                }
+            }
+            world.run_for(5ms);
+        }
+        CHECK(world.status("a") == job_status::failed);
+        CHECK(world.violations() == "");
+    }
+}
+
 TEST_CASE("start_budget counts lost runs, and each start after three of them")
 {
     start_budget budget;
