--- a/source/controller/platform_client.cpp
+++ b/source/controller/platform_client.cpp
@@ -1,6 +1,7 @@
 #include "controller/platform_client.hpp"
 
 #include "wire/decode_error.hpp"
+#include "wire/json_codec.hpp"
 #include "wire/record_codec.hpp"
 
 #include <nlohmann/json.hpp>
@@ -20,10 +21,10 @@
 constexpr duration response_timeout = std::chrono::seconds{2};
 
 /// Fills a result from the platform's response, whose status is 200 or 410.
-/// @throws json::exception if the body is malformed
+/// @throws json::exception or decode_error if the body is malformed
 void parse_read(http_response const& response, log_read_result& result)
 {
-    json const body = json::from_cbor(response.body_);
+    json const body = detail::parse_cbor(response.body_);
     result.earliest_ = body.at("earliest").get<log_offset>();
     result.end_ = body.at("end").get<log_offset>();
     if (response.status_ == 410)
@@ -55,6 +56,12 @@
     result.status_ = log_read_status::ok;
 }
 
+void reject(log_read_result& result)
+{
+    result.status_ = log_read_status::unavailable;
+    result.entries_.clear();
+}
+
 vm_list parse_list(json const& body)
 {
     vm_list list;
@@ -119,8 +126,11 @@
                         }
                         catch (json::exception const&)
                         {
-                            result.status_ = log_read_status::unavailable;
-                            result.entries_.clear();
+                            reject(result);
+                        }
+                        catch (decode_error const&)
+                        {
+                            reject(result);
                         }
                     }
                     done(std::move(result));
--- a/source/transport/logger.cpp
+++ b/source/transport/logger.cpp
@@ -107,7 +107,10 @@
 {
     bool const plain =
         !value.empty() && value.find_first_of(" =\"\n\t") == std::string::npos;
-    return plain ? value : nlohmann::json(value).dump();
+    return plain
+               ? value
+               : nlohmann::json(value).dump(
+                     -1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 std::string write_key_value(log_level level, std::string_view event,
--- a/source/wire/record_codec.cpp
+++ b/source/wire/record_codec.cpp
@@ -1,5 +1,6 @@
 #include "wire/record_codec.hpp"
 
+#include "wire/cbor_check.hpp"
 #include "wire/json_codec.hpp"
 
 #include <array>
@@ -114,6 +115,10 @@
 
 json parse_cbor(std::string const& bytes)
 {
+    if (auto const* const fault = find_cbor_fault(bytes))
+    {
+        throw decode_error(std::string("not CBOR: ") + fault);
+    }
     // A claimed size beyond all bounds throws even where exceptions are off.
     try
     {
--- a/tests/node/node_process_test.cpp
+++ b/tests/node/node_process_test.cpp
@@ -1,5 +1,6 @@
 #include "child_process.hpp"
 #include "http_caller.hpp"
+#include "platform/body_codec.hpp"
 #include "platform/stand_in/platform_stand_in.hpp"
 
 #include <doctest/doctest.h>
@@ -8,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
+#include <limits>
 #include <memory>
 #include <string>
 #include <thread>
@@ -353,3 +355,144 @@
     CHECK(system.platform_.total_starts() == 12);
     CHECK(system.platform_.denied_starts() == 0);
 }
+
+namespace
+{
+
+/// A list in a list, and so on, in CBOR.
+std::string nested(char list)
+{
+    constexpr std::size_t levels = 150'000;
+    return std::string(levels, list) + '\0';
+}
+
+std::string entry_with(nlohmann::json const& fields)
+{
+    nlohmann::json entry = {
+        {"service", "tally"},
+        {"address", "127.0.0.1:1"},
+        {"zone", "z"},
+        {"machine", "m"},
+        {"state", "ready"},
+        {"available_resources", {{"cpu", 4000}, {"mem_mb", 4000}}}};
+    entry.update(fields);
+    return platform::write_body(entry);
+}
+
+} // namespace
+
+// Guards against nodes that end, again and again, at one entry of another
+// writer among those of the workers.
+TEST_CASE("nodes survive an odd entry among those of the workers")
+{
+    struct odd_entry
+    {
+        char const* name_;
+        std::string key_;
+        std::string value_;
+    };
+    constexpr auto max_int = std::numeric_limits<std::int64_t>::max();
+    constexpr auto max_uint = std::numeric_limits<std::uint64_t>::max();
+    std::string const not_utf8 = "\xff\xfe = \xc3";
+    std::vector<odd_entry> const entries = {
+        {"nested lists", "odd-1", nested('\x81')},
+        {"nested lists without an end", "odd-2", nested('\x9f')},
+        {"nested maps", "odd-3", nested('\xa1')},
+        {"nested strings", "odd-4", nested('\x7f')},
+        {"nested tags", "odd-5", nested('\xc1')},
+        {"a zone that is not UTF-8", "odd-6", entry_with({{"zone", not_utf8}})},
+        {"a VM that is not UTF-8", "odd-7",
+         entry_with({{"machine", not_utf8}})},
+        {"a label that is not UTF-8", "odd-8",
+         entry_with({{"labels", {not_utf8}}})},
+        {"an address that is not UTF-8", "odd-9",
+         entry_with({{"address", not_utf8}})},
+        {"a key that is not UTF-8", not_utf8,
+         entry_with(nlohmann::json::object())},
+        {"a port out of range", "odd-10",
+         entry_with({{"address", "127.0.0.1:99999"}})},
+        {"sizes of 2^63 - 1", "odd-11",
+         entry_with({{"available_resources",
+                      {{"cpu", max_int}, {"mem_mb", max_int}}}})},
+        {"sizes of 2^64 - 1", "odd-12",
+         entry_with({{"available_resources",
+                      {{"cpu", max_uint}, {"mem_mb", 1e300}}}})},
+        {"no map", "odd-13", std::string("\x01")},
+        {"a break alone", "odd-14", std::string(1, '\xff')},
+    };
+    small_system system;
+    auto const run_job = [&](int number)
+    {
+        system.submit_until_accepted(id_of(number), 4, 20);
+        system.wait_until(
+            [&] { return system.job_status(id_of(number)) == "completed"; });
+    };
+    int next = 0;
+    for (auto const& each : entries)
+    {
+        CAPTURE(std::string(each.name_));
+        system.platform_.write_registration(each.key_, each.value_);
+        run_job(next++);
+        for (auto const& vm : system.vms_)
+        {
+            CHECK(system.status(vm->health_, "GET", "/") == 200);
+        }
+    }
+    // A node that starts reads all entries at once.
+    system.vms_[0]->process_->kill();
+    system.vms_.erase(system.vms_.begin());
+    system.add("next");
+    system.wait_until(
+        [&] {
+            return system.status(system.vms_.back()->health_, "GET", "/") ==
+                   200;
+        });
+    run_job(next);
+}
+
+// Guards against nodes that end at a request of one caller.
+TEST_CASE("nodes survive odd requests of callers")
+{
+    std::string const prefix = platform_stand_in::prefix_;
+    struct odd_request
+    {
+        char const* name_;
+        std::string target_;
+        std::string body_;
+    };
+    nlohmann::json const step = {{"count", 1}, {"cpu", 100}, {"mem_mb", 1}};
+    auto const job_with = [&](nlohmann::json const& fields)
+    {
+        auto changed = step;
+        changed.update(fields);
+        return platform::write_body(
+            {{"spec", "1"}, {"steps", nlohmann::json::array({changed})}});
+    };
+    constexpr auto max_int = std::numeric_limits<std::int64_t>::max();
+    std::vector<odd_request> const requests = {
+        {"nested lists", prefix + id_of(1), nested('\x81')},
+        {"nested maps", prefix + id_of(2), nested('\xa1')},
+        {"nested strings", prefix + id_of(3), nested('\x7f')},
+        {"a text that is not UTF-8", prefix + id_of(4),
+         platform::write_body({{"spec", "\xff\xfe"}, {"steps", {step}}})},
+        {"a path that is not UTF-8", prefix + "\xff\xfe=\xc3", ""},
+        {"an estimate of 2^63 - 1", prefix + id_of(5),
+         job_with({{"estimate_ms", max_int}})},
+        {"a size of 2^63 - 1", prefix + id_of(6), job_with({{"cpu", max_int}})},
+        {"a size below 0", prefix + id_of(7), job_with({{"mem_mb", -1}})},
+    };
+    small_system system;
+    for (auto const& each : requests)
+    {
+        CAPTURE(std::string(each.name_));
+        for (auto const& vm : system.vms_)
+        {
+            CHECK(system.status(vm->clients_, "POST", each.target_,
+                                each.body_) == 400);
+            CHECK(system.status(vm->health_, "GET", "/") == 200);
+        }
+    }
+    system.submit_until_accepted(id_of(90), 2, 20);
+    system.wait_until([&]
+                      { return system.job_status(id_of(90)) == "completed"; });
+}
--- a/tests/wire/mutation_test.cpp
+++ b/tests/wire/mutation_test.cpp
@@ -83,6 +83,18 @@
                   [](std::string const& bytes) { decode_message(bytes); });
 }
 
+// Guards against a decoder that recurses for each level until the stack ends.
+TEST_CASE("bytes that are nested without an end are refused")
+{
+    constexpr std::size_t levels = 1'000'000;
+    for (char const head : {'\x81', '\x9f', '\xa1', '\x7f'})
+    {
+        std::string const bytes(levels, head);
+        CHECK_THROWS_AS(decode_records(bytes), decode_error);
+        CHECK_THROWS_AS(decode_message(bytes), decode_error);
+    }
+}
+
 TEST_CASE("a length that the bytes do not hold takes no memory")
 {
     // CBOR array, map, text and bytes that claim 2^32 items and more.
