cell: Count a crash that breaks the connection of a start to an idle worker

What callers saw: each task that crashes its workers took up to five of them. Cause: a start without an answer on a worker that had answered nothing since was taken for one that the worker no longer received. Evidence: a worker that was gone before refuses the connection, or does not answer until the timeout. Change: a start whose worker was lost within 200 ms of it reached the worker.

Measured: 'a crash on an idle worker is counted although the start is unanswered' failed before, passes now; the two tests of starts that a worker no longer received still pass. The test world now loses an answer whose worker crashes on its way; kernel_crashing_task_test passed with that alone.

--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -22,6 +22,18 @@
 /// its last crash.
 constexpr duration crash_proof_wait = std::chrono::seconds{1};
 
+/// A start whose connection broke within this time reached its worker: one that
+/// was gone before refuses the connection, or does not answer until a timeout.
+constexpr duration max_reset_delay = std::chrono::milliseconds{200};
+/// Whether an idle worker may have been lost before the start was sent.
+bool was_gone(worker_state const& worker, task_state const& task,
+              time_point lost_at)
+{
+    return task.phase_ == task_phase::unresolved &&
+           worker.answered_ < task.start_sent_ &&
+           lost_at > task.start_sent_ + max_reset_delay;
+}
+
 /// Whether the report names that run, as running or as ended.
 bool lists(worker_report const& report, task_id const& task, std::uint32_t run)
 {
@@ -134,14 +146,7 @@
     for (auto const& task : worker.tasks_)
     {
         auto const at = find(task);
-        if (!at)
-        {
-            continue;
-        }
-        // An idle worker may have crashed before the start was sent.
-        bool const was_gone = at.task_->phase_ == task_phase::unresolved &&
-                              worker.answered_ < at.task_->start_sent_;
-        if (!was_gone &&
+        if (at && !was_gone(worker, *at.task_, lost_at) &&
             may_have_crashed(*at.task_, at.shape_->long_running_, lost_at))
         {
             at.task_->ran_before_loss_ = ran_before(*at.task_, lost_at);
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -555,14 +555,21 @@
     }
     bool const lost = chance(faults_.answers_lost_);
     schedule(now_ + one_way_latency,
-             [this, run, answer, lost]
+             [this, address, run, answer, lost]
              {
                  auto const outcome = run();
                  bool const silent = lost || outcome == call_outcome::no_answer;
-                 schedule(
-                     now_ + (silent ? call_timeout : one_way_latency),
-                     [answer, outcome, silent]
-                     { answer(silent ? call_outcome::no_answer : outcome); });
+                 schedule(now_ + (silent ? call_timeout : one_way_latency),
+                          [this, address, answer, outcome, silent]
+                          {
+                              // A crash breaks the connection.
+                              auto const* const reached = find(address);
+                              bool const is_broken =
+                                  reached == nullptr || reached->is_down_;
+                              answer(silent || is_broken
+                                         ? call_outcome::no_answer
+                                         : outcome);
+                          });
              });
 }
 
--- a/tests/kernel/cell/crashing_task_test.cpp
+++ b/tests/kernel/cell/crashing_task_test.cpp
@@ -235,6 +235,34 @@
     }
 }
 
+// Guards against a crash that is not counted since its worker was idle and the
+// crash broke the connection before the start was answered.
+TEST_CASE(
+    "a crash on an idle worker is counted although the start is unanswered")
+{
+    cell_world world(1, 2);
+    world.lists_vms_ = true;
+    world.run_for(5000ms);
+    world.faults_.calls_lost_ = 100;
+    world.submit("a", {cell_world::make_step(1, 900, 640ms)});
+    world.run_for(20ms);
+    auto const& task =
+        world.owner().jobs().at("a").occurrences_[0].steps_[0].tasks_[0];
+    REQUIRE(task.phase_ == task_phase::starting);
+    auto const name = task.worker_;
+    std::uint32_t const holder = world.worker(0).entry_.id_ == name ? 0 : 1;
+    world.owner().on_start_response(name, {job_id{"a"}, 0, 0, 0}, task.run_,
+                                    call_outcome::no_answer, world.now());
+    renew_worker query;
+    query.worker_ = name;
+    world.owner().on_renewal_response(query, call_outcome::not_sent, {},
+                                      world.now(), world.now());
+    world.crash(holder);
+    world.faults_ = {};
+    world.run_for(1000ms);
+    CHECK(world.stored_texts(record_kind::crashes).count("a") == 1);
+}
+
 // Guards against sound tasks that were placed beside a task which crashed its
 // worker each time.
 TEST_CASE("a task that crashes its workers costs other tasks two runs at most")
