cell: Suspect only the runs that began last before a crash

Cause: all runs younger than 2 s counted alike. Change: only runs that began within 150 ms of the youngest one on the worker are suspected, and those whose start got no answer.

'a crash implicates the runs that began last' failed before.

--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <iterator>
 #include <utility>
+#include <vector>
 
 namespace cuminfold
 {
@@ -25,6 +26,10 @@
 /// A start whose connection broke within this time reached its worker: one that
 /// was gone before refuses the connection, or does not answer until a timeout.
 constexpr duration max_reset_delay = std::chrono::milliseconds{200};
+/// A run that began earlier than the youngest one on the worker, by more than
+/// this, is not suspected: a task that crashes its worker does so soon.
+constexpr duration max_start_distance = std::chrono::milliseconds{150};
+
 /// Whether an idle worker may have been lost before the start was sent.
 bool was_gone(worker_state const& worker, task_state const& task,
               time_point lost_at)
@@ -142,15 +147,28 @@
 std::map<task_id, std::uint32_t> cell::suspects_of(worker_state const& worker,
                                                    time_point lost_at)
 {
-    std::map<task_id, std::uint32_t> runs;
+    std::vector<std::pair<task_id, task_state*>> candidates;
+    time_point youngest{};
     for (auto const& task : worker.tasks_)
     {
         auto const at = find(task);
         if (at && !was_gone(worker, *at.task_, lost_at) &&
             may_have_crashed(*at.task_, at.shape_->long_running_, lost_at))
         {
-            at.task_->ran_before_loss_ = ran_before(*at.task_, lost_at);
-            runs.emplace(task, at.task_->run_);
+            candidates.emplace_back(task, at.task_);
+            youngest = std::max(youngest, at.task_->started_);
+        }
+    }
+    std::map<task_id, std::uint32_t> runs;
+    for (auto const& candidate : candidates)
+    {
+        auto& task = *candidate.second;
+        // An unanswered start may have been carried out at any time.
+        if (task.phase_ == task_phase::unresolved ||
+            youngest - task.started_ <= max_start_distance)
+        {
+            task.ran_before_loss_ = ran_before(task, lost_at);
+            runs.emplace(candidate.first, task.run_);
         }
     }
     return runs;
--- a/tests/kernel/cell/crashing_task_test.cpp
+++ b/tests/kernel/cell/crashing_task_test.cpp
@@ -263,6 +263,23 @@
     CHECK(world.stored_texts(record_kind::crashes).count("a") == 1);
 }
 
+// Guards against sound tasks that are suspected of a crash that came right
+// after another task's start.
+TEST_CASE("a crash implicates the runs that began last")
+{
+    cell_world world(1, 1);
+    world.lists_vms_ = true;
+    world.deadly_.insert(deadly_task);
+    world.run_for(50ms);
+    world.submit("sound", {cell_world::make_step(6, 900, 3000ms)});
+    world.run_for(1000ms);
+    world.submit("a", {cell_world::make_step(1, 900, 640ms)});
+    world.run_for(4500ms);
+    auto const counts = world.stored_texts(record_kind::crashes);
+    CHECK(counts.count("a") == 1);
+    CHECK(counts.count("sound") == 0);
+}
+
 // Guards against sound tasks that were placed beside a task which crashed its
 // worker each time.
 TEST_CASE("a task that crashes its workers costs other tasks two runs at most")
