cell: Give up a long-running task that crashes five workers at its start

Cause: no evidence told it from a sound one in a series of crashes, since half a second after a start counted. Change: a long-running task is suspected of crashes within 0.1 s of its start alone, and given up after five of them without a run that lasted; before the fifth is known it waits.

Ruled out before: four or five crashes within 0.5 s, and pauses (docs/DESIGN.md).

--- a/source/kernel/cell/task_isolation.cpp
+++ b/source/kernel/cell/task_isolation.cpp
@@ -26,7 +26,7 @@
 /// The same for a long-running task, which is on a worker all the time, so that
 /// many crashes that it has no part in come soon after one of its starts.
 constexpr duration max_long_running_suspected_age =
-    std::chrono::milliseconds{500};
+    std::chrono::milliseconds{100};
 /// One worker in this many may be kept for suspected tasks.
 constexpr std::size_t workers_per_isolated_worker = 3;
 
@@ -36,8 +36,8 @@
 {
     bool const is_proved =
         task.crashes_ >= max_crashes && task.prime_crashes_ > 0;
-    return !long_running &&
-           (is_proved || task.crashes_ >= max_unproved_crashes);
+    return (is_proved && !long_running) ||
+           task.crashes_ >= max_unproved_crashes;
 }
 
 bool ran_before(task_state const& task, time_point lost_at)
@@ -53,8 +53,10 @@
 
 bool is_held(task_state const& task, bool long_running)
 {
-    return !long_running && task.unexplained_losses_ > 0 &&
-           task.crashes_ + task.unexplained_losses_ >= max_unexplained_crashes;
+    auto const most =
+        long_running ? max_unproved_crashes : max_unexplained_crashes;
+    return task.unexplained_losses_ > 0 &&
+           task.crashes_ + task.unexplained_losses_ >= most;
 }
 
 task_isolation required_isolation(task_state const& task, time_point now)
--- a/source/kernel/cell/task_isolation.hpp
+++ b/source/kernel/cell/task_isolation.hpp
@@ -18,8 +18,8 @@
 constexpr std::uint32_t max_unproved_crashes = 5;
 
 /// Whether the task has crashed so many workers that it is not started again.
-/// A long-running task is never given up: it is on some worker all the time, so
-/// that it meets many crashes that it has no part in.
+/// A long-running task needs more crashes without a pause between: it is on
+/// some worker all the time, so that it meets many that it has no part in.
 bool is_given_up(task_state const& task, bool long_running);
 
 /// Whether the run had lasted for a while when its worker was lost. Most tasks
@@ -36,8 +36,8 @@
 bool needs_crash_proof(task_state const& task);
 
 /// Whether the task has lost so many workers that it is not started before it
-/// is known how. A long-running task is never held, since it is to run at all
-/// times.
+/// is known how. A long-running task, which is to run at all times, is held
+/// only before it may be given up.
 bool is_held(task_state const& task, bool long_running);
 
 /// Whether a task with that isolation may be placed beside the worker's other
