cell: Count a job as pending until one of its runs is known to have begun

Cause: a job counted as begun once a start was sent, also if no worker ever carried it out. Class: an intention taken for the act, as with reserved VMs. Change: the answer to a start, a report of the run or its end shows that it has begun; a new owner counts a stored placement as not begun until then.

--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -312,7 +312,6 @@
     at.task_->start_sent_ = now;
     at.task_->started_ = now;
     at.task_->progressed_at_ = now;
-    at.job_->begun_ = true;
     start_run order;
     order.worker_ = worker.entry_.id_;
     order.address_ = worker.entry_.address_;
@@ -372,7 +371,7 @@
         at.task_->run_ = record.run_;
         at.task_->failures_ = record.failures_;
         at.task_->checkpoint_ = record.checkpoint_;
-        job.begun_ = job.begun_ || record.run_ > 0;
+        job.begun_ = job.begun_ || record.done_ || record.failures_ > 0;
         if (record.done_)
         {
             at.task_->phase_ = task_phase::done;
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -374,6 +374,7 @@
     auto& state = *at.task_;
     if (report != nullptr)
     {
+        at.job_->begun_ = true;
         if (must_adopt(at, worker, now))
         {
             if (state.phase_ == task_phase::stopping)
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -247,6 +247,7 @@
         }
         return;
     }
+    at.job_->begun_ = true;
     if (at.shape_->checkpointing_ && !end.checkpoint_.empty())
     {
         at.task_->checkpoint_ = end.checkpoint_;
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -361,6 +361,7 @@
     switch (outcome)
     {
     case call_outcome::accepted:
+        at.job_->begun_ = true;
         at.task_->phase_ = task_phase::running;
         at.task_->started_ = now;
         at.task_->established_at_ = now;
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -142,7 +142,8 @@
     bool stored_ = false;
     /// A batch for the store has included the job's definition.
     bool request_written_ = false;
-    /// A task of the job was started.
+    /// A run of the job is known to have begun; one whose start has no answer
+    /// may not have.
     bool begun_ = false;
     bool long_running_ = false;
     /// A crash under a task is not in the store yet.
--- a/tests/kernel/cell/unanswered_start_test.cpp
+++ b/tests/kernel/cell/unanswered_start_test.cpp
@@ -155,3 +155,50 @@
         }
     }
 }
+
+// Guards against jobs that no longer count as pending although none of their
+// tasks has begun.
+TEST_CASE("a job whose starts have no answer is pending")
+{
+    cell_world world(1, 4);
+    world.run_for(50ms);
+    world.faults_.calls_lost_ = 100;
+    world.submit("a", {cell_world::make_step(2, 900, 640ms)});
+    world.run_for(1000ms);
+    auto const is_begun = [&] { return world.owner().jobs().at("a").begun_; };
+    CHECK_FALSE(is_begun());
+    world.take_over();
+    CHECK_FALSE(is_begun());
+    world.faults_ = {};
+    world.run_for(5000ms);
+    CHECK(world.status("a") == job_status::completed);
+}
+
+TEST_CASE("a job is no longer pending once one of its tasks has begun")
+{
+    struct begin_case
+    {
+        char const* name_;
+        std::uint32_t answers_lost_;
+        bool takeover_;
+    };
+    begin_case const cases[] = {{"the start is answered", 0, false},
+                                {"a renewal reports the run", 100, false},
+                                {"a renewal of the next owner does", 0, true}};
+    for (auto const& each : cases)
+    {
+        CAPTURE(std::string(each.name_));
+        cell_world world(1, 4);
+        world.run_for(50ms);
+        world.faults_.answers_lost_ = each.answers_lost_;
+        world.submit("a", {cell_world::make_step(2, 900, 5000ms)});
+        world.run_for(200ms);
+        world.faults_ = {};
+        if (each.takeover_)
+        {
+            world.take_over();
+        }
+        world.run_for(1000ms);
+        CHECK(world.owner().jobs().at("a").begun_);
+    }
+}
