platform_stand_in: Answer a read once if its wait ends beside an append

Seen: utilities_demo failed once in a run of all tests beside no load ('platform stops with status 0 (it was 139)', a segmentation fault; three more runs passed). Cause: an append answers waiting reads and cancels their timers; a timer that has expired by then can't be cancelled, and its handler used the erased entry again. Change: the handler looks the read up by its number.

Measured: 'reads whose wait ends beside an append are answered once' ended the stand-in in 3 of 3 runs before, in none of 3 now. Elsewhere: no other timer's handler holds an iterator (source/ and platform/, read).

--- a/source/platform_stand_in/platform_server.cpp
+++ b/source/platform_stand_in/platform_server.cpp
@@ -12,8 +12,9 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <future>
-#include <list>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -222,14 +223,18 @@
         }
         auto const timer = std::make_shared<boost::asio::steady_timer>(
             context_, std::chrono::milliseconds{wait});
-        auto const place = readers_.insert(
-            readers_.end(), waiting_read{stream, from, limit, respond, timer});
+        auto const number = ++last_reader_;
+        readers_.emplace(number,
+                         waiting_read{stream, from, limit, respond, timer});
         timer->async_wait(
-            [this, place](boost::system::error_code const& error)
+            [this, number](boost::system::error_code const& error)
             {
-                if (!error)
+                // A timer that has expired can't be cancelled any more, so that
+                // the reader may have been woken since.
+                auto const place = readers_.find(number);
+                if (!error && place != readers_.end())
                 {
-                    waiting_read const reader = std::move(*place);
+                    waiting_read const reader = std::move(place->second);
                     readers_.erase(place);
                     answer_read(reader.stream_, reader.from_, reader.limit_,
                                 reader.respond_);
@@ -241,12 +246,12 @@
     {
         for (auto place = readers_.begin(); place != readers_.end();)
         {
-            if (place->stream_ != stream)
+            if (place->second.stream_ != stream)
             {
                 ++place;
                 continue;
             }
-            waiting_read const reader = std::move(*place);
+            waiting_read const reader = std::move(place->second);
             place = readers_.erase(place);
             reader.timer_->cancel();
             answer_read(reader.stream_, reader.from_, reader.limit_,
@@ -375,7 +380,8 @@
     platform_vms vms_;
     platform_faults faults_;
     http_client client_;
-    std::list<waiting_read> readers_;
+    std::map<std::uint64_t, waiting_read> readers_;
+    std::uint64_t last_reader_ = 0;
     std::mt19937_64 random_{1};
 };
 
