--- a/tests/processes/platform_process_test.cpp
+++ b/tests/processes/platform_process_test.cpp
@@ -43,12 +43,13 @@
     append.target_ = "/v1/streams/s/entries";
     append.body_ = "x";
     constexpr int rounds = 400;
+    constexpr std::size_t reads = 10;
     for (int round = 0; round < rounds; ++round)
     {
-        std::vector<std::future<http_result>> calls;
-        for (int i = 0; i < 10; ++i)
+        std::vector<std::future<http_result>> calls(reads);
+        for (auto& call : calls)
         {
-            calls.push_back(client.start(read));
+            call = client.start(read);
         }
         // The appends are due when the waits end, or shortly before.
         std::this_thread::sleep_for(delay -
