review: Show late jobs that wait behind hopeless ones for ever

Case 3 mixes 15 jobs that no minion can run into 500. Once 13 of their steps wait, a placement ends before it reaches ordinary jobs that are late: LOST, with idle minions.

--- a/review/driver/hopeless.cpp
+++ b/review/driver/hopeless.cpp
@@ -8,10 +8,11 @@
 verdict play_hopeless(scene& play)
 {
     constexpr unsigned all = 500;
-    constexpr unsigned hopeless_one_in = 33;
+    constexpr unsigned hopeless_one_in = 34;
     constexpr unsigned slow_one_in = 10;
-    constexpr int estimate_ms = 640;
+    constexpr int work_ms = 640;
     constexpr int slow_ms = 1600;
+    constexpr int slow_estimate_ms = 400;
 
     play.platform_.log_runs_ = false;
     std::vector<std::string> ordinary;
@@ -23,8 +24,8 @@
         std::uint32_t const steps = slow ? 4 : 2;
         for (std::uint32_t step = 0; step < steps; ++step)
         {
-            step_plan made{6, slow ? slow_ms : estimate_ms, 880};
-            made.estimate_ms_ = estimate_ms;
+            step_plan made{6, slow ? slow_ms : work_ms, 880};
+            made.estimate_ms_ = slow ? slow_estimate_ms : work_ms;
             if (step > 0)
             {
                 made.after_ = {step - 1};
