review: Show a work item that waits for a machine kept for upkeep

Case 5 loses a machine for good and asks for the upkeep of another one before the first one's lease is taken for lapsed. Both have work items of one long-running step, the others are full: neither work item can move, and one of them never runs again: LOST.

--- a/review/driver/main.cpp
+++ b/review/driver/main.cpp
@@ -24,6 +24,7 @@
     {"many-times", 12, 600, play_many_times},
     {"hopeless", 12, 600, play_hopeless},
     {"gang", 10, 600, play_gang},
+    {"reserved", 8, 600, play_reserved},
 };
 
 int play(case_entry const& chosen, char** argv)
--- a/review/driver/platform.hpp
+++ b/review/driver/platform.hpp
@@ -66,6 +66,9 @@
     /// The last work item takes this much longer than the first, and those
     /// between them in proportion.
     int spread_ms_ = 0;
+    /// Runs until the job is cancelled; how many of them may be unavailable.
+    bool long_running_ = false;
+    int max_unavailable_ = 0;
 };
 
 struct job_plan
@@ -96,6 +99,11 @@
             {
                 row["gang"] = true;
             }
+            if (step.long_running_)
+            {
+                row["long_running"] = true;
+                row["max_unavailable"] = step.max_unavailable_;
+            }
             if (!step.after_.empty())
             {
                 row["depends_on"] = step.after_;
@@ -127,6 +135,7 @@
     int stop_grace_ms_ = 200;
     int gang_wait_ms_ = 3000;
     int heartbeat_ms_ = 1500;
+    int maintenance_ms_ = 2000;
 };
 
 class store
@@ -559,6 +568,7 @@
     std::string gang_; ///< job, occurrence, step and run; empty: no gang
     std::uint32_t gang_size_ = 0;
     bool stopping_ = false;
+    bool long_running_ = false;
 };
 
 class platform;
@@ -580,6 +590,16 @@
     std::uint16_t port_ = 0;
     /// Calls arrive, but neither calls nor answers pass.
     bool cut_ = false;
+    /// The minion has ended, with all that ran there, and is silent.
+    void leave();
+    /// A new minion runs on the machine.
+    void begin(std::string id);
+    bool is_gone() const
+    {
+        return gone_;
+    }
+    /// The machine has its upkeep.
+    bool in_upkeep_ = false;
     std::map<std::string, run_state> running_; ///< by task and run
     std::unique_ptr<server> server_;
 
@@ -604,6 +624,7 @@
     json report() const;
     void wake();
 
+    bool gone_ = false;
     clock_type::time_point born_ = clock_type::now();
     std::uint64_t token_ = 0;
     std::int64_t lease_ = 0;
@@ -656,6 +677,27 @@
                             {"limits", {{"max_body_bytes", 262'144}}}}));
     }
 
+    /// Requests the upkeep of a machine.
+    void put_wave(std::string const& machine)
+    {
+        record_.write("operator: wave 1 of machine " + machine);
+        json wave = {{"wave", 1}, {"duration_s", 20}, {"max_count", 1}};
+        wave["machines"] = json::array({machine});
+        store_.put("keyed.op", "wave/1", to_cbor(wave));
+    }
+
+    /// A minion and its machine are lost for good, silently.
+    void lose(minion& lost)
+    {
+        record_.write("minion " + lost.id_ + ": lost for good");
+        lost.leave();
+        constexpr int missed_beats = 3;
+        auto const timer = std::make_shared<asio::steady_timer>(
+            context_, milliseconds{missed_beats * bounds_.heartbeat_ms_});
+        timer->async_wait([this, id = lost.id_, timer](beast::error_code)
+                          { store_.put("keyed.servers", id, ""); });
+    }
+
     void add_job(job_plan const& job)
     {
         jobs_[job.id_] = job;
@@ -758,6 +800,7 @@
     }
 
     void serve(request const& message, responder respond);
+    reply begin_upkeep(json const& order);
     void register_all();
     /// Where single runs are not logged, their numbers are.
     void write_summary();
@@ -767,6 +810,7 @@
     asio::steady_timer timer_;
     clock_type::time_point next_registration_{};
     clock_type::time_point next_summary_{};
+    std::set<std::string> upkeep_done_;
     int started_now_ = 0;
     int done_now_ = 0;
     /// Members present of a gang's run, by its name.
@@ -832,6 +876,11 @@
                             .count() *
                         100 / run.work_ms_);
         }
+        if (run.long_running_)
+        {
+            constexpr milliseconds startup{300};
+            percent = clock_type::now() - run.arrived_ >= startup ? 100 : 0;
+        }
         running.push_back(
             {run.task_, run.run_, run.checkpoint_, percent, run.cpu_});
     }
@@ -847,6 +896,32 @@
     return {{"running", running}, {"finished", finished}};
 }
 
+inline void minion::leave()
+{
+    for (auto const& item : std::exchange(running_, {}))
+    {
+        owner_.on_ended(*this, item.second, "gone");
+    }
+    gone_ = true;
+    cut_ = true;
+    holders_.clear();
+}
+
+inline void minion::begin(std::string id)
+{
+    id_ = std::move(id);
+    gone_ = false;
+    cut_ = false;
+    in_upkeep_ = false;
+    born_ = clock_type::now();
+    token_ = 0;
+    lease_ = 0;
+    next_end_ = 1;
+    ends_.clear();
+    highest_ended_.clear();
+    sequence_ = 0;
+}
+
 inline void minion::take_deadline(json const& body)
 {
     if (body.contains("deadline_ms"))
@@ -1000,7 +1075,8 @@
         {
             over.emplace_back(item.first, "lapsed");
         }
-        else if (run.began_ && now - *run.began_ >= milliseconds{run.work_ms_})
+        else if (run.began_ && !run.long_running_ &&
+                 now - *run.began_ >= milliseconds{run.work_ms_})
         {
             over.emplace_back(item.first, "done");
         }
@@ -1031,26 +1107,74 @@
             machines.push_back(
                 {{"machine", each->machine_},
                  {"pool", service_},
-                 {"state", "up"},
+                 {"state", each->in_upkeep_  ? "upkeep"
+                           : each->is_gone() ? "down"
+                                             : "up"},
                  {"zone", "walu-hall"},
                  {"labels", {"a", "r1-2"}},
                  {"available_resources",
                   {{"cpu", 16'000}, {"mem_mb", 65'536}, {"gpu", 0}}},
-                 {"id", each->id_}});
+                 {"id", each->is_gone() ? "" : each->id_}});
         }
         respond({200, to_cbor({{"machines", machines},
                                {"next_page_token", nullptr}})});
         return;
     }
+    if (message.target() == "/api/machine-upkeep")
+    {
+        respond(begin_upkeep(json::from_cbor(message.body())));
+        return;
+    }
     record_.write("platform: unexpected call " + std::string(message.target()));
     respond({400, to_cbor(json::object())});
 }
 
+inline reply platform::begin_upkeep(json const& order)
+{
+    auto const machine = order.at("machine").get<std::string>();
+    for (auto const& each : minions_)
+    {
+        if (each->machine_ != machine)
+        {
+            continue;
+        }
+        if (upkeep_done_.count(machine) != 0)
+        {
+            return {200, to_cbor(json::object())};
+        }
+        if (each->is_gone())
+        {
+            return {409, to_cbor({{"reason", "busy"}})};
+        }
+        record_.write("machine " + machine + ": upkeep");
+        upkeep_done_.insert(machine);
+        auto* const at = each.get();
+        store_.put("keyed.servers", at->id_, "");
+        at->leave();
+        at->in_upkeep_ = true;
+        auto const timer = std::make_shared<asio::steady_timer>(
+            context_, milliseconds{bounds_.maintenance_ms_});
+        timer->async_wait(
+            [this, at, timer](beast::error_code)
+            {
+                at->begin("i-9c04" + at->machine_.substr(2));
+                store_.put("keyed.servers", at->id_, at->entry());
+                record_.write("machine " + at->machine_ + ": up as minion " +
+                              at->id_);
+            });
+        return {200, to_cbor(json::object())};
+    }
+    return {400, to_cbor(json::object())};
+}
+
 inline void platform::register_all()
 {
     for (auto const& each : minions_)
     {
-        store_.put("keyed.servers", each->id_, each->entry());
+        if (!each->is_gone())
+        {
+            store_.put("keyed.servers", each->id_, each->entry());
+        }
     }
     next_registration_ =
         clock_type::now() + milliseconds{bounds_.heartbeat_ms_};
@@ -1128,6 +1252,7 @@
     run.work_ms_ =
         step.work_ms_ + step.spread_ms_ * index / static_cast<int>(step.count_);
     run.cpu_ = step.cpu_;
+    run.long_running_ = step.long_running_;
     if (!step.gang_)
     {
         return;
