--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,7 @@
 cd "$(dirname "$0")/.."
 
 objects=target/review/objects
+rm -rf "$objects"
 mkdir -p "$objects"
 pids=()
 for source in review/driver/*.cpp; do
