--- a/review/driver/gang.cpp
+++ b/review/driver/gang.cpp
@@ -38,7 +38,7 @@
         play.record_.write("minion " + at->id_ + ": cut off from the nodes");
         at->cut_ = true;
     }
-    play.run_traffic(milliseconds{5500}, milliseconds{500});
+    play.run_traffic(milliseconds{5000}, milliseconds{500});
     if (play.trouble_)
     {
         at->cut_ = false;
--- a/review/driver/hopeless.cpp
+++ b/review/driver/hopeless.cpp
@@ -63,7 +63,7 @@
         }
         play.record_.write(line);
     }
-    return !open.empty() && play.is_stuck(open.front()) ? broken : held;
+    return play.has_stuck(open) ? broken : held;
 }
 
 } // namespace review
--- a/review/driver/many_times.cpp
+++ b/review/driver/many_times.cpp
@@ -30,9 +30,8 @@
     {
         return not_run;
     }
-    // The turn of their work items has come: first steps depend on nothing,
-    // and all times of the job that repeats are past.
-    return !open.empty() && play.is_stuck(open.front()) ? broken : held;
+    // All times of the job that repeats are past.
+    return play.has_stuck(open) ? broken : held;
 }
 
 } // namespace review
--- a/review/driver/scene.hpp
+++ b/review/driver/scene.hpp
@@ -163,11 +163,58 @@
         return open;
     }
 
-    /// The check of LOST for a job of which the turn of a work item has come:
+    /// Whether the turn of a work item has come that has not ended `done`: all
+    /// steps that its own depends on are done. Of jobs that repeat, all times
+    /// must be past.
+    bool has_due_item(std::string const& job)
+    {
+        auto const& plan = clients_.jobs_[job].plan_;
+        auto const times = std::max<std::uint32_t>(1, plan.repeat_);
+        for (std::uint32_t k = 0; k < times; ++k)
+        {
+            auto const is_done = [&](std::uint32_t step)
+            {
+                auto const prefix = job + "." + std::to_string(k) + "." +
+                                    std::to_string(step) + ".";
+                auto const done = platform_.count_done(prefix);
+                // One end of a gang's member stands for all of them.
+                return done >=
+                       (plan.steps_[step].gang_
+                            ? 1
+                            : static_cast<int>(plan.steps_[step].count_));
+            };
+            for (std::uint32_t step = 0; step < plan.steps_.size(); ++step)
+            {
+                auto const& after = plan.steps_[step].after_;
+                if (!is_done(step) &&
+                    std::all_of(after.begin(), after.end(), is_done))
+                {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    /// Whether one of these accepted jobs is stuck.
+    bool has_stuck(std::vector<std::string> const& jobs)
+    {
+        auto const due = std::find_if(jobs.begin(), jobs.end(),
+                                      [&](std::string const& job)
+                                      { return has_due_item(job); });
+        return due != jobs.end() && is_stuck(*due);
+    }
+
+    /// The check of LOST: the turn of one of the job's work items has come, and
     /// for three seconds it has nothing running, while under half of the
-    /// capacity is in use.
+    /// capacity is in use. The minions are alike and the work items need at
+    /// most a quarter of one, so that one has room twice over.
     bool is_stuck(std::string const& job)
     {
+        if (!has_due_item(job))
+        {
+            return false;
+        }
         auto const limit = clock_type::now() + milliseconds{3000};
         while (clock_type::now() < limit)
         {
