cell: Keep a run whose end an answer may have left out

Cause: reconcile() took a run that an answer lists neither as running nor as ended for vanished, although an answer lists a limited number of ends. It did so for running, unresolved and stopping tasks, and forgot orphaned runs in the same way.

A missing run now counts as gone only if the answer has left no end out: it lists none above the one that its own request acknowledged, or an end was read of a run that was still known to run after the run was missed. The argument needs the order of the ends alone, not the platform's limit.

Ruled out: concluding from an answer without a new end, since ends that aren't acknowledged yet may fill it.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -405,13 +405,26 @@
     /// outlasted it.
     time_point runs_end_by(worker_state const& worker) const;
     /// Compares the runs that a worker reports with the tasks assigned to it.
+    /// @param lists_all_ends whether the report leaves no end out
     /// @param asked when the report was requested
     void reconcile(worker_state& worker, worker_report const& report,
-                   time_point asked, time_point now);
+                   bool lists_all_ends, time_point asked, time_point now);
+    /// Removes the orphaned runs that the worker has no more.
+    /// @param previous those that were known before the report
+    void reconcile_orphans(worker_state& worker,
+                           std::map<task_id, orphaned_run> const& previous,
+                           bool lists_all_ends, time_point now);
     /// @param report null if the worker does not run the task
     void reconcile_task(worker_state& worker, task_id const& task,
-                        running_report const* report, time_point asked,
-                        time_point now);
+                        running_report const* report, bool lists_all_ends,
+                        time_point asked, time_point now);
+    /// Whether a run that is missing from a report has ended without an end
+    /// that is still to be read.
+    /// @param[in,out] missing_since as in `task_state`
+    static bool is_gone(worker_state const& worker, time_point& missing_since,
+                        bool lists_all_ends, time_point now);
+    /// Whether the next report may decide which of the worker's runs there are.
+    bool has_unsettled_runs(worker_state const& worker);
     /// Whether a task that its worker reports as running is to count as
     /// running from now on.
     bool must_adopt(task_location const& at, worker_state const& worker,
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -92,6 +92,8 @@
         at.task_->own_start_ = false;
         at.task_->stop_accepted_ = false;
         at.task_->stop_sent_ = {};
+        at.task_->reported_at_ = {};
+        at.task_->missing_since_ = {};
     }
 }
 
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -132,6 +132,24 @@
                     second * busy / options_.renewal_rate_);
 }
 
+bool cell::has_unsettled_runs(worker_state const& worker)
+{
+    return std::any_of(worker.tasks_.begin(), worker.tasks_.end(),
+                       [&](task_id const& task)
+                       {
+                           auto const at = find(task);
+                           return at &&
+                                  (at.task_->phase_ == task_phase::unresolved ||
+                                   at.task_->phase_ == task_phase::stopping ||
+                                   at.task_->missing_since_ != time_point{});
+                       }) ||
+           std::any_of(worker.orphaned_runs_.begin(),
+                       worker.orphaned_runs_.end(),
+                       [](auto const& orphan) {
+                           return orphan.second.missing_since_ != time_point{};
+                       });
+}
+
 void cell::send_due_renewals(time_point now)
 {
     if (!can_send_orders(now))
@@ -148,22 +166,14 @@
             continue;
         }
         auto order = make_query(worker);
-        bool const all_resolved = std::none_of(
-            worker.tasks_.begin(), worker.tasks_.end(),
-            [&](task_id const& task)
-            {
-                auto const at = find(task);
-                return at && (at.task_->phase_ == task_phase::unresolved ||
-                              at.task_->phase_ == task_phase::stopping);
-            });
         // An unanswered renewal may still have extended the leases. A silent
         // worker is only queried, so that its leases expire.
         if (worker.fenced_ && worker.unanswered_renewals_ == 0)
         {
             order.lease_until_ = lease_for(worker, now);
-            order.wait_ = all_resolved && !worker.tasks_.empty()
-                              ? options_.renewal_wait_
-                              : duration{0};
+            bool const can_wait =
+                !worker.tasks_.empty() && !has_unsettled_runs(worker);
+            order.wait_ = can_wait ? options_.renewal_wait_ : duration{0};
         }
         worker.renewal_in_flight_ = true;
         worker.acknowledging_ = order.acknowledge_;
@@ -267,7 +277,17 @@
     {
         workers_with_new_ends_.insert(name);
     }
-    reconcile(worker, report, sent, now);
+    // The ends above the acknowledged one are listed in their order, so that
+    // none is left out if there is none.
+    bool const lists_all_ends =
+        std::none_of(report.ended_.begin(), report.ended_.end(),
+                     [&](end_report const& end)
+                     { return end.number_ > order.acknowledge_; });
+    if (lists_all_ends)
+    {
+        worker.ends_read_to_ = std::max(worker.ends_read_to_, sent);
+    }
+    reconcile(worker, report, lists_all_ends, sent, now);
     if (extra)
     {
         return;
@@ -279,19 +299,48 @@
                    : options_.stop_retry_interval_);
 }
 
-void cell::reconcile(worker_state& worker, worker_report const& report,
-                     time_point asked, time_point now)
+bool cell::is_gone(worker_state const& worker, time_point& missing_since,
+                   bool lists_all_ends, time_point now)
 {
-    std::map<task_id, running_report const*> reported;
-    for (auto const& orphan : std::exchange(worker.orphaned_runs_, {}))
+    if (missing_since == time_point{})
+    {
+        missing_since = now;
+    }
+    return lists_all_ends || worker.ends_read_to_ >= missing_since;
+}
+
+void cell::reconcile_orphans(worker_state& worker,
+                             std::map<task_id, orphaned_run> const& previous,
+                             bool lists_all_ends, time_point now)
+{
+    for (auto const& each : previous)
     {
-        auto const at = find(orphan.first);
+        if (worker.orphaned_runs_.count(each.first) != 0)
+        {
+            continue;
+        }
+        auto orphan = each.second;
+        bool const gone =
+            is_gone(worker, orphan.missing_since_, lists_all_ends, now);
+        auto const at = find(each.first);
         if (at)
         {
-            at.task_->orphan_ends_by_ = {};
+            at.task_->orphan_ends_by_ =
+                gone ? time_point{} : worker.lease_expires_at_;
             placement_due_ = true;
         }
+        if (!gone)
+        {
+            worker.orphaned_runs_.emplace(each.first, orphan);
+        }
     }
+}
+
+void cell::reconcile(worker_state& worker, worker_report const& report,
+                     bool lists_all_ends, time_point asked, time_point now)
+{
+    std::map<task_id, running_report const*> reported;
+    auto const previous = std::exchange(worker.orphaned_runs_, {});
     for (auto const& running : report.running_)
     {
         auto const at = find(running.task_);
@@ -303,20 +352,21 @@
         }
         else
         {
-            worker.orphaned_runs_[running.task_] = running.run_;
+            worker.orphaned_runs_[running.task_] = {running.run_, {}};
             if (at)
             {
                 at.task_->orphan_ends_by_ = worker.lease_expires_at_;
             }
         }
     }
+    reconcile_orphans(worker, previous, lists_all_ends, now);
     auto const tasks = worker.tasks_;
     for (auto const& task : tasks)
     {
         auto const found = reported.find(task);
         reconcile_task(worker, task,
-                       found == reported.end() ? nullptr : found->second, asked,
-                       now);
+                       found == reported.end() ? nullptr : found->second,
+                       lists_all_ends, asked, now);
     }
 }
 
@@ -362,8 +412,8 @@
 }
 
 void cell::reconcile_task(worker_state& worker, task_id const& task,
-                          running_report const* report, time_point asked,
-                          time_point now)
+                          running_report const* report, bool lists_all_ends,
+                          time_point asked, time_point now)
 {
     auto const at = find(task);
     if (!at)
@@ -375,6 +425,8 @@
     if (report != nullptr)
     {
         at.job_->begun_ = true;
+        state.reported_at_ = std::max(state.reported_at_, asked);
+        state.missing_since_ = {};
         if (must_adopt(at, worker, now))
         {
             if (state.phase_ == task_phase::stopping)
@@ -413,7 +465,8 @@
     switch (state.phase_)
     {
     case task_phase::running:
-        if (asked > state.started_)
+        if (asked > state.started_ &&
+            is_gone(worker, state.missing_since_, lists_all_ends, now))
         {
             log_event("run_vanished", describe(task),
                       worker.entry_.id_ + " run=" + std::to_string(state.run_) +
@@ -431,6 +484,10 @@
         if (!state.own_start_ ||
             (state.stop_accepted_ && asked > state.stop_accepted_at_))
         {
+            if (!is_gone(worker, state.missing_since_, lists_all_ends, now))
+            {
+                return;
+            }
             if (state.own_start_ && state.phase_ == task_phase::unresolved)
             {
                 update_budget(at, &start_budget::on_not_started, state.run_);
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -87,7 +87,8 @@
             worker.orphans_stopped_at_ = now;
             for (auto const& orphan : worker.orphaned_runs_)
             {
-                send_stop(worker, orphan.first, orphan.second, "stray_run");
+                send_stop(worker, orphan.first, orphan.second.run_,
+                          "stray_run");
             }
         }
     }
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -110,6 +110,8 @@
     at.task_->own_start_ = false;
     at.task_->start_sent_ = {};
     at.task_->started_ = {};
+    at.task_->reported_at_ = {};
+    at.task_->missing_since_ = {};
     at.task_->established_at_ = {};
     at.task_->percent_ = 0;
     ++at.step_->waiting_;
@@ -225,6 +227,17 @@
                       time_point now)
 {
     auto const at = find(end.task_);
+    auto const orphan = worker.orphaned_runs_.find(end.task_);
+    if (orphan != worker.orphaned_runs_.end() &&
+        orphan->second.run_ == end.run_)
+    {
+        worker.orphaned_runs_.erase(orphan);
+        if (at)
+        {
+            at.task_->orphan_ends_by_ = {};
+            placement_due_ = true;
+        }
+    }
     if (!at || at.task_->phase_ == task_phase::done)
     {
         return;
@@ -248,6 +261,10 @@
         return;
     }
     at.job_->begun_ = true;
+    // Ends are listed in their order: those of runs that ended while this one
+    // was still known to run have been read.
+    worker.ends_read_to_ = std::max(
+        {worker.ends_read_to_, at.task_->start_sent_, at.task_->reported_at_});
     if (at.shape_->checkpointing_ && !end.checkpoint_.empty())
     {
         at.task_->checkpoint_ = end.checkpoint_;
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -87,6 +87,11 @@
     /// When this owner sent the start; unset for runs of earlier owners.
     time_point start_sent_{};
     time_point started_{};
+    /// The latest time at which the run is known not to have ended.
+    time_point reported_at_{};
+    /// When an answer of the worker first listed the run neither as running
+    /// nor as ended; unset if none has.
+    time_point missing_since_{};
     /// From then on no stop that was sent before can end the run.
     time_point established_at_{};
 
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -69,8 +69,8 @@
     std::string checkpoint_;
 };
 
-/// A worker's answer to a renewal: all running tasks, and the ends of runs that
-/// are not acknowledged yet.
+/// A worker's answer to a renewal: all running tasks, and the oldest ends of
+/// runs that are not acknowledged yet. Later ends may be left out.
 struct worker_report
 {
     worker_clock clock_{0};
@@ -124,6 +124,10 @@
     /// The renewal in flight acknowledges the ends up to this number.
     std::uint64_t acknowledging_ = 0;
 
+    /// All runs that ended before this time had their ends read. An answer
+    /// lists a limited number of ends, the oldest first.
+    time_point ends_read_to_{};
+
     /// Tasks and runs that were released when the lease lapsed, until the
     /// worker answers or it is known how it ended.
     std::map<task_id, std::uint32_t> lapsed_runs_;
@@ -136,6 +140,14 @@
     time_point avoided_until_{};
 };
 
+/// A run that a worker may have and no job wants any more.
+struct orphaned_run
+{
+    std::uint32_t run_ = 0;
+    /// As in `task_state`.
+    time_point missing_since_{};
+};
+
 /// A worker's state at the owner of the cell.
 struct worker_state : worker_incarnation
 {
@@ -187,7 +199,7 @@
     time_point lost_at_{};
     /// Runs of tasks that no job wants any more. They keep their resources
     /// until they end.
-    std::map<task_id, std::uint32_t> orphaned_runs_;
+    std::map<task_id, orphaned_run> orphaned_runs_;
     time_point orphans_stopped_at_{};
 
     time_point draining_since_{};
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -672,7 +672,15 @@
     call(
         order.address_, false,
         [this, order, report, token = token_of(order)]
-        { return find(order.worker_)->renew(token, order, *report, now_); },
+        {
+            auto const outcome =
+                find(order.worker_)->renew(token, order, *report, now_);
+            if (report->ended_.size() > max_listed_ends_)
+            {
+                report->ended_.resize(max_listed_ends_);
+            }
+            return outcome;
+        },
         [this, order, report, sent = now_](call_outcome outcome)
         { cell_->on_renewal_response(order, outcome, *report, sent, now_); });
 }
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -135,6 +135,8 @@
     bool store_down_ = false;
     /// Calls to a crashed worker's address reach another incarnation.
     bool reuses_addresses_ = false;
+    /// Ends that a worker lists in one answer.
+    std::size_t max_listed_ends_ = 500;
     /// From a worker's restart until its registration is read.
     std::chrono::milliseconds registration_delay_{500};
     /// The calendar of a worker that starts again is behind that of before.
--- a/tests/kernel/cell/placement_rule_test.cpp
+++ b/tests/kernel/cell/placement_rule_test.cpp
@@ -55,7 +55,9 @@
     {nullptr, [](worker_state&, job_step& s) { s.label_ = "kind"; }},
     {"anti_affinity", [](worker_state&, job_step& s) { s.per_worker_ = 1; }},
     {"stray_run",
-     [](worker_state& w, job_step&) { w.orphaned_runs_[task_id{}] = 1; }},
+     [](worker_state& w, job_step&) {
+         w.orphaned_runs_[task_id{}] = {1, {}};
+     }},
     {"disturbance",
      [](worker_state& w, job_step& s)
      {
