cell: Store the progress of a job in blocks of bounded size

Cause: one record with a row for each started task, unbounded as the batch is, and an append that was rejected for good was repeated like a lost answer.

The tasks of a job are divided into blocks of 128 with a record each; a change writes its block alone. Batches are bounded, and ends are acknowledged once all blocks that were out of date with them are stored. A definition that may exceed a record is refused at once. A batch that is rejected for good is sent record by record, and the job of a rejected record fails. Records of earlier programs are read and replaced.

Ruled out: ranges of done tasks (running ones alone can exceed a record), and a bound on tasks, which the platform doesn't set.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -14,7 +14,9 @@
 #include "kernel/cell/worker_state.hpp"
 #include "kernel/time.hpp"
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -57,6 +59,11 @@
     /// If the store takes longer than this for a batch, it counts as
     /// unreachable and no job is accepted.
     duration store_stall_timeout_ = std::chrono::milliseconds{700};
+    /// Upper bound of a record in the store, in bytes. A job that needs a
+    /// larger one is refused.
+    std::size_t max_record_bytes_ = 262'144;
+    /// A batch of at least this many bytes gets no further block of a job.
+    std::size_t max_batch_bytes_ = 1'048'576;
     /// If the workers' entries were read longer ago than this, nothing is
     /// started, since a worker may have begun to drain in the meantime.
     duration max_entries_age_ = std::chrono::milliseconds{1500};
@@ -75,6 +82,9 @@
     duration min_stall_timeout_ = std::chrono::milliseconds{2200};
 };
 
+/// Upper bound of the bytes of a job's record in the store.
+std::size_t record_size_bound(job_definition const& job);
+
 /// The only writer of one partition. It places the jobs of its pools on their
 /// workers.
 ///
@@ -94,16 +104,19 @@
     /// `finish_restore()`.
     /// @{
     void restore(job_definition request, time_point now);
-    void restore(job_id const& job, job_progress const& progress,
-                 time_point now);
+    /// @param name of the record, as `block_name()` makes it; the first block
+    /// of a job comes before the others
+    /// @throws std::invalid_argument if it is no such name
+    void restore_progress(std::string const& name, job_progress const& progress,
+                          time_point now);
     /// Restores the crashes under a job's tasks; called after its progress.
     /// @param text as `encode(crash_counts)` wrote it
-    /// @throws std::invalid_argument if the text is not readable
-    void restore_crash_counts(job_id const& job, std::string const& text,
+    /// @throws std::invalid_argument if name or text is not readable
+    void restore_crash_counts(std::string const& name, std::string const& text,
                               time_point now);
     /// The same for the starts that count under a job's tasks.
     /// @param text as `encode(start_counts)` wrote it
-    void restore_start_counts(job_id const& job, std::string const& text);
+    void restore_start_counts(std::string const& name, std::string const& text);
     /// Restores on which incarnation of a worker its stored runs were started;
     /// called after the progress of all jobs.
     /// @param start as the record of kind `incarnation` holds it
@@ -181,6 +194,10 @@
     /// The batch in flight was stored.
     void on_batch_stored(time_point now);
 
+    /// The store will never accept a record of that name. Its job fails, so
+    /// that it is stored how the job ended.
+    void on_record_rejected(std::string const& name, time_point now);
+
     /// Returns and clears the pending actions.
     std::vector<cell_action> take_actions();
 
@@ -234,8 +251,8 @@
     {
         /// Runs to start, each a task and its run number.
         std::vector<std::pair<task_id, std::uint32_t>> starts_;
-        /// Jobs whose records the batch holds.
-        std::vector<job_id> jobs_;
+        /// Jobs whose first blocks the batch holds, and their status there.
+        std::vector<std::pair<job_id, job_status>> jobs_;
         /// By worker: the number of the last ended run that is recorded and
         /// can be acknowledged.
         std::map<std::string, std::uint64_t> ends_;
@@ -306,9 +323,24 @@
 
     // cell_records.cpp
     void remove_ended_from_open();
-    /// Adds the job's progress to the next batch.
+    /// Adds the job's status to the next batch.
     void mark_dirty(job_state& job);
-    job_progress progress_of(job_state const& job) const;
+    /// Adds the progress of the task's block to the next batch.
+    void mark_dirty(job_state& job, task_id const& task);
+    void mark_dirty(job_state& job, block_number block);
+    /// The state of a task that exists.
+    static task_state const& task_of(job_state const& job, task_id const& task);
+    job_progress progress_of(job_state const& job, block_number block) const;
+    /// Adds the records of a job's block to a batch.
+    void append_block(std::string const& name, block_number block,
+                      cell_batch& batch, batch_effects& effects);
+    /// Deletes the records of an ended job, except that of its status.
+    void append_deletions(std::string const& name, job_state& job,
+                          cell_batch& batch);
+    void restore_block(job_id const& id, block_number block,
+                       job_progress const& progress, time_point now);
+    void restore_task(job_id const& id, job_state& job,
+                      task_record const& record, time_point now);
     /// Starts a run whose record was stored, unless its worker became unusable
     /// or too small in the meantime.
     void send_start(task_id const& task, std::uint32_t run, time_point now);
@@ -496,7 +528,7 @@
     std::map<task_id, std::uint32_t> suspects_of(worker_state const& worker,
                                                  time_point lost_at);
     /// Adds the job's crash counts to the next batch.
-    void store_crashes(job_state& job);
+    void store_crashes(job_state& job, task_id const& task);
     /// Logs a crash under a task, and gives the task up if it is due.
     void judge_crash(task_id const& task, task_location const& at,
                      std::string const& worker, time_point now);
@@ -506,18 +538,21 @@
     /// Whether much of the worker's rack, data centre or kind went silent at
     /// that time, as in a failure of their power, whatever they ran.
     bool has_common_cause(worker_state const& lost, time_point at) const;
-    static crash_counts crash_counts_of(job_state const& job);
-    static start_counts start_counts_of(job_state const& job);
+    static crash_counts crash_counts_of(job_state const& job,
+                                        block_number block);
+    static start_counts start_counts_of(job_state const& job,
+                                        block_number block);
     /// The job that an earlier owner stored counts of. Deletes their record and
     /// returns null if it has ended.
-    job_state* find_counted(record_kind kind, job_id const& id);
-    /// Adds the job's crash and start counts to the batch if they have changed,
+    /// @throws std::invalid_argument if it is not the name of a block
+    job_state* find_counted(record_kind kind, std::string const& name);
+    /// Adds a block's crash and start counts to the batch if they have changed,
     /// or deletes them once the job has ended.
     static void append_count_records(std::string const& id, job_state& job,
-                                     cell_batch& batch);
+                                     block_number block, cell_batch& batch);
     /// Reports an event of a run to its task's `start_budget`, and adds a
     /// change to the next batch.
-    void update_budget(task_location const& at,
+    void update_budget(task_id const& task, task_location const& at,
                        void (start_budget::*event)(std::uint32_t) noexcept,
                        std::uint32_t run);
     /// Counts the runs of finite tasks on a worker that is lost, unless its end
@@ -537,7 +572,7 @@
     bool is_out_of_starts(task_id const& task, task_location const& at,
                           time_point now);
     /// The task has run long enough to be no cause of earlier crashes.
-    void clear_crashes(job_state& job, task_state& task);
+    void clear_crashes(task_id const& id, task_location const& at);
     /// Others are kept from the task's worker.
     void begin_isolation(task_state& task, task_isolation isolation);
     /// The task may run beside others from now on.
@@ -606,8 +641,13 @@
     std::vector<worker_state*> candidates_;
     /// Reserved VMs, and when their order was sent, as in `worker_state`.
     std::map<vm_id, time_point> reserved_;
-    /// Jobs whose progress the next batch stores.
-    std::vector<std::string> dirty_jobs_;
+    /// Jobs and their blocks whose records are out of date.
+    std::deque<std::pair<std::string, block_number>> dirty_blocks_;
+    /// Those that were when the sweep began, and are not in a batch yet. A
+    /// sweep takes several batches if they don't fit into one.
+    std::deque<std::pair<std::string, block_number>> sweep_;
+    /// The ends that had been read by then, as in `batch_effects`.
+    std::map<std::string, std::uint64_t> sweep_ends_;
     /// Jobs whose records the next batch ends.
     std::vector<std::string> removed_jobs_;
     std::set<std::string> workers_with_new_ends_;
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -71,6 +71,11 @@
         }
         return;
     }
+    if (record_size_bound(request) > options_.max_record_bytes_)
+    {
+        reply(exchange, make_answer(answer_kind::too_large, "job_too_large"));
+        return;
+    }
     auto const already_waited = time_already_waited(route, time_left);
     demand_.add(route.pool_, request.id_,
                 run_times_.work(request, typical_worker(route.pool_)), now);
@@ -341,17 +346,23 @@
     {
         return;
     }
-    std::vector<std::string> kept;
-    for (auto const& name : dirty_jobs_)
+    std::set<std::string> withdrawn;
+    for (auto const* const blocks : {&sweep_, &dirty_blocks_})
     {
-        auto const found = jobs_.find(name);
-        auto& job = found->second;
-        if (job.request_written_ || job.stored_ ||
-            now - job.arrived_ < options_.store_stall_timeout_)
+        for (auto const& block : *blocks)
         {
-            kept.push_back(name);
-            continue;
+            auto const& job = jobs_.at(block.first);
+            if (!job.request_written_ && !job.stored_ &&
+                now - job.arrived_ >= options_.store_stall_timeout_)
+            {
+                withdrawn.insert(block.first);
+            }
         }
+    }
+    for (auto const& name : withdrawn)
+    {
+        auto const found = jobs_.find(name);
+        auto& job = found->second;
         client_answer refusal =
             make_answer(answer_kind::unavailable, "store_stalled");
         refusal.retry_after_ = outage_retry_after(now - batch_sent_at_);
@@ -368,7 +379,14 @@
         open_jobs_.erase(name);
         jobs_.erase(found);
     }
-    dirty_jobs_ = std::move(kept);
+    for (auto* const blocks : {&sweep_, &dirty_blocks_})
+    {
+        blocks->erase(
+            std::remove_if(blocks->begin(), blocks->end(),
+                           [&](auto const& block)
+                           { return withdrawn.count(block.first) != 0; }),
+            blocks->end());
+    }
 }
 
 void cell::release_all(job_state& job, time_point now)
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -57,48 +57,35 @@
            (worker.reserved_ && worker.order_sent_at_ <= lost_at);
 }
 
-/// Calls the function with each task of the job, without the job's id in the
-/// task's, and its state.
-template <class Function>
-void for_each_task(job_state const& job, Function const& function)
-{
-    for (std::uint32_t k = 0; k < job.occurrences_.size(); ++k)
-    {
-        auto const& steps = job.occurrences_[k].steps_;
-        for (std::uint32_t s = 0; s < steps.size(); ++s)
-        {
-            for (std::uint32_t i = 0; i < steps[s].tasks_.size(); ++i)
-            {
-                function({job_id{}, k, s, i}, steps[s].tasks_[i]);
-            }
-        }
-    }
-}
-
-/// Adds a job's counts to the batch if they have changed, or deletes them once
-/// the job has ended.
-/// @param has_record whether the store has a record of that kind; updated
+/// Adds a block's counts to the batch if they have changed, or deletes them
+/// once the job has ended.
 /// @param counts returns the present ones
 template <class Counts>
-void append_counts(record_kind kind, std::string const& id, bool ended,
-                   bool changed, bool& has_record, Counts const& counts,
-                   cell_batch& batch)
+void append_counts(record_kind kind, std::string const& job, bool ended,
+                   block_number block, block_records& records,
+                   Counts const& counts, cell_batch& batch)
 {
-    if (!changed && !(ended && has_record))
+    bool const changed = records.changed_.erase(block) != 0;
+    bool const is_stored = records.stored_.count(block) != 0;
+    if (!changed && !(ended && is_stored))
     {
         return;
     }
     auto text = ended ? std::string() : encode(counts());
-    if (text.empty() && !has_record)
+    if (text.empty() && !is_stored)
     {
         return;
     }
-    has_record = !text.empty();
     cell_record record;
     record.kind_ = kind;
-    record.name_ = id;
-    if (has_record)
+    record.name_ = block_name(job, block);
+    if (text.empty())
+    {
+        records.stored_.erase(block);
+    }
+    else
     {
+        records.stored_.insert(block);
         record.text_ = std::move(text);
     }
     batch.records_.push_back(std::move(record));
@@ -135,7 +122,7 @@
         {
             auto const at = find(run.first);
             ++at.task_->unexplained_losses_;
-            store_crashes(*at.job_);
+            store_crashes(*at.job_, run.first);
             if (needs_crash_proof(*at.task_) && !at.shape_->long_running_)
             {
                 at.task_->not_before_ = now + crash_proof_wait;
@@ -174,12 +161,12 @@
     return runs;
 }
 
-void cell::store_crashes(job_state& job)
+void cell::store_crashes(job_state& job, task_id const& task)
 {
     if (!job.ended())
     {
-        job.crashes_changed_ = true;
-        mark_dirty(job);
+        job.crash_records_.changed_.insert(job.blocks_.block_of(task));
+        mark_dirty(job, task);
     }
 }
 
@@ -191,7 +178,7 @@
         if (at && at.task_->unexplained_losses_ > 0)
         {
             --at.task_->unexplained_losses_;
-            store_crashes(*at.job_);
+            store_crashes(*at.job_, run.first);
             placement_due_ = true;
         }
     }
@@ -292,7 +279,7 @@
 void cell::judge_crash(task_id const& task, task_location const& at,
                        std::string const& worker, time_point now)
 {
-    store_crashes(*at.job_);
+    store_crashes(*at.job_, task);
     log_event("task_suspected", describe(task),
               worker + " run=" + std::to_string(at.task_->run_) +
                   " crashes=" + std::to_string(at.task_->crashes_) +
@@ -312,109 +299,128 @@
     }
 }
 
-crash_counts cell::crash_counts_of(job_state const& job)
+crash_counts cell::crash_counts_of(job_state const& job, block_number block)
 {
     crash_counts counts;
-    for_each_task(job,
-                  [&](task_id const& task, task_state const& state)
-                  {
-                      auto const losses =
-                          state.crashes_ + state.unexplained_losses_;
-                      if (losses > 0)
-                      {
-                          counts[task] = {losses, state.prime_crashes_};
-                      }
-                  });
+    for (auto const& task :
+         job.blocks_.tasks_of(block, job.occurrences_.size()))
+    {
+        auto const& state = task_of(job, task);
+        auto const losses = state.crashes_ + state.unexplained_losses_;
+        if (losses > 0)
+        {
+            counts[task] = {losses, state.prime_crashes_};
+        }
+    }
     return counts;
 }
 
-start_counts cell::start_counts_of(job_state const& job)
+start_counts cell::start_counts_of(job_state const& job, block_number block)
 {
     start_counts counts;
-    for_each_task(job,
-                  [&](task_id const& task, task_state const& state)
-                  {
-                      if (state.start_budget_.used() > 0)
-                      {
-                          counts[task] = state.start_budget_.used();
-                      }
-                  });
+    for (auto const& task :
+         job.blocks_.tasks_of(block, job.occurrences_.size()))
+    {
+        auto const used = task_of(job, task).start_budget_.used();
+        if (used > 0)
+        {
+            counts[task] = used;
+        }
+    }
     return counts;
 }
 
 void cell::append_count_records(std::string const& id, job_state& job,
-                                cell_batch& batch)
+                                block_number block, cell_batch& batch)
 {
     append_counts(
-        record_kind::crashes, id, job.ended(),
-        std::exchange(job.crashes_changed_, false), job.has_crash_record_,
-        [&] { return crash_counts_of(job); }, batch);
+        record_kind::crashes, id, job.ended(), block, job.crash_records_,
+        [&] { return crash_counts_of(job, block); }, batch);
     append_counts(
-        record_kind::starts, id, job.ended(),
-        std::exchange(job.start_counts_changed_, false), job.has_start_record_,
-        [&] { return start_counts_of(job); }, batch);
+        record_kind::starts, id, job.ended(), block, job.start_records_,
+        [&] { return start_counts_of(job, block); }, batch);
 }
 
-job_state* cell::find_counted(record_kind kind, job_id const& id)
+job_state* cell::find_counted(record_kind kind, std::string const& name)
 {
-    auto const found = jobs_.find(id.text());
+    auto const found = jobs_.find(parse_block_name(name).first.text());
     if (found == jobs_.end() || found->second.ended() ||
         !found->second.request_)
     {
-        delete_record(kind, id.text());
+        delete_record(kind, name);
         return nullptr;
     }
     return &found->second;
 }
 
-void cell::restore_crash_counts(job_id const& id, std::string const& text,
-                                time_point now)
+void cell::restore_crash_counts(std::string const& name,
+                                std::string const& text, time_point now)
 {
-    auto* const job = find_counted(record_kind::crashes, id);
+    auto* const job = find_counted(record_kind::crashes, name);
     if (job == nullptr)
     {
         return;
     }
-    job->has_crash_record_ = true;
+    auto const id = parse_block_name(name);
+    job->crash_records_.stored_.insert(id.second);
     for (auto const& item : decode_crash_counts(text))
     {
         task_id task = item.first;
-        task.job_ = id;
+        task.job_ = id.first;
         auto const at = find(task);
         if (at)
         {
             at.task_->crashes_ = item.second.all_;
             at.task_->prime_crashes_ = item.second.prime_;
             at.task_->waiting_since_ = now;
-            begin_isolation(*at.task_, required_isolation(*at.task_, now));
+            if (at.task_->isolation_ == task_isolation::none)
+            {
+                begin_isolation(*at.task_, required_isolation(*at.task_, now));
+            }
             give_up_if_due(task, at, now);
+            if (job->blocks_.block_of(task) != id.second)
+            {
+                // The record is of a program that wrote one for all tasks.
+                store_crashes(*job, task);
+                job->crash_records_.changed_.insert(id.second);
+                mark_dirty(*job);
+            }
         }
     }
 }
 
-void cell::restore_start_counts(job_id const& id, std::string const& text)
+void cell::restore_start_counts(std::string const& name,
+                                std::string const& text)
 {
-    auto* const job = find_counted(record_kind::starts, id);
+    auto* const job = find_counted(record_kind::starts, name);
     if (job == nullptr)
     {
         return;
     }
-    job->has_start_record_ = true;
+    auto const id = parse_block_name(name);
+    job->start_records_.stored_.insert(id.second);
     for (auto const& item : decode_start_counts(text))
     {
         task_id task = item.first;
-        task.job_ = id;
+        task.job_ = id.first;
         auto const at = find(task);
         if (at)
         {
             bool const is_on_worker = !at.task_->worker_.empty();
             at.task_->start_budget_.restore(item.second,
                                             is_on_worker ? at.task_->run_ : 0);
+            auto const block = job->blocks_.block_of(task);
+            if (block != id.second)
+            {
+                job->start_records_.changed_.insert({block, id.second});
+                mark_dirty(*job, task);
+                mark_dirty(*job);
+            }
         }
     }
 }
 
-void cell::update_budget(task_location const& at,
+void cell::update_budget(task_id const& task, task_location const& at,
                          void (start_budget::*event)(std::uint32_t) noexcept,
                          std::uint32_t run)
 {
@@ -423,8 +429,9 @@
     (budget.*event)(run);
     if (budget.used() != before && !at.job_->ended())
     {
-        at.job_->start_counts_changed_ = true;
-        mark_dirty(*at.job_);
+        at.job_->start_records_.changed_.insert(
+            at.job_->blocks_.block_of(task));
+        mark_dirty(*at.job_, task);
     }
 }
 
@@ -447,7 +454,7 @@
                             !lists(survivors, task, at.task_->run_);
         if (counts)
         {
-            update_budget(at, &start_budget::on_lost, at.task_->run_);
+            update_budget(task, at, &start_budget::on_lost, at.task_->run_);
             counted.emplace(task, at.task_->run_);
         }
     }
@@ -461,7 +468,8 @@
         auto const at = find(run.first);
         if (at)
         {
-            update_budget(at, &start_budget::on_worker_found, run.second);
+            update_budget(run.first, at, &start_budget::on_worker_found,
+                          run.second);
         }
     }
     worker.lapsed_runs_.clear();
@@ -474,8 +482,10 @@
                        { return worker.second.lapsed_runs_.count(task) != 0; });
 }
 
-void cell::clear_crashes(job_state& job, task_state& task)
+void cell::clear_crashes(task_id const& id, task_location const& at)
 {
+    auto& job = *at.job_;
+    auto& task = *at.task_;
     task.acquitted_run_ = task.run_;
     if (task.crashes_ > 0)
     {
@@ -484,7 +494,7 @@
                       " crashes=" + std::to_string(task.crashes_));
         task.crashes_ = 0;
         task.prime_crashes_ = 0;
-        store_crashes(job);
+        store_crashes(job, id);
     }
 }
 
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -85,7 +85,7 @@
         if (at.task_->phase_ == task_phase::placed)
         {
             release(task, at, now);
-            mark_dirty(*at.job_);
+            mark_dirty(*at.job_, task);
             continue;
         }
         at.task_->phase_ = task_phase::unresolved;
@@ -100,6 +100,7 @@
 void cell::forget_reported_ends(std::string const& worker)
 {
     workers_with_new_ends_.erase(worker);
+    sweep_ends_.erase(worker);
     if (in_flight_batch_)
     {
         in_flight_batch_->ends_.erase(worker);
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -560,10 +560,10 @@
     }
     if (!at.shape_->long_running_)
     {
-        update_budget(at, &start_budget::on_placed, run);
+        update_budget(task, at, &start_budget::on_placed, run);
     }
     occupy(task, at, worker.entry_.id_);
-    mark_dirty(*at.job_);
+    mark_dirty(*at.job_, task);
 }
 
 } // namespace cuminfold
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace cuminfold
 {
@@ -18,8 +19,50 @@
     return task.run_ == 0 && task.failures_ == 0 && task.checkpoint_.empty();
 }
 
+/// Upper bound of the bytes that a store of the record takes.
+std::size_t size_bound(cell_record const& record)
+{
+    constexpr std::size_t bytes_per_record = 64;
+    constexpr std::size_t bytes_per_row = 40;
+    std::size_t bytes = bytes_per_record + record.name_.size();
+    if (record.request_)
+    {
+        bytes += record_size_bound(*record.request_);
+    }
+    if (record.text_)
+    {
+        bytes += record.text_->size();
+    }
+    if (record.progress_)
+    {
+        for (auto const& task : record.progress_->tasks_)
+        {
+            bytes +=
+                bytes_per_row + task.worker_.size() + task.checkpoint_.size();
+        }
+    }
+    return bytes;
+}
+
 } // namespace
 
+std::size_t record_size_bound(job_definition const& job)
+{
+    // Names of fields and numbers of the longest encoding.
+    constexpr std::size_t bytes_per_job = 200;
+    constexpr std::size_t bytes_per_step = 200;
+    constexpr std::size_t bytes_per_index = 5;
+    std::size_t bytes = bytes_per_job + job.id_.text().size() +
+                        job.route_.size() + job.pool_.text().size() +
+                        job.text_.size();
+    for (auto const& step : job.steps_)
+    {
+        bytes += bytes_per_step + step.label_.size() + step.data_rack_.size() +
+                 step.image_.size() + bytes_per_index * step.after_.size();
+    }
+    return bytes;
+}
+
 void cell::remove_ended_from_open()
 {
     for (auto it = open_jobs_.begin(); it != open_jobs_.end();)
@@ -30,15 +73,25 @@
 
 void cell::mark_dirty(job_state& job)
 {
-    if (!job.dirty_)
+    mark_dirty(job, block_number{0});
+}
+
+void cell::mark_dirty(job_state& job, task_id const& task)
+{
+    mark_dirty(job, job.blocks_.block_of(task));
+}
+
+void cell::mark_dirty(job_state& job, block_number block)
+{
+    if (job.dirty_blocks_.insert(block).second)
     {
-        job.dirty_ = true;
-        dirty_jobs_.push_back(job.request_->id_.text());
+        dirty_blocks_.emplace_back(job.request_->id_.text(), block);
     }
 }
 
 void cell::initialize_job(job_state& job, time_point now)
 {
+    job.blocks_ = task_blocks(*job.request_);
     job.long_running_ =
         std::any_of(job.request_->steps_.begin(), job.request_->steps_.end(),
                     [](job_step const& step) { return step.long_running_; });
@@ -85,96 +138,147 @@
     }
 }
 
-job_progress cell::progress_of(job_state const& job) const
+task_state const& cell::task_of(job_state const& job, task_id const& task)
+{
+    return job.occurrences_[task.occurrence_]
+        .steps_[task.step_]
+        .tasks_[task.index_];
+}
+
+job_progress cell::progress_of(job_state const& job, block_number block) const
 {
     job_progress progress;
-    progress.status_ = job.status_;
+    progress.status_ = block == 0 ? job.status_ : job_status::queued;
     if (job.ended())
     {
         return progress;
     }
-    for (std::uint32_t k = 0; k < job.occurrences_.size(); ++k)
+    for (auto const& id : job.blocks_.tasks_of(block, job.occurrences_.size()))
     {
-        auto const& steps = job.occurrences_[k].steps_;
-        for (std::uint32_t s = 0; s < steps.size(); ++s)
+        auto const& task = task_of(job, id);
+        if (is_new(task) && task.phase_ == task_phase::waiting)
         {
-            for (std::uint32_t i = 0; i < steps[s].tasks_.size(); ++i)
-            {
-                auto const& task = steps[s].tasks_[i];
-                if (is_new(task) && task.phase_ == task_phase::waiting)
-                {
-                    continue;
-                }
-                task_record record;
-                record.task_ = {job_id{}, k, s, i};
-                record.run_ = task.run_;
-                record.failures_ = task.failures_;
-                record.done_ = task.phase_ == task_phase::done;
-                record.worker_ = task.worker_;
-                record.checkpoint_ = record.done_ ? "" : task.checkpoint_;
-                progress.tasks_.push_back(std::move(record));
-            }
+            continue;
         }
+        task_record record;
+        record.task_ = id;
+        record.run_ = task.run_;
+        record.failures_ = task.failures_;
+        record.done_ = task.phase_ == task_phase::done;
+        record.worker_ = task.worker_;
+        record.checkpoint_ = record.done_ ? "" : task.checkpoint_;
+        progress.tasks_.push_back(std::move(record));
     }
     return progress;
 }
 
+void cell::append_block(std::string const& name, block_number block,
+                        cell_batch& batch, batch_effects& effects)
+{
+    auto& job = jobs_.at(name);
+    job.dirty_blocks_.erase(block);
+    if (job.ended() && block != 0)
+    {
+        // The record of block 0 ends the job, and deletes the others.
+        return;
+    }
+    if (!job.request_written_ && !job.ended())
+    {
+        job.request_written_ = true;
+        batch.records_.push_back({record_kind::request, name, job.request_,
+                                  std::nullopt, std::nullopt});
+    }
+    append_count_records(name, job, block, batch);
+    batch.records_.push_back({record_kind::progress, block_name(name, block),
+                              nullptr, progress_of(job, block), std::nullopt});
+    if (block == 0)
+    {
+        effects.jobs_.emplace_back(job_id{name}, job.status_);
+    }
+    else
+    {
+        job.stored_blocks_.insert(block);
+    }
+    if (job.ended())
+    {
+        append_deletions(name, job, batch);
+        tickets_.erase_job(job_id{name});
+        return;
+    }
+    for (auto const& record : batch.records_.back().progress_->tasks_)
+    {
+        task_id task = record.task_;
+        task.job_ = job_id{name};
+        auto const at = find(task);
+        if (at && at.task_->phase_ == task_phase::placed)
+        {
+            effects.starts_.emplace_back(task, record.run_);
+            store_incarnation(workers_.at(record.worker_));
+        }
+    }
+}
+
+void cell::append_deletions(std::string const& name, job_state& job,
+                            cell_batch& batch)
+{
+    if (job.request_written_)
+    {
+        batch.records_.push_back(
+            {record_kind::request, name, nullptr, std::nullopt, std::nullopt});
+    }
+    for (auto const block : std::exchange(job.stored_blocks_, {}))
+    {
+        batch.records_.push_back({record_kind::progress,
+                                  block_name(name, block), nullptr,
+                                  std::nullopt, std::nullopt});
+    }
+    auto counted = job.crash_records_.stored_;
+    counted.insert(job.start_records_.stored_.begin(),
+                   job.start_records_.stored_.end());
+    for (auto const block : counted)
+    {
+        append_count_records(name, job, block, batch);
+    }
+}
+
 std::optional<cell_batch> cell::next_batch(time_point now)
 {
     if (in_flight_batch_ ||
-        (dirty_jobs_.empty() && removed_jobs_.empty() &&
+        (sweep_.empty() && dirty_blocks_.empty() && removed_jobs_.empty() &&
          workers_with_new_ends_.empty() && external_records_.empty()))
     {
         return std::nullopt;
     }
-    batch_effects effects;
-    for (auto const& name : workers_with_new_ends_)
+    if (sweep_.empty())
     {
-        auto const worker = workers_.find(name);
-        if (worker != workers_.end())
+        sweep_ = std::exchange(dirty_blocks_, {});
+        for (auto const& name : std::exchange(workers_with_new_ends_, {}))
         {
-            effects.ends_[name] = worker->second.read_;
+            auto const worker = workers_.find(name);
+            if (worker != workers_.end())
+            {
+                sweep_ends_[name] = worker->second.read_;
+            }
         }
     }
-    workers_with_new_ends_.clear();
+    batch_effects effects;
     cell_batch batch;
-    for (auto const& name : std::exchange(dirty_jobs_, {}))
+    std::size_t bytes = 0;
+    std::size_t measured = 0;
+    while (!sweep_.empty() && bytes < options_.max_batch_bytes_)
     {
-        auto& job = jobs_.at(name);
-        job.dirty_ = false;
-        job_id const id{name};
-        if (!job.request_written_ && !job.ended())
+        auto const next = std::move(sweep_.front());
+        sweep_.pop_front();
+        append_block(next.first, next.second, batch, effects);
+        for (; measured < batch.records_.size(); ++measured)
         {
-            job.request_written_ = true;
-            batch.records_.push_back({record_kind::request, name, job.request_,
-                                      std::nullopt, std::nullopt});
-        }
-        append_count_records(name, job, batch);
-        batch.records_.push_back({record_kind::progress, name, nullptr,
-                                  progress_of(job), std::nullopt});
-        if (job.ended() && job.request_written_)
-        {
-            batch.records_.push_back({record_kind::request, name, nullptr,
-                                      std::nullopt, std::nullopt});
-        }
-        effects.jobs_.push_back(id);
-        if (job.ended())
-        {
-            tickets_.erase_job(id);
-            continue;
-        }
-        for (auto const& record : batch.records_.back().progress_->tasks_)
-        {
-            task_id task = record.task_;
-            task.job_ = id;
-            auto const at = find(task);
-            if (at && at.task_->phase_ == task_phase::placed)
-            {
-                effects.starts_.emplace_back(task, record.run_);
-                store_incarnation(workers_.at(record.worker_));
-            }
+            bytes += size_bound(batch.records_[measured]);
         }
     }
+    if (sweep_.empty())
+    {
+        effects.ends_ = std::exchange(sweep_ends_, {});
+    }
     for (auto const& name : std::exchange(removed_jobs_, {}))
     {
         batch.records_.push_back(
@@ -215,19 +319,14 @@
         }
     }
     bool ended = false;
-    for (auto const& id : effects.jobs_)
+    for (auto const& written : effects.jobs_)
     {
-        auto const found = jobs_.find(id.text());
+        auto const found = jobs_.find(written.first.text());
         if (found != jobs_.end())
         {
             auto& job = found->second;
             job.stored_ = true;
-            // A dirty job changed after the batch was built; the next batch
-            // stores that change.
-            if (!job.dirty_)
-            {
-                job.stored_status_ = job.status_;
-            }
+            job.stored_status_ = written.second;
             answer_waiting_clients(job);
             ended = ended || job.stored_status_ != job_status::queued;
         }
@@ -243,6 +342,21 @@
     }
 }
 
+void cell::on_record_rejected(std::string const& name, time_point now)
+{
+    auto const found = jobs_.find(name.substr(0, name.find('.')));
+    if (found == jobs_.end() || found->second.ended())
+    {
+        return;
+    }
+    auto& job = found->second;
+    fail_job(job, "record_rejected", now);
+    for (auto const exchange : std::exchange(job.accept_waiters_, {}))
+    {
+        reply(exchange, make_answer(answer_kind::too_large, "record_rejected"));
+    }
+}
+
 std::uint64_t cell::append_record(cell_record record)
 {
     external_records_.push_back(std::move(record));
@@ -338,10 +452,16 @@
     initialize_job(job, now);
 }
 
-void cell::restore(job_id const& id, job_progress const& progress,
-                   time_point now)
+void cell::restore_progress(std::string const& name,
+                            job_progress const& progress, time_point now)
 {
-    auto& job = jobs_[id.text()];
+    auto const id = parse_block_name(name);
+    if (id.second != 0)
+    {
+        restore_block(id.first, id.second, progress, now);
+        return;
+    }
+    auto& job = jobs_[name];
     job.stored_ = true;
     job.status_ = progress.status_;
     job.stored_status_ = progress.status_;
@@ -354,37 +474,82 @@
     {
         return;
     }
+    std::set<block_number> others;
     for (auto const& record : progress.tasks_)
     {
-        while (job.occurrences_.size() <= record.task_.occurrence_ &&
-               job.occurrences_.size() < job.request_->occurrences_)
-        {
-            add_occurrence(job);
-        }
-        task_id task = record.task_;
-        task.job_ = id;
-        auto const at = find(task);
-        if (!at)
-        {
-            continue;
-        }
-        at.task_->run_ = record.run_;
-        at.task_->failures_ = record.failures_;
-        at.task_->checkpoint_ = record.checkpoint_;
-        job.begun_ = job.begun_ || record.done_ || record.failures_ > 0;
-        if (record.done_)
+        restore_task(id.first, job, record, now);
+        if (record.task_.step_ < job.request_->steps_.size())
         {
-            at.task_->phase_ = task_phase::done;
-            --at.step_->waiting_;
-            ++at.step_->done_;
-        }
-        else if (!record.worker_.empty())
-        {
-            ensure_worker(record.worker_, now);
-            occupy(task, at, record.worker_);
-            at.task_->phase_ = task_phase::unresolved;
+            others.insert(job.blocks_.block_of(record.task_));
         }
     }
+    // A record of a program that wrote one for all tasks is replaced after
+    // those of the other blocks are written.
+    others.erase(0);
+    for (auto const block : others)
+    {
+        mark_dirty(job, block);
+    }
+    if (!others.empty())
+    {
+        mark_dirty(job);
+    }
+}
+
+void cell::restore_block(job_id const& id, block_number block,
+                         job_progress const& progress, time_point now)
+{
+    auto const found = jobs_.find(id.text());
+    if (found == jobs_.end() || found->second.ended() ||
+        !found->second.request_)
+    {
+        delete_record(record_kind::progress, block_name(id.text(), block));
+        return;
+    }
+    auto& job = found->second;
+    job.stored_blocks_.insert(block);
+    for (auto const& record : progress.tasks_)
+    {
+        restore_task(id, job, record, now);
+    }
+}
+
+void cell::restore_task(job_id const& id, job_state& job,
+                        task_record const& record, time_point now)
+{
+    while (job.occurrences_.size() <= record.task_.occurrence_ &&
+           job.occurrences_.size() < job.request_->occurrences_)
+    {
+        add_occurrence(job);
+    }
+    task_id task = record.task_;
+    task.job_ = id;
+    auto const at = find(task);
+    if (!at || at.task_->phase_ == task_phase::done)
+    {
+        return;
+    }
+    if (!at.task_->worker_.empty())
+    {
+        // The record of all tasks had an earlier state.
+        release(task, at, now);
+    }
+    at.task_->run_ = record.run_;
+    at.task_->failures_ = record.failures_;
+    at.task_->checkpoint_ = record.checkpoint_;
+    job.begun_ = job.begun_ || record.done_ || record.failures_ > 0;
+    if (record.done_)
+    {
+        at.task_->phase_ = task_phase::done;
+        --at.step_->waiting_;
+        ++at.step_->done_;
+    }
+    else if (!record.worker_.empty())
+    {
+        ensure_worker(record.worker_, now);
+        occupy(task, at, record.worker_);
+        at.task_->phase_ = task_phase::unresolved;
+    }
 }
 
 void cell::finish_restore(time_point now)
@@ -427,7 +592,8 @@
     for (auto it = jobs_.begin(); it != jobs_.end();)
     {
         auto& job = it->second;
-        if (!job.ended() || job.dirty_ ||
+        if (!job.ended() || job.stored_status_ != job.status_ ||
+            !job.dirty_blocks_.empty() ||
             job.ended_ + options_.ended_job_retention_ > now)
         {
             ++it;
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -458,7 +458,7 @@
         if (!may_have_crashed(state, at.shape_->long_running_, now))
         {
             end_isolation(worker, state);
-            clear_crashes(*at.job_, state);
+            clear_crashes(task, at);
         }
         return;
     }
@@ -473,7 +473,7 @@
                           " ends_read=" + std::to_string(worker.read_) +
                           " ends_recorded=" + std::to_string(worker.recorded_));
             release(task, at, now);
-            mark_dirty(*at.job_);
+            mark_dirty(*at.job_, task);
         }
         return;
     case task_phase::unresolved:
@@ -490,10 +490,11 @@
             }
             if (state.own_start_ && state.phase_ == task_phase::unresolved)
             {
-                update_budget(at, &start_budget::on_not_started, state.run_);
+                update_budget(task, at, &start_budget::on_not_started,
+                              state.run_);
             }
             release(task, at, now);
-            mark_dirty(*at.job_);
+            mark_dirty(*at.job_, task);
         }
         else if (state.stop_sent_ == time_point{} &&
                  may_settle(at, worker, now))
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -53,8 +53,8 @@
                 continue;
             }
             auto& state = *at.task_;
-            bool const ended = at.job_->ended() && !at.job_->dirty_ &&
-                               at.job_->stored_status_ == at.job_->status_;
+            bool const ended =
+                at.job_->ended() && at.job_->stored_status_ == at.job_->status_;
             if (ended && state.phase_ == task_phase::placed)
             {
                 not_started.push_back(task);
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -99,7 +99,7 @@
     }
     if (at.task_->phase_ == task_phase::placed)
     {
-        update_budget(at, &start_budget::on_not_started, at.task_->run_);
+        update_budget(task, at, &start_budget::on_not_started, at.task_->run_);
     }
     at.task_->isolation_ = task_isolation::none;
     at.task_->waiting_since_ = now;
@@ -129,7 +129,7 @@
     at.task_->phase_ = task_phase::done;
     --at.step_->waiting_;
     ++at.step_->done_;
-    mark_dirty(job);
+    mark_dirty(job, task);
     auto& occurrence = job.occurrences_[task.occurrence_];
     occurrence.done_ =
         std::all_of(occurrence.steps_.begin(), occurrence.steps_.end(),
@@ -144,6 +144,7 @@
     {
         job.status_ = job_status::completed;
         job.ended_ = now;
+        mark_dirty(job);
         log_event("job_completed", task.job_.text(),
                   "ms=" +
                       std::to_string(
@@ -206,7 +207,7 @@
     release(task, at, now);
     at.task_->not_before_ =
         now + (is_fault_of_task ? long_restart_delay : restart_delay);
-    mark_dirty(*at.job_);
+    mark_dirty(*at.job_, task);
     std::uint32_t failures = at.task_->failures_;
     if (at.shape_->gang_)
     {
@@ -275,7 +276,7 @@
         if (at.shape_->long_running_)
         {
             release(end.task_, at, now);
-            mark_dirty(*at.job_);
+            mark_dirty(*at.job_, end.task_);
             return;
         }
         worker.consecutive_failures_ = 0;
@@ -299,7 +300,7 @@
     case run_end::gang_incomplete:
     case run_end::unknown:
         release(end.task_, at, now);
-        mark_dirty(*at.job_);
+        mark_dirty(*at.job_, end.task_);
         return;
     }
 }
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -301,7 +301,7 @@
             release(task, at, now);
             if (!at.job_->ended())
             {
-                mark_dirty(*at.job_);
+                mark_dirty(*at.job_, task);
             }
         }
     }
@@ -391,9 +391,9 @@
     }
     log_event("start_refused", describe(task),
               "outcome=" + std::to_string(static_cast<int>(outcome)));
-    update_budget(at, &start_budget::on_not_started, run);
+    update_budget(task, at, &start_budget::on_not_started, run);
     release(task, at, now);
-    mark_dirty(*at.job_);
+    mark_dirty(*at.job_, task);
 }
 
 void cell::on_advice_response(
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -3,6 +3,7 @@
 
 #include "kernel/cell/job_definition.hpp"
 #include "kernel/cell/start_budget.hpp"
+#include "kernel/cell/task_blocks.hpp"
 #include "kernel/cell/worker_clock.hpp"
 #include "kernel/identifier.hpp"
 #include "kernel/time.hpp"
@@ -11,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -133,6 +135,15 @@
     bool done_ = false;
 };
 
+/// Records of one kind, of the blocks of a job.
+struct block_records
+{
+    /// Blocks whose record is out of date.
+    std::set<block_number> changed_;
+    /// Blocks whose record the store has.
+    std::set<block_number> stored_;
+};
+
 /// A job's state at the owner of the cell.
 struct job_state
 {
@@ -151,15 +162,16 @@
     /// may not have.
     bool begun_ = false;
     bool long_running_ = false;
-    /// A crash under a task is not in the store yet.
-    bool crashes_changed_ = false;
-    /// The store has a record of the crashes under the job's tasks.
-    bool has_crash_record_ = false;
-    /// The same for the tasks' `start_budget::used()`.
-    bool start_counts_changed_ = false;
-    bool has_start_record_ = false;
-    /// The job has changes that no batch for the store includes yet.
-    bool dirty_ = false;
+    task_blocks blocks_;
+    /// Blocks with changes that no batch for the store includes yet. The
+    /// record of block 0 also holds the job's status.
+    std::set<block_number> dirty_blocks_;
+    /// Blocks beyond the first whose progress the store has.
+    std::set<block_number> stored_blocks_;
+    /// The crashes under the job's tasks.
+    block_records crash_records_;
+    /// The tasks' `start_budget::used()`.
+    block_records start_records_;
     time_point arrived_{};
     time_point ended_{};
     /// Time by which the job should end.
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -30,6 +30,8 @@
 constexpr duration order_latency_margin = std::chrono::milliseconds{200};
 /// Part of the drain notice that is left for a start request in flight.
 constexpr duration drain_notice_margin = std::chrono::milliseconds{500};
+/// Part of a record that is left for its key.
+constexpr std::size_t max_key_bytes = 256;
 /// Interval of the `owner_load` log lines.
 constexpr duration load_log_interval = std::chrono::seconds{1};
 
@@ -47,6 +49,9 @@
     // `lease_`, even if the platform permits it.
     options.longest_lease_ = options.lease_;
     options.stop_grace_ = settings.stop_grace_ + order_latency_margin;
+    options.max_record_bytes_ = settings.max_record_bytes_ - max_key_bytes;
+    // The last block of a batch may exceed the limit of the batch.
+    options.max_batch_bytes_ = settings.max_append_bytes_ / 2;
     options.max_entries_age_ = std::max(
         drain_notice_margin, settings.drain_notice_ - drain_notice_margin);
     return options;
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -19,6 +19,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -120,6 +121,12 @@
     void send_batch();
     void on_batch_response(platform::append_result const& result,
                            time_point sent);
+    /// The store will never accept the batch. Sends its records one by one, so
+    /// that the one at fault doesn't hold up the others.
+    void on_batch_rejected(platform::append_result const& result);
+    /// Sends the next record of a batch that was rejected.
+    /// @return false if there is none
+    bool send_rest();
     /// Checks that the epoch is still the newest by an empty append to the
     /// cell's partition. Sends none while a batch is in flight, because its
     /// response confirms the epoch too.
@@ -178,6 +185,8 @@
     time_point next_load_log_{};
 
     platform::append_call batch_;
+    /// The remaining records of a batch that was rejected.
+    std::deque<platform::keyed_record> batch_rest_;
     bool batch_in_flight_ = false;
     /// Sequence number of the newest batch.
     std::uint64_t sequence_ = 0;
--- a/source/node/cell_owner_store.cpp
+++ b/source/node/cell_owner_store.cpp
@@ -6,6 +6,7 @@
 #include "wire/decode_error.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <stdexcept>
 #include <utility>
@@ -170,13 +171,13 @@
     };
     restore_each(progress_prefix, progress,
                  [&](std::string const& job, std::string const& bytes)
-                 { cell_.restore(job_id{job}, decode_progress(bytes), now); });
+                 { cell_.restore_progress(job, decode_progress(bytes), now); });
     restore_each(crashes_prefix, crashes,
                  [&](std::string const& job, std::string const& text)
-                 { cell_.restore_crash_counts(job_id{job}, text, now); });
+                 { cell_.restore_crash_counts(job, text, now); });
     restore_each(starts_prefix, starts,
                  [&](std::string const& job, std::string const& text)
-                 { cell_.restore_start_counts(job_id{job}, text); });
+                 { cell_.restore_start_counts(job, text); });
     restore_each(incarnation_prefix, incarnations,
                  [&](std::string const& worker, std::string const& start)
                  { cell_.restore_incarnation(worker, start); });
@@ -253,11 +254,23 @@
     {
         return;
     }
+    if (result.outcome_ == append_outcome::rejected)
+    {
+        on_batch_rejected(result);
+        return;
+    }
     if (result.outcome_ == append_outcome::stored)
     {
-        batch_in_flight_ = false;
-        cell_.on_batch_stored(now);
-        pump();
+        if (!batch_rest_.empty())
+        {
+            batch_.sequence_ = ++sequence_;
+        }
+        if (!send_rest())
+        {
+            batch_in_flight_ = false;
+            cell_.on_batch_stored(now);
+            pump();
+        }
         return;
     }
     environment_.log_.write("append_repeated",
@@ -269,6 +282,56 @@
         std::min(batch_retry_pause_ * 2, max_batch_retry_pause);
 }
 
+void cell_owner::on_batch_rejected(platform::append_result const& result)
+{
+    auto const now = node_now();
+    environment_.metrics_.add("cuminfold_appends_rejected_total", 1, "cause",
+                              result.detail_);
+    if (batch_.records_.size() == 1)
+    {
+        auto const& record = batch_.records_.front();
+        environment_.log_.write(
+            "record_rejected",
+            {{"key", record.key_},
+             {"bytes",
+              std::to_string(record.value_ ? record.value_->size() : 0)},
+             {"cause", result.detail_}},
+            now);
+        cell_.on_record_rejected(record.key_.substr(1), now);
+    }
+    else
+    {
+        environment_.log_.write(
+            "batch_rejected",
+            {{"records", std::to_string(batch_.records_.size())},
+             {"cause", result.detail_}},
+            now);
+        std::move(batch_.records_.begin(), batch_.records_.end(),
+                  std::back_inserter(batch_rest_));
+    }
+    if (!send_rest())
+    {
+        // Nothing was stored under this sequence number.
+        --sequence_;
+        batch_in_flight_ = false;
+        cell_.on_batch_stored(now);
+        post_pump();
+    }
+}
+
+bool cell_owner::send_rest()
+{
+    if (batch_rest_.empty())
+    {
+        return false;
+    }
+    batch_.records_.clear();
+    batch_.records_.push_back(std::move(batch_rest_.front()));
+    batch_rest_.pop_front();
+    send_batch();
+    return true;
+}
+
 void cell_owner::on_append_response(platform::append_result const& result,
                                     time_point sent)
 {
--- a/source/node/node_settings.hpp
+++ b/source/node/node_settings.hpp
@@ -55,6 +55,10 @@
     /// Minimum time between two owners' orders for the same VM; given by the
     /// platform.
     duration order_pause_ = std::chrono::milliseconds{3000};
+    /// Limits of a record in the store and of one append, in bytes; given by
+    /// the platform.
+    std::uint32_t max_record_bytes_ = 262'144;
+    std::uint32_t max_append_bytes_ = 2'097'152;
 
     /// Processor capacity of the process in thousandths of a core.
     std::int64_t cpu_milli() const noexcept
--- a/source/node/node_settings_file.cpp
+++ b/source/node/node_settings_file.cpp
@@ -13,6 +13,8 @@
     constexpr duration min_time = std::chrono::milliseconds{1};
     constexpr duration max_time = std::chrono::minutes{10};
     constexpr double max_cores = 1000;
+    constexpr std::uint32_t min_limit = 65'536;
+    constexpr std::uint32_t max_limit = 1U << 30U;
     read_log_settings(in, settings.log_);
     for (auto const* const key : {"name", "clients_address", "health_address",
                                   "peers_address", "store_address"})
@@ -38,6 +40,10 @@
     in.read("stop_grace", settings.stop_grace_, duration{0}, max_time);
     in.read("drain_notice", settings.drain_notice_, min_time, max_time);
     in.read("order_pause", settings.order_pause_, duration{0}, max_time);
+    in.read("max_record_bytes", settings.max_record_bytes_, min_limit,
+            max_limit);
+    in.read("max_append_bytes", settings.max_append_bytes_, min_limit,
+            max_limit);
     in.read("cpu_share", settings.cpu_share_, 0, max_cores);
     in.read("cpu_speed", settings.cpu_speed_, 0, max_cores);
 }
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -1,6 +1,9 @@
 #include "kernel/cell/cell_world.hpp"
 
+#include "wire/cell_codec.hpp"
+
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cuminfold
@@ -127,7 +130,8 @@
     return nullptr;
 }
 
-void cell_world::submit(std::string const& id, std::vector<job_step> steps)
+void cell_world::submit(std::string const& id, std::vector<job_step> steps,
+                        std::uint32_t occurrences)
 {
     job_definition job;
     job.id_ = job_id{id};
@@ -135,6 +139,7 @@
     job.pool_ = pool;
     job.text_ = "text of " + id;
     job.steps_ = std::move(steps);
+    job.occurrences_ = occurrences;
     submitted_[id] = job;
     submitted_at_[id] = now_;
     auto const exchange = next_exchange_++;
@@ -167,21 +172,20 @@
     }
     for (auto const& progress : stored_progress_)
     {
-        cell_->restore(job_id{progress.first}, progress.second, now_);
+        cell_->restore_progress(progress.first, progress.second, now_);
     }
     for (auto const& crashes : stored_texts_[record_kind::crashes])
     {
         if (!crashes.second.empty())
         {
-            cell_->restore_crash_counts(job_id{crashes.first}, crashes.second,
-                                        now_);
+            cell_->restore_crash_counts(crashes.first, crashes.second, now_);
         }
     }
     for (auto const& starts : stored_texts_[record_kind::starts])
     {
         if (!starts.second.empty())
         {
-            cell_->restore_start_counts(job_id{starts.first}, starts.second);
+            cell_->restore_start_counts(starts.first, starts.second);
         }
     }
     for (auto const& start : stored_texts_[record_kind::incarnation])
@@ -465,8 +469,44 @@
     }
 }
 
+void cell_world::merge_blocks()
+{
+    std::map<std::string, job_progress> merged;
+    for (auto& each : stored_progress_)
+    {
+        auto& progress = merged[parse_block_name(each.first).first.text()];
+        if (each.first.find('.') == std::string::npos)
+        {
+            progress.status_ = each.second.status_;
+        }
+        std::move(each.second.tasks_.begin(), each.second.tasks_.end(),
+                  std::back_inserter(progress.tasks_));
+    }
+    stored_progress_ = std::move(merged);
+}
+
+void cell_world::measure(cell_batch const& batch)
+{
+    constexpr std::size_t key_bytes = 40;
+    std::size_t bytes = 0;
+    for (auto const& record : batch.records_)
+    {
+        auto const size = record.request_ ? encode_job(*record.request_)
+                          : record.progress_
+                              ? encode_progress(*record.progress_)
+                              : record.text_.value_or("");
+        largest_record_ = std::max(largest_record_, size.size());
+        bytes += size.size() + key_bytes;
+    }
+    largest_batch_ = std::max(largest_batch_, bytes);
+}
+
 void cell_world::store(cell_batch const& batch)
 {
+    if (measures_records_)
+    {
+        measure(batch);
+    }
     schedule(now_ + append_latency,
              [this, batch, epoch = epoch_]
              {
@@ -810,15 +850,11 @@
     auto const& shape = job->second.steps_[order.task_.step_];
     for (auto const before : shape.after_)
     {
-        for (std::uint32_t i = 0; i < job->second.steps_[before].tasks_; ++i)
+        step_id const earlier{order.task_.job_, order.task_.occurrence_,
+                              before};
+        if (tasks_done_[earlier] < job->second.steps_[before].tasks_)
         {
-            task_id earlier = order.task_;
-            earlier.step_ = before;
-            earlier.index_ = i;
-            if (done_.count(earlier) == 0)
-            {
-                violations_.push_back("ORDER " + name);
-            }
+            violations_.push_back("ORDER " + name);
         }
     }
     if (crashes_by(order.task_) >= crashes_before_limit &&
@@ -899,7 +935,9 @@
             }
             if (end.outcome_ == run_end::done)
             {
-                done_.insert(end.task_);
+                bool const first = done_.insert(end.task_).second;
+                tasks_done_[{end.task_.job_, end.task_.occurrence_,
+                             end.task_.step_}] += first ? 1 : 0;
             }
         }
         for (auto const& end : worker->acknowledged_ends_)
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -50,7 +50,9 @@
 
     static job_step make_step(std::uint32_t tasks, std::int64_t cpu_milli,
                               std::chrono::milliseconds time);
-    void submit(std::string const& id, std::vector<job_step> steps);
+    /// @param occurrences as in `job_definition`; all are due at once
+    void submit(std::string const& id, std::vector<job_step> steps,
+                std::uint32_t occurrences = 0);
     void cancel(std::string const& id);
     void run_for(duration time);
     void run_for(std::chrono::milliseconds time)
@@ -133,6 +135,18 @@
 
     faults faults_;
     bool store_down_ = false;
+    /// Largest record of the store, and largest append, in bytes.
+    bool measures_records_ = false;
+    std::size_t largest_record_ = 0;
+    std::size_t largest_batch_ = 0;
+    /// Writes each job's progress as one record, as programs before the blocks
+    /// did.
+    void merge_blocks();
+    /// Names of the records of that kind with any content.
+    std::size_t stored_blocks() const
+    {
+        return stored_progress_.size();
+    }
     /// Calls to a crashed worker's address reach another incarnation.
     bool reuses_addresses_ = false;
     /// Ends that a worker lists in one answer.
@@ -212,6 +226,7 @@
     void carry_out(answer_client const& answer);
     void carry_out(log_decision const& line);
     void store(cell_batch const& batch);
+    void measure(cell_batch const& batch);
     void store(cell_record const& record);
     /// Checks a start that a worker accepted and records violations.
     /// @param sent when the owner sent it
@@ -271,6 +286,8 @@
     std::map<task_id, std::uint32_t> runs_lost_;
     time_point next_vm_list_{};
     std::set<task_id> done_;
+    /// Number of tasks in `done_` by their step.
+    std::map<step_id, std::uint32_t> tasks_done_;
     /// Tasks whose successful end was acknowledged; they must not start again.
     std::set<task_id> acknowledged_done_;
     /// Runs that started after an earlier run of the task was done, but before
