cell: Let no step that can't be placed hold up the others

Cause: a placement ended after 12 steps that could not be placed, and the oldest late steps come first in each placement.

A step is now left out only if it demands as much or more than one that failed in the same placement, or a label that no candidate has: these can't succeed, since the room only shrinks. Gangs are searched for only if there are slots for all their tasks, and are written only once they are placed.

Ruled out: a higher or a separate bound on failures, which as many hopeless steps exceed again.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -11,6 +11,7 @@
 #include "kernel/cell/pool_plan.hpp"
 #include "kernel/cell/run_time_model.hpp"
 #include "kernel/cell/ticket_cache.hpp"
+#include "kernel/cell/unplaced_demands.hpp"
 #include "kernel/cell/worker_state.hpp"
 #include "kernel/time.hpp"
 
@@ -597,10 +598,14 @@
     void place_pool(pool_name const& pool,
                     std::vector<std::pair<job_id, job_state*>>& jobs,
                     time_point now);
-    bool place_step(job_id const& id, job_state& job, std::uint32_t occurrence,
-                    std::uint32_t step, time_point now);
-    bool place_gang(job_id const& id, job_state& job, std::uint32_t occurrence,
-                    std::uint32_t step, time_point now);
+    void place_step(job_id const& id, job_state& job, std::uint32_t occurrence,
+                    std::uint32_t step, unplaced_demands& unplaced,
+                    time_point now);
+    void place_gang(job_id const& id, job_state& job, std::uint32_t occurrence,
+                    std::uint32_t step, unplaced_demands& unplaced,
+                    time_point now);
+    /// Whether the candidates have room for all tasks of a step at once.
+    bool has_slots(job_step const& shape, time_point now) const;
     /// Collects the workers of a pool that can take some task into
     /// `candidates_`.
     void find_candidates(pool_name const& pool, time_point now);
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -11,11 +11,6 @@
 namespace
 {
 
-/// Once more finite steps of a pool than this could not be placed completely,
-/// the remaining steps wait for the next placement. Long-running steps always
-/// come first, so that those without a worker would hold up all others.
-constexpr std::size_t max_failed_steps = 12;
-
 /// A job is late once this percentage of its remaining critical path does not
 /// fit before its objective. Below 100 since run times vary and some jobs are
 /// faster than expected.
@@ -148,7 +143,7 @@
                   return std::tie(a.sort_key_, a.id_) <
                          std::tie(b.sort_key_, b.id_);
               });
-    std::size_t failed = 0;
+    unplaced_demands unplaced(candidates_);
     for (auto const& item : ordered)
     {
         auto& job = *item.job_;
@@ -163,28 +158,25 @@
                 {
                     continue;
                 }
-                bool const all_placed =
-                    job.request_->steps_[s].gang_
-                        ? place_gang(item.id_, job, k, s, now)
-                        : place_step(item.id_, job, k, s, now);
-                bool const is_finite = !job.request_->steps_[s].long_running_;
-                failed += !all_placed && is_finite ? 1 : 0;
-                if (failed > max_failed_steps)
+                if (job.request_->steps_[s].gang_)
+                {
+                    place_gang(item.id_, job, k, s, unplaced, now);
+                }
+                else
                 {
-                    return;
+                    place_step(item.id_, job, k, s, unplaced, now);
                 }
             }
         }
     }
 }
 
-bool cell::place_step(job_id const& id, job_state& job,
+void cell::place_step(job_id const& id, job_state& job,
                       std::uint32_t occurrence, std::uint32_t step,
-                      time_point now)
+                      unplaced_demands& unplaced, time_point now)
 {
     auto& state = job.occurrences_[occurrence].steps_[step];
     auto const& shape = job.request_->steps_[step];
-    bool all_placed = true;
     // The fullest worker scores highest, so the worker of the previous task
     // stays the best choice for the next one as long as no rule forbids it.
     bool const stays_best = !shape.long_running_ && shape.per_worker_ == 0 &&
@@ -213,7 +205,7 @@
         {
             if (job.ended())
             {
-                return true;
+                return;
             }
             continue;
         }
@@ -226,18 +218,31 @@
         bool const reuse = stays_best && worker != nullptr &&
                            violated_rule(view_of(*worker, shape, state,
                                                  isolation, now)) == nullptr;
-        worker =
-            reuse ? worker
-                  : choose_worker({id, occurrence, step}, job, isolation, now);
+        if (!reuse)
+        {
+            worker = unplaced.covers_task(shape)
+                         ? nullptr
+                         : choose_worker({id, occurrence, step}, job, isolation,
+                                         now);
+        }
         if (worker == nullptr)
         {
             log_wait({id, occurrence, step}, job, now);
-            all_placed = false;
-            break;
+            // Without tickets or other tasks of the step, each step of this
+            // shape fails in the same way.
+            bool const is_alone = std::all_of(
+                state.tasks_.begin(), state.tasks_.end(),
+                [](task_state const& each) { return each.worker_.empty(); });
+            if (advice_for(job) == nullptr &&
+                (shape.per_worker_ == 0 || is_alone))
+            {
+                unplaced.add_task(shape);
+            }
+            return;
         }
         assign({id, occurrence, step, i}, at, *worker, task.run_ + 1, now);
+        mark_dirty(job, {id, occurrence, step, i});
     }
-    return all_placed;
 }
 
 bool cell::is_out_of_starts(task_id const& task, task_location const& at,
@@ -279,6 +284,7 @@
         return;
     }
     assign(task, at, *worker, at.task_->run_ + 1, now);
+    mark_dirty(*at.job_, task);
     begin_isolation(*at.task_, isolation);
 }
 
@@ -316,9 +322,9 @@
     }
 }
 
-bool cell::place_gang(job_id const& id, job_state& job,
+void cell::place_gang(job_id const& id, job_state& job,
                       std::uint32_t occurrence, std::uint32_t step,
-                      time_point now)
+                      unplaced_demands& unplaced, time_point now)
 {
     auto& state = job.occurrences_[occurrence].steps_[step];
     auto const& shape = job.request_->steps_[step];
@@ -329,19 +335,19 @@
         if (is_held(task, shape.long_running_))
         {
             next_isolation_retry_ = now + isolation_retry_interval;
-            return false;
+            return;
         }
         if (task.phase_ != task_phase::waiting || earliest_start(task) > now)
         {
             placement_due_ = placement_due_ || earliest_start(task) > now;
-            return false;
+            return;
         }
         auto const index =
             static_cast<std::uint32_t>(&task - state.tasks_.data());
         if (is_out_of_starts({id, occurrence, step, index},
                              {&job, &state, &shape, &task}, now))
         {
-            return false;
+            return;
         }
         if (task.run_ >= run && !task.checkpoint_.empty())
         {
@@ -349,6 +355,19 @@
         }
         run = std::max(run, task.run_);
     }
+    bool const is_suspected = std::any_of(
+        state.tasks_.begin(), state.tasks_.end(),
+        [&](task_state const& task)
+        { return required_isolation(task, now) != task_isolation::none; });
+    if (!is_suspected && unplaced.covers_gang(shape))
+    {
+        return;
+    }
+    if (!is_suspected && !has_slots(shape, now))
+    {
+        unplaced.add_gang(shape);
+        return;
+    }
     std::uint32_t placed = 0;
     for (; placed < state.tasks_.size(); ++placed)
     {
@@ -371,7 +390,11 @@
     }
     if (placed == state.tasks_.size())
     {
-        return true;
+        for (std::uint32_t i = 0; i < placed; ++i)
+        {
+            mark_dirty(job, {id, occurrence, step, i});
+        }
+        return;
     }
     for (std::uint32_t i = 0; i < placed; ++i)
     {
@@ -381,7 +404,25 @@
         at.task_->run_ = run;
         at.task_->waiting_since_ = waiting_since;
     }
-    return false;
+    if (!is_suspected && advice_for(job) == nullptr)
+    {
+        unplaced.add_gang(shape);
+    }
+}
+
+bool cell::has_slots(job_step const& shape, time_point now) const
+{
+    std::uint64_t slots = 0;
+    for (auto const* const worker : candidates_)
+    {
+        if (slots >= shape.tasks_)
+        {
+            break;
+        }
+        slots += task_slots({*worker, shape, 0, now, task_isolation::none},
+                            shape.tasks_);
+    }
+    return slots >= shape.tasks_;
 }
 
 void cell::log_wait(step_id const& id, job_state& job, time_point now)
@@ -563,7 +604,6 @@
         update_budget(task, at, &start_budget::on_placed, run);
     }
     occupy(task, at, worker.entry_.id_);
-    mark_dirty(*at.job_, task);
 }
 
 } // namespace cuminfold
--- a/source/kernel/cell/placement_rule.cpp
+++ b/source/kernel/cell/placement_rule.cpp
@@ -122,6 +122,36 @@
     return nullptr;
 }
 
+std::uint32_t task_slots(placement_view const& view, std::uint32_t limit)
+{
+    if (violated_rule(view) != nullptr)
+    {
+        return 0;
+    }
+    std::int64_t slots = limit;
+    if (view.shape_.per_worker_ != 0)
+    {
+        slots = std::min<std::int64_t>(slots, view.shape_.per_worker_ -
+                                                  view.same_step_);
+    }
+    auto room = view.worker_.entry_.size_;
+    room -= view.worker_.used_;
+    auto const& each = view.shape_.each_;
+    if (each.cpu_milli_ > 0 && !view.shape_.best_effort_)
+    {
+        slots = std::min(slots, room.cpu_milli_ / each.cpu_milli_);
+    }
+    if (each.memory_mb_ > 0)
+    {
+        slots = std::min(slots, room.memory_mb_ / each.memory_mb_);
+    }
+    if (each.accelerators_ > 0)
+    {
+        slots = std::min(slots, room.accelerators_ / each.accelerators_);
+    }
+    return static_cast<std::uint32_t>(std::max<std::int64_t>(0, slots));
+}
+
 double placement_score(placement_view const& view)
 {
     constexpr double data_rack_bonus = 10;
--- a/source/kernel/cell/placement_rule.hpp
+++ b/source/kernel/cell/placement_rule.hpp
@@ -36,6 +36,10 @@
 /// placed on the worker
 placement_rule const* violated_rule(placement_view const& view);
 
+/// How many tasks of the step the worker may take, at most `limit`. None if a
+/// rule is violated.
+std::uint32_t task_slots(placement_view const& view, std::uint32_t limit);
+
 /// The share of a worker that `need` occupies: the largest share of any
 /// resource, where 1 is the whole worker.
 double worker_share(resource_amount const& need, resource_amount const& size);
--- a/tests/kernel/cell/placement_rule_test.cpp
+++ b/tests/kernel/cell/placement_rule_test.cpp
@@ -127,3 +127,36 @@
     CHECK(placement_score({other, step, 10, time_point{10s}, std::nullopt}) >
           placement_score({avoided, step, 0, time_point{10s}, std::nullopt}));
 }
+
+TEST_CASE("a worker has as many slots as its scarcest resource allows")
+{
+    struct slots_case
+    {
+        resource_amount each_;
+        std::uint32_t per_worker_;
+        bool best_effort_;
+        std::uint32_t slots_;
+    };
+    for (auto const& each : {slots_case{{100, 0, 0}, 0, false, 9},
+                             slots_case{{100, 30, 0}, 0, false, 3},
+                             slots_case{{100, 30, 1}, 0, false, 2},
+                             slots_case{{100, 30, 0}, 1, false, 1},
+                             slots_case{{100, 30, 0}, 7, false, 3},
+                             slots_case{{100, 30, 0}, 0, true, 3},
+                             slots_case{{0, 0, 0}, 0, false, 12},
+                             slots_case{{901, 0, 0}, 0, false, 0}})
+    {
+        CAPTURE(each.each_.memory_mb_);
+        CAPTURE(each.slots_);
+        worker_state worker;
+        worker.fenced_ = true;
+        worker.entry_.size_ = {1000, 100, 2};
+        worker.used_ = {100, 0, 0};
+        job_step step;
+        step.each_ = each.each_;
+        step.per_worker_ = each.per_worker_;
+        step.best_effort_ = each.best_effort_;
+        CHECK(task_slots({worker, step, 0, time_point{}, std::nullopt}, 12) ==
+              each.slots_);
+    }
+}
