cell: Complete a gang with the end of any of its members

Cause: the members of a gang end done together, but an end was counted for the member alone that listed it. The others were released when their leases had lapsed, and a gang of which a member is done is never placed again.

One end now completes all members, also as the late end of a released run; their workers are asked until their own ends are read.

No check was changed.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -355,6 +355,12 @@
     void add_occurrence(job_state& job);
 
     // cell_tasks.cpp
+    /// A run of the task has ended as done. The members of a gang end together,
+    /// so that one end completes them all.
+    void complete_run(task_id const& task, task_location const& at,
+                      time_point now);
+    /// Completes the gangs of which a member is stored as done.
+    void complete_gangs(job_state& job, time_point now);
     /// Computes whether all tasks of the occurrence are done.
     static void update_done(occurrence_state& occurrence);
     /// Ends the job if all its occurrences are done.
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -85,6 +85,7 @@
     return !worker.fenced_ || !worker.tasks_.empty() ||
            !worker.orphaned_runs_.empty() ||
            worker.recorded_ > worker.acknowledged_ ||
+           worker.ends_read_to_ < worker.end_due_ ||
            worker.unanswered_renewals_ > 0;
 }
 
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -125,7 +125,10 @@
 void cell::finish(task_id const& task, task_location const& at, time_point now)
 {
     auto& job = *at.job_;
-    release(task, at, now);
+    if (!at.task_->worker_.empty())
+    {
+        release(task, at, now);
+    }
     at.task_->phase_ = task_phase::done;
     --at.step_->waiting_;
     ++at.step_->done_;
@@ -163,6 +166,32 @@
     }
 }
 
+void cell::complete_run(task_id const& task, task_location const& at,
+                        time_point now)
+{
+    if (!at.shape_->gang_)
+    {
+        finish(task, at, now);
+        return;
+    }
+    for (std::uint32_t i = 0; i < at.step_->tasks_.size(); ++i)
+    {
+        auto member = task;
+        member.index_ = i;
+        auto const other = find(member);
+        if (!other || other.task_->phase_ == task_phase::done)
+        {
+            continue;
+        }
+        auto const worker = workers_.find(other.task_->worker_);
+        if (worker != workers_.end() && i != task.index_)
+        {
+            worker->second.end_due_ = now;
+        }
+        finish(member, other, now);
+    }
+}
+
 std::uint32_t cell::max_attempts_of(job_state const& job) const
 {
     auto const* const route = config_.find_by_name(job.route_);
@@ -257,16 +286,15 @@
     if (!is_present_run)
     {
         // Beyond its lease an end does not count for the platform.
-        bool const is_completed =
-            end.outcome_ == run_end::done && now <= worker.lease_expires_at_ &&
-            at.task_->phase_ == task_phase::waiting &&
-            !at.shape_->long_running_ && !at.shape_->gang_;
+        bool const is_completed = end.outcome_ == run_end::done &&
+                                  now <= worker.lease_expires_at_ &&
+                                  at.task_->phase_ == task_phase::waiting &&
+                                  !at.shape_->long_running_;
         if (is_completed)
         {
             log_event("orphan_completed", describe(end.task_),
                       worker.entry_.id_ + " run=" + std::to_string(end.run_));
-            occupy(end.task_, at, worker.entry_.id_);
-            finish(end.task_, at, now);
+            complete_run(end.task_, at, now);
         }
         return;
     }
@@ -298,7 +326,7 @@
                                       ? run_time
                                       : std::min(at.step_->run_time_, run_time);
         }
-        finish(end.task_, at, now);
+        complete_run(end.task_, at, now);
         return;
     case run_end::failed:
         handle_failure(worker, end.task_, at, now);
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -127,6 +127,9 @@
     /// All runs that ended before this time had their ends read. An answer
     /// lists a limited number of ends, the oldest first.
     time_point ends_read_to_{};
+    /// A run of the worker is known to have ended by then, whose end may not
+    /// have been read.
+    time_point end_due_{};
 
     /// Tasks and runs that were released when the lease lapsed, until the
     /// worker answers or it is known how it ended.
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -140,6 +140,9 @@
     job.text_ = "text of " + id;
     job.steps_ = std::move(steps);
     job.occurrences_ = occurrences;
+    has_gangs_ = has_gangs_ ||
+                 std::any_of(job.steps_.begin(), job.steps_.end(),
+                             [](job_step const& step) { return step.gang_; });
     submitted_[id] = job;
     submitted_at_[id] = now_;
     auto const exchange = next_exchange_++;
@@ -400,6 +403,10 @@
         events_.erase(events_.begin());
         what();
     }
+    if (has_gangs_)
+    {
+        break_gangs();
+    }
     for (auto const& worker : workers_)
     {
         worker->advance(now_);
@@ -421,6 +428,50 @@
     process();
 }
 
+void cell_world::break_gangs()
+{
+    std::map<std::pair<step_id, std::uint32_t>, std::set<std::uint32_t>>
+        running;
+    for (auto const& worker : workers_)
+    {
+        for (auto const& run : worker->running_)
+        {
+            auto const& task = run.first;
+            auto const& job = submitted_.at(task.job_.text());
+            if (job.steps_[task.step_].gang_)
+            {
+                running[{{task.job_, task.occurrence_, task.step_},
+                         run.second.number_}]
+                    .insert(task.index_);
+            }
+        }
+    }
+    for (auto const& gang : running)
+    {
+        auto& begun = gang_members_[gang.first];
+        begun.insert(gang.second.begin(), gang.second.end());
+        if (begun == gang.second || tasks_done_[gang.first.first] > 0)
+        {
+            continue;
+        }
+        for (auto const& worker : workers_)
+        {
+            for (auto const index : gang.second)
+            {
+                auto const& step = gang.first.first;
+                task_id const task{step.job_, step.occurrence_, step.step_,
+                                   index};
+                auto const run = worker->running_.find(task);
+                if (run != worker->running_.end() &&
+                    run->second.number_ == gang.first.second)
+                {
+                    worker->break_run(task);
+                }
+            }
+        }
+    }
+}
+
 void cell_world::process()
 {
     cell_->tick(now_, calendar_time{});
@@ -485,6 +536,19 @@
     stored_progress_ = std::move(merged);
 }
 
+void cell_world::forget_progress(task_id const& task)
+{
+    for (auto& row : stored_progress_.at(task.job_.text()).tasks_)
+    {
+        if (row.task_.occurrence_ == task.occurrence_ &&
+            row.task_.step_ == task.step_ && row.task_.index_ == task.index_)
+        {
+            row.done_ = false;
+            row.worker_.clear();
+        }
+    }
+}
+
 void cell_world::measure(cell_batch const& batch)
 {
     constexpr std::size_t key_bytes = 40;
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -142,6 +142,8 @@
     /// Writes each job's progress as one record, as programs before the blocks
     /// did.
     void merge_blocks();
+    /// Stores that a task is waiting after its first run.
+    void forget_progress(task_id const& task);
     /// Names of the records of that kind with any content.
     std::size_t stored_blocks() const
     {
@@ -243,6 +245,9 @@
     bool is_running(task_id const& task) const;
     /// Crashes the worker if the task is deadly and still runs there.
     void crash_under(task_id const& task, std::string const& worker);
+    /// Ends the runs of gangs of which a member has begun and ended otherwise
+    /// than done.
+    void break_gangs();
     /// Records the runs that ended, and those whose end was acknowledged.
     void record_ends();
     bool chance(std::uint32_t percent);
@@ -261,6 +266,11 @@
     std::vector<worker_registration> previous_entries_;
     std::multimap<time_point, std::function<void()>> events_;
 
+    /// Members of a gang that have begun, by the gang's step and run.
+    std::map<std::pair<step_id, std::uint32_t>, std::set<std::uint32_t>>
+        gang_members_;
+    bool has_gangs_ = false;
+
     std::map<std::string, job_definition> stored_jobs_;
     std::map<std::string, job_progress> stored_progress_;
     std::map<record_kind, std::map<std::string, std::string>> stored_texts_;
--- a/tests/kernel/cell/fake_worker.hpp
+++ b/tests/kernel/cell/fake_worker.hpp
@@ -51,6 +51,11 @@
     /// @return `fenced` if the token is out of date
     call_outcome renew(std::uint64_t token, renew_worker const& order,
                        worker_report& report, time_point now);
+    /// Ends a run of a gang whose other members are lost.
+    void break_run(task_id const& task)
+    {
+        end(task, run_end::gang_broken);
+    }
     /// Ends the runs whose time, stop or lease has passed.
     void advance(time_point now);
 
