tests: Reject one job's record for good on real nodes

The path by which an owner sends the records of a rejected append one by one had no test with real processes.

--- a/tests/node/node_process_test.cpp
+++ b/tests/node/node_process_test.cpp
@@ -278,6 +278,46 @@
     CHECK(system.platform_.max_starts() == 1);
 }
 
+// Guards against a cell that stands still since the store refuses one record
+// for good.
+TEST_CASE("a record that the store rejects fails its own job alone")
+{
+    small_system system;
+    // Below the limit in the nodes' settings.
+    constexpr std::size_t max_record_bytes = 2000;
+    system.platform_.set_max_record(max_record_bytes);
+    std::string const prefix = platform_stand_in::prefix_;
+    auto const large = platform::write_body(
+        {{"spec", std::string(2 * max_record_bytes, 'x')},
+         {"steps", {{{"count", 1}, {"cpu", 100}, {"mem_mb", 1}}}}});
+    for (std::size_t round = 0; round < 3; ++round)
+    {
+        int const first = static_cast<int>(round) * 10;
+        auto const& vms = system.vms_;
+        auto refused = system.start_call(vms[round % vms.size()]->clients_,
+                                         "POST", prefix + id_of(first), large);
+        for (int i = first + 1; i < first + 6; ++i)
+        {
+            system.submit_until_accepted(id_of(i), 2, 20);
+        }
+        auto const answer = refused.get();
+        REQUIRE(answer.end_ == http_end::whole);
+        CHECK(answer.response_.status_ == 413);
+        for (int i = first + 1; i < first + 6; ++i)
+        {
+            system.wait_until(
+                [&] { return system.job_status(id_of(i)) == "completed"; });
+        }
+        if (round == 1)
+        {
+            system.vms_[0]->process_->kill();
+            system.vms_.erase(system.vms_.begin());
+        }
+    }
+    CHECK(system.platform_.total_starts() == 30);
+    CHECK(system.platform_.max_starts() == 1);
+}
+
 TEST_CASE("a job that is refused while the store is down never runs")
 {
     small_system system;
