cell: End a placement at steps that wait for room alone

The bound of 12 is back for finite steps that wait for room alone and that fit once finite tasks have ended. Steps that fit nowhere, whatever ends, still don't count, so that they hold up no others.

kernel_hopeless_step_test passes as before (93 checks).

--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -11,6 +11,11 @@
 namespace
 {
 
+/// Once more finite steps of a pool than this wait for room that running tasks
+/// will leave, the remaining steps wait for the next placement, so that the
+/// room goes to the first ones.
+constexpr std::size_t max_waiting_steps = 12;
+
 /// A job is late once this percentage of its remaining critical path does not
 /// fit before its objective. Below 100 since run times vary and some jobs are
 /// faster than expected.
@@ -31,6 +36,14 @@
 /// Interval at which tasks that wait for an isolated worker are placed again.
 constexpr duration isolation_retry_interval = std::chrono::milliseconds{50};
 
+/// Whether a task waits for room alone.
+bool waits_for_room(task_state const& task, time_point now)
+{
+    return task.phase_ == task_phase::waiting && earliest_start(task) <= now &&
+           !task.start_budget_.is_spent() && !is_held(task, false) &&
+           required_isolation(task, now) == task_isolation::none;
+}
+
 /// Sort key of a pool's jobs: jobs on time before late ones, long-running
 /// before finite ones, then lower priority values, then the earliest objective.
 auto sort_key(job_state const& job, std::uint32_t priority, bool late)
@@ -143,7 +156,59 @@
                   return std::tie(a.sort_key_, a.id_) <
                          std::tie(b.sort_key_, b.id_);
               });
+    // Whether the candidates could take the step if all finite tasks had ended.
+    auto const fits_later = [&](job_step const& shape)
+    {
+        std::uint64_t slots = 0;
+        std::uint64_t const wanted = shape.gang_ ? shape.tasks_ : 1;
+        for (auto const* const candidate : candidates_)
+        {
+            if (slots >= wanted)
+            {
+                break;
+            }
+            worker_state later;
+            later.entry_ = candidate->entry_;
+            later.fenced_ = true;
+            for (auto const& task : candidate->tasks_)
+            {
+                auto const at = candidate->long_running_tasks_ > 0
+                                    ? find(task)
+                                    : task_location{};
+                if (at && at.shape_->long_running_)
+                {
+                    later.used_ += at.shape_->each_;
+                }
+            }
+            slots +=
+                task_slots({later, shape, 0, now, std::nullopt}, shape.tasks_);
+        }
+        return slots >= wanted;
+    };
     unplaced_demands unplaced(candidates_);
+    unplaced_demands hopeless(candidates_);
+    auto const is_waiting_for_room =
+        [&](job_state const& job, step_state const& step, job_step const& shape)
+    {
+        bool const waits = !job.ended() && !shape.long_running_ &&
+                           step.waiting_ != 0 && advice_for(job) == nullptr &&
+                           std::any_of(step.tasks_.begin(), step.tasks_.end(),
+                                       [&](task_state const& task)
+                                       { return waits_for_room(task, now); });
+        bool const is_hopeless = shape.gang_ ? hopeless.covers_gang(shape)
+                                             : hopeless.covers_task(shape);
+        if (!waits || is_hopeless)
+        {
+            return false;
+        }
+        if (fits_later(shape))
+        {
+            return true;
+        }
+        shape.gang_ ? hopeless.add_gang(shape) : hopeless.add_task(shape);
+        return false;
+    };
+    std::size_t waiting = 0;
     for (auto const& item : ordered)
     {
         auto& job = *item.job_;
@@ -166,6 +231,14 @@
                 {
                     place_step(item.id_, job, k, s, unplaced, now);
                 }
+                waiting += is_waiting_for_room(job, occurrence.steps_[s],
+                                               job.request_->steps_[s])
+                               ? 1
+                               : 0;
+                if (waiting > max_waiting_steps)
+                {
+                    return;
+                }
             }
         }
     }
