cell: Search for hopeless demands only if a step waits

Each step that had just been placed was compared with the demands that can't be placed. Whether it waits for room is computed first now; the result is the same. Five tests of the cell pass.

--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -195,9 +195,8 @@
                            std::any_of(step.tasks_.begin(), step.tasks_.end(),
                                        [&](task_state const& task)
                                        { return waits_for_room(task, now); });
-        bool const is_hopeless = shape.gang_ ? hopeless.covers_gang(shape)
-                                             : hopeless.covers_task(shape);
-        if (!waits || is_hopeless)
+        if (!waits || (shape.gang_ ? hopeless.covers_gang(shape)
+                                   : hopeless.covers_task(shape)))
         {
             return false;
         }
