cell: Give back reservations that hold up waiting tasks

The room was on a VM reserved for a wave. A reserved VM takes no tasks, its reservation lasts until it is empty, its own task leaves only while the others of its step are available, and one of these was the task that waited.

A VM isn't reserved for a wave while its long-running tasks can't leave it. A reservation without a sent order is given back if a step has waited 1 s for its room and no other worker will have any (4 s if a long-running task waits for finite ones elsewhere), or if the VM still can't be emptied after the drain timeout. The VM then waits for 5 s, so that others of its wave come first.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -10,6 +10,7 @@
 #include "kernel/cell/placement_rule.hpp"
 #include "kernel/cell/pool_plan.hpp"
 #include "kernel/cell/run_time_model.hpp"
+#include "kernel/cell/step_waits.hpp"
 #include "kernel/cell/ticket_cache.hpp"
 #include "kernel/cell/unplaced_demands.hpp"
 #include "kernel/cell/worker_state.hpp"
@@ -219,6 +220,14 @@
     /// orphaned runs there.
     std::size_t tasks_on(vm_id const& vm) const;
     std::size_t long_running_tasks_on(vm_id const& vm) const;
+    /// Whether the long-running tasks on the VM can leave it: their steps allow
+    /// it, and other workers will have room for them.
+    bool can_be_emptied(vm_id const& vm, time_point now);
+    /// Reserved VMs with room that steps have been waiting for, since no other
+    /// worker of their pool will have any.
+    /// @param releasable the VMs to choose from
+    std::set<vm_id> contended_vms(std::set<vm_id> const& releasable,
+                                  time_point now);
     /// Whether a worker of that VM was first seen after `since`.
     bool has_new_incarnation(vm_id const& vm, time_point since) const;
 
@@ -270,6 +279,15 @@
         double waiting_ = 0;
     };
 
+    /// The workers of a pool: those that take tasks, the same without their
+    /// finite tasks, and those of reserved VMs.
+    struct pool_room
+    {
+        std::vector<worker_state const*> present_;
+        std::vector<worker_state const*> later_;
+        std::vector<worker_state const*> reserved_;
+    };
+
     /// A task with the job and step that hold it; all null if the task does
     /// not exist.
     struct task_location
@@ -521,6 +539,30 @@
     bool is_available(task_state const& task, time_point now) const;
     void stop_stalled(time_point now);
 
+    // cell_reservations.cpp
+    /// The worker as it will be once its finite tasks have ended.
+    worker_state without_finite_tasks(worker_state const& worker);
+    /// Whether a long-running task is available, or will be soon if it only
+    /// restarts.
+    bool will_be_available(task_state const& task, time_point now) const;
+    /// Whether a worker of another VM will have room for a long-running task.
+    bool has_room_elsewhere(task_location const& at, vm_id const& vm,
+                            time_point now);
+    /// The steps that may begin and have tasks that wait for a worker.
+    static std::vector<step_id> waiting_steps(job_state const& job);
+    /// Whether only a worker is missing for some task of the step.
+    static bool has_due_task(step_state const& step, bool long_running,
+                             time_point now);
+    /// How many tasks of the step the workers can take, at most `limit` and
+    /// some more.
+    std::uint64_t slots_of(std::vector<worker_state const*> const& workers,
+                           job_step const& shape, step_state const& step,
+                           std::uint32_t limit, time_point now) const;
+    /// Adds the reserved VMs that a step has been waiting for.
+    void find_contended(step_id const& id, job_state const& job,
+                        pool_room const& room, std::set<vm_id>& contended,
+                        time_point now);
+
     // cell_crashes.cpp
     /// Logs a run that ends without a report, since its worker is lost.
     void log_loss(task_id const& task, task_location const& at,
@@ -656,6 +698,8 @@
     std::vector<worker_state*> candidates_;
     /// Reserved VMs, and when their order was sent, as in `worker_state`.
     std::map<vm_id, time_point> reserved_;
+    /// Steps without room on other VMs.
+    step_waits reservation_waits_;
     /// Jobs and their blocks whose records are out of date.
     std::deque<std::pair<std::string, block_number>> dirty_blocks_;
     /// Those that were when the sweep began, and are not in a batch yet. A
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -105,21 +105,11 @@
 
 void cell::find_candidates(pool_name const& pool, time_point now)
 {
-    // An empty step breaks only rules that every task would break; the rule on
-    // avoided workers makes an exception for long-running ones.
-    static job_step const empty_step = []
-    {
-        job_step step;
-        step.long_running_ = true;
-        return step;
-    }();
     candidates_.clear();
     for (auto const& name : pool_workers_[pool])
     {
         auto const found = workers_.find(name);
-        if (found != workers_.end() &&
-            violated_rule({found->second, empty_step, 0, now, std::nullopt}) ==
-                nullptr)
+        if (found != workers_.end() && is_candidate(found->second, false, now))
         {
             candidates_.push_back(&found->second);
         }
@@ -167,19 +157,7 @@
             {
                 break;
             }
-            worker_state later;
-            later.entry_ = candidate->entry_;
-            later.fenced_ = true;
-            for (auto const& task : candidate->tasks_)
-            {
-                auto const at = candidate->long_running_tasks_ > 0
-                                    ? find(task)
-                                    : task_location{};
-                if (at && at.shape_->long_running_)
-                {
-                    later.used_ += at.shape_->each_;
-                }
-            }
+            auto const later = without_finite_tasks(*candidate);
             slots +=
                 task_slots({later, shape, 0, now, std::nullopt}, shape.tasks_);
         }
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -74,9 +74,7 @@
     at.task_->worker_ = worker;
     --at.step_->waiting_;
     auto& state = workers_.at(worker);
-    resource_amount need = at.shape_->each_;
-    need.cpu_milli_ = at.shape_->best_effort_ ? 0 : need.cpu_milli_;
-    state.used_ += need;
+    state.used_ += demand_of(*at.shape_);
     state.tasks_.insert(task);
     state.long_running_tasks_ += at.shape_->long_running_ ? 1 : 0;
     state.best_effort_tasks_ += at.shape_->best_effort_ ? 1 : 0;
@@ -88,9 +86,7 @@
     auto const found = workers_.find(at.task_->worker_);
     if (found != workers_.end() && found->second.tasks_.erase(task) != 0)
     {
-        resource_amount need = at.shape_->each_;
-        need.cpu_milli_ = at.shape_->best_effort_ ? 0 : need.cpu_milli_;
-        found->second.used_ -= need;
+        found->second.used_ -= demand_of(*at.shape_);
         found->second.long_running_tasks_ -= at.shape_->long_running_ ? 1 : 0;
         found->second.best_effort_tasks_ -= at.shape_->best_effort_ ? 1 : 0;
         found->second.tail_bounded_tasks_ -=
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -1,6 +1,8 @@
 #include "kernel/cell/fleet_plan.hpp"
 
 #include <algorithm>
+#include <iterator>
+#include <set>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -150,6 +152,71 @@
     operations_.erase(vm);
 }
 
+bool fleet_plan::may_reserve(vm_id const& vm, time_point now) const
+{
+    auto const next = next_reservations_.find(vm);
+    return operations_.count(vm) == 0 && !orders_.is_held(vm, now) &&
+           !orders_.may_be_down(vm) &&
+           (next == next_reservations_.end() || now >= next->second);
+}
+
+void fleet_plan::give_back(vm_id const& vm, char const* cause, time_point now)
+{
+    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - operations_.at(vm).reserved_at_);
+    actions_.emplace_back(log_decision{
+        "reservation_given_back", vm.text(),
+        std::string(cause) +
+            " wave=" + std::to_string(operations_.at(vm).wave_) +
+            " ms=" + std::to_string(age.count()) +
+            " tasks=" + std::to_string(cell_.tasks_on(vm)) + " long_running=" +
+            std::to_string(cell_.long_running_tasks_on(vm))});
+    end_operation(vm);
+    next_reservations_[vm] = now + options_.reservation_pause_;
+}
+
+void fleet_plan::review_reservations(time_point now)
+{
+    if (now < next_reservation_review_)
+    {
+        return;
+    }
+    next_reservation_review_ = now + options_.reservation_review_interval_;
+    for (auto next = next_reservations_.begin();
+         next != next_reservations_.end();)
+    {
+        next = now < next->second ? std::next(next)
+                                  : next_reservations_.erase(next);
+    }
+    std::set<vm_id> releasable;
+    std::set<vm_id> stuck;
+    for (auto const& item : operations_)
+    {
+        auto const& operation = item.second;
+        if (operation.ordered_ || operation.order_in_flight_ ||
+            now < operation.may_begin_until_)
+        {
+            continue;
+        }
+        releasable.insert(item.first);
+        if (now - operation.reserved_at_ >= options_.drain_timeout_ &&
+            !cell_.can_be_emptied(item.first, now))
+        {
+            stuck.insert(item.first);
+        }
+    }
+    auto const contended = cell_.contended_vms(releasable, now);
+    for (auto const& vm : contended)
+    {
+        give_back(vm, "room_needed", now);
+        stuck.erase(vm);
+    }
+    for (auto const& vm : stuck)
+    {
+        give_back(vm, "cannot_be_emptied", now);
+    }
+}
+
 bool fleet_plan::handle_order_result(vm_id const& vm, vm_outcome outcome,
                                      time_point now)
 {
@@ -166,6 +233,10 @@
         operation.ordered_ = true;
         operation.ordered_at_ = now;
     }
+    if (outcome == vm_outcome::no_answer)
+    {
+        operation.may_begin_until_ = now + options_.order_pause_;
+    }
     return true;
 }
 
@@ -288,8 +359,7 @@
         auto const found = vms_.find(vm);
         if (found == vms_.end() ||
             orders_.is_maintained(vm, wave.order_.number_) ||
-            operations_.count(vm) != 0 || orders_.is_held(vm, now) ||
-            orders_.may_be_down(vm) || found->second.status_ != vm_status::up)
+            !may_reserve(vm, now) || found->second.status_ != vm_status::up)
         {
             continue;
         }
@@ -326,6 +396,12 @@
         {
             continue;
         }
+        if (!cell_.can_be_emptied(candidate.second, now))
+        {
+            next_reservations_[candidate.second] =
+                now + options_.emptying_retry_interval_;
+            continue;
+        }
         ++unavailable[vm.pool_];
         ++in_maintenance;
         vm_operation operation;
@@ -418,9 +494,8 @@
         auto const cannot_move = [&](vm_id const& vm)
         {
             auto const found = vms_.find(vm);
-            return operations_.count(vm) != 0 || found == vms_.end() ||
-                   found->second.status_ != vm_status::up ||
-                   orders_.is_held(vm, now) || orders_.may_be_down(vm);
+            return !may_reserve(vm, now) || found == vms_.end() ||
+                   found->second.status_ != vm_status::up;
         };
         for (auto* const vms : {&load.free_, &load.emptying_})
         {
@@ -535,6 +610,7 @@
                    { append_order_record(vm, text); },
                    now);
     end_finished_moves();
+    review_reservations(now);
     advance_waves(now);
     balance(now);
     advance_operations(now, now - confirmed < options_.confirmation_limit_);
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -39,6 +39,12 @@
     /// Minimum interval between two reviews of all waves and operations. The
     /// owner ticks at each event, and a review looks at every VM.
     duration review_interval_ = std::chrono::milliseconds{20};
+    /// Interval at which reservations are reviewed that have not ended yet.
+    duration reservation_review_interval_ = std::chrono::milliseconds{250};
+    /// A VM whose reservation was given back is not reserved for this long.
+    duration reservation_pause_ = std::chrono::seconds{5};
+    /// The same for a VM that could not be emptied when it was to be reserved.
+    duration emptying_retry_interval_ = std::chrono::milliseconds{500};
 };
 
 /// Requests the list of VMs from the platform.
@@ -140,6 +146,8 @@
         bool order_in_flight_ = false;
         /// Time of that answer.
         time_point ordered_at_{};
+        /// Until then an order without an answer may be carried out.
+        time_point may_begin_until_{};
         time_point next_try_{};
     };
 
@@ -161,6 +169,12 @@
                              time_point now);
     void begin_operation(vm_id const& vm, vm_operation operation);
     void end_operation(vm_id const& vm);
+    /// Ends reservations that others wait for or that can't be seen to end, as
+    /// far as no order follows from them yet.
+    void review_reservations(time_point now);
+    void give_back(vm_id const& vm, char const* cause, time_point now);
+    /// Whether the VM's reservation may begin now.
+    bool may_reserve(vm_id const& vm, time_point now) const;
     /// @param text empty to delete the record
     std::uint64_t append_order_record(vm_id const& vm, std::string text);
     /// Stores that the wave is completed, which `restore_wave()` reads, and
@@ -182,8 +196,12 @@
     std::map<vm_id, listed_vm> vms_;
     std::map<wave_number, wave_state> waves_;
     std::map<vm_id, vm_operation> operations_;
+    /// The earliest time of the next reservation of VMs that could not be
+    /// emptied.
+    std::map<vm_id, time_point> next_reservations_;
     vm_order_book orders_;
     time_point next_review_{};
+    time_point next_reservation_review_{};
     time_point next_list_{};
     time_point next_balance_{};
     time_point next_load_log_{};
--- a/source/kernel/cell/job_definition.hpp
+++ b/source/kernel/cell/job_definition.hpp
@@ -83,6 +83,14 @@
     bool best_effort_ = false;
 };
 
+/// What a task of the step occupies of its worker.
+inline resource_amount demand_of(job_step const& shape)
+{
+    auto demand = shape.each_;
+    demand.cpu_milli_ = shape.best_effort_ ? 0 : demand.cpu_milli_;
+    return demand;
+}
+
 /// A job as its client submitted it; immutable.
 struct job_definition
 {
--- a/source/kernel/cell/placement_rule.cpp
+++ b/source/kernel/cell/placement_rule.cpp
@@ -23,7 +23,8 @@
 
 bool accepts_tasks(placement_view const& view)
 {
-    return !view.worker_.entry_.draining_ && !view.worker_.reserved_;
+    return !view.worker_.entry_.draining_ &&
+           (view.ignores_reservation_ || !view.worker_.reserved_);
 }
 
 bool answers_renewals(placement_view const& view)
@@ -122,6 +123,21 @@
     return nullptr;
 }
 
+bool is_candidate(worker_state const& worker, bool ignores_reservation,
+                  time_point now)
+{
+    // An empty step breaks only rules that every task would break; the rule on
+    // avoided workers makes an exception for long-running ones.
+    static job_step const empty_step = []
+    {
+        job_step step;
+        step.long_running_ = true;
+        return step;
+    }();
+    return violated_rule({worker, empty_step, 0, now, std::nullopt,
+                          ignores_reservation}) == nullptr;
+}
+
 std::uint32_t task_slots(placement_view const& view, std::uint32_t limit)
 {
     if (violated_rule(view) != nullptr)
--- a/source/kernel/cell/placement_rule.hpp
+++ b/source/kernel/cell/placement_rule.hpp
@@ -22,6 +22,8 @@
     time_point now_{};
     /// The isolation that the task needs; unset if any may be.
     std::optional<task_isolation> isolation_;
+    /// Whether the task could take the room of a reserved VM.
+    bool ignores_reservation_ = false;
 };
 
 /// A condition that must hold before a task may be placed on a worker.
@@ -36,6 +38,11 @@
 /// placed on the worker
 placement_rule const* violated_rule(placement_view const& view);
 
+/// Whether the worker violates no rule that excludes it for all tasks.
+/// @param ignores_reservation as in `placement_view`
+bool is_candidate(worker_state const& worker, bool ignores_reservation,
+                  time_point now);
+
 /// How many tasks of the step the worker may take, at most `limit`. None if a
 /// rule is violated.
 std::uint32_t task_slots(placement_view const& view, std::uint32_t limit);
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -797,6 +797,12 @@
         { cell_->on_renewal_response(order, outcome, *report, sent, now_); });
 }
 
+void cell_world::add_pool(pool_name const& name)
+{
+    config_.pools_[name] = {};
+    cell_->set_config(config_);
+}
+
 void cell_world::remove_queue()
 {
     config_.routes_.clear();
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -170,6 +170,8 @@
     bool advice_down_ = false;
     /// Number of workers that the policy service was queried about.
     std::size_t advice_queries_ = 0;
+    /// Adds a pool without workers to the configuration.
+    void add_pool(pool_name const& name);
     /// Removes the queue from the configuration.
     void remove_queue();
     /// Gives the queue a policy.
