cell: Let workers answer after an order to their VM before they get tasks

The owner had moved 73 VMs within 2 s. When the next worker on a VM was listed, the move's reservation ended, and the worker of before, whose entry the store still had, took tasks again: it was idle, so that its silence didn't show, and empty, so that it was the best choice. Five such starts used up a task's bound.

Once a reservation with a sent order ends, each worker that was there before has to answer with a new token first. One that the order has not ended answers at once.

Ruled out: a new owner that hasn't heard from the workers (all had answered it) and crashes (each worker's end follows `vm_moved`).

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -214,8 +214,9 @@
     /// The order to a reserved VM is sent: from now on its workers may end
     /// because of it.
     void on_vm_order_sent(vm_id const& vm, time_point now);
-    /// Includes them again.
-    void end_reservation(vm_id const& vm);
+    /// Includes them again. If an order was sent, the workers that were there
+    /// before have to answer first, since it may have ended them.
+    void end_reservation(vm_id const& vm, time_point now);
     /// Number of tasks assigned to the VM's workers, in any phase, and of
     /// orphaned runs there.
     std::size_t tasks_on(vm_id const& vm) const;
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -226,12 +226,21 @@
     }
 }
 
-void cell::end_reservation(vm_id const& vm)
+void cell::end_reservation(vm_id const& vm, time_point now)
 {
+    auto const found = reserved_.find(vm);
+    auto const order_sent_at =
+        found == reserved_.end() ? time_point::max() : found->second;
     reserved_.erase(vm);
     for (auto const& name : workers_on(vm))
     {
-        workers_.at(name).reserved_ = false;
+        auto& worker = workers_.at(name);
+        worker.reserved_ = false;
+        if (worker.first_seen_ <= order_sent_at && order_sent_at <= now &&
+            !worker.unlisted_)
+        {
+            query_incarnation(worker, "vm_order", now);
+        }
     }
     placement_due_ = true;
 }
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -87,7 +87,7 @@
         bool const removed = found == vms_.end();
         if (is_up || removed)
         {
-            cell_.end_reservation(place->first);
+            cell_.end_reservation(place->first, now);
             place = operations_.erase(place);
         }
         else
@@ -146,9 +146,9 @@
     cell_.reserve(vm);
 }
 
-void fleet_plan::end_operation(vm_id const& vm)
+void fleet_plan::end_operation(vm_id const& vm, time_point now)
 {
-    cell_.end_reservation(vm);
+    cell_.end_reservation(vm, now);
     operations_.erase(vm);
 }
 
@@ -171,7 +171,7 @@
             " ms=" + std::to_string(age.count()) +
             " tasks=" + std::to_string(cell_.tasks_on(vm)) + " long_running=" +
             std::to_string(cell_.long_running_tasks_on(vm))});
-    end_operation(vm);
+    end_operation(vm, now);
     next_reservations_[vm] = now + options_.reservation_pause_;
 }
 
@@ -258,7 +258,7 @@
         actions_.emplace_back(log_decision{"maintenance_refused", vm.text(),
                                            "wave=" + std::to_string(wave)});
         append_order_record(vm, encode(orders_.set_maintained(vm, wave)));
-        end_operation(vm);
+        end_operation(vm, now);
         return;
     case vm_outcome::busy:
     case vm_outcome::fenced:
@@ -290,7 +290,7 @@
         if (outcome != vm_outcome::no_answer &&
             outcome != vm_outcome::throttled)
         {
-            end_operation(vm);
+            end_operation(vm, now);
         }
     }
 }
@@ -445,7 +445,7 @@
     }
 }
 
-void fleet_plan::end_finished_moves()
+void fleet_plan::end_finished_moves(time_point now)
 {
     std::vector<vm_id> finished;
     for (auto const& item : operations_)
@@ -463,7 +463,7 @@
     }
     for (auto const& vm : finished)
     {
-        end_operation(vm);
+        end_operation(vm, now);
     }
 }
 
@@ -609,7 +609,7 @@
                    [this](vm_id const& vm, std::string const& text)
                    { append_order_record(vm, text); },
                    now);
-    end_finished_moves();
+    end_finished_moves(now);
     review_reservations(now);
     advance_waves(now);
     balance(now);
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -161,14 +161,14 @@
 
     void advance_waves(time_point now);
     void balance(time_point now);
-    void end_finished_moves();
+    void end_finished_moves(time_point now);
     void select_vms(wave_state& wave, time_point now);
     void advance_operations(time_point now, bool can_send_orders);
     /// @return false if the VM has no operation any more
     bool handle_order_result(vm_id const& vm, vm_outcome outcome,
                              time_point now);
     void begin_operation(vm_id const& vm, vm_operation operation);
-    void end_operation(vm_id const& vm);
+    void end_operation(vm_id const& vm, time_point now);
     /// Ends reservations that others wait for or that can't be seen to end, as
     /// far as no order follows from them yet.
     void review_reservations(time_point now);
--- a/tests/kernel/cell/crashing_task_test.cpp
+++ b/tests/kernel/cell/crashing_task_test.cpp
@@ -58,7 +58,7 @@
          for (std::uint32_t i = 0; i < worker_count; ++i)
          {
              auto const vm = world.worker(i).entry_.vm_;
-             world.owner().end_reservation(vm);
+             world.owner().end_reservation(vm, world.now());
              if (world.worker(i).is_down_)
              {
                  world.owner().reserve(vm);
@@ -348,7 +348,7 @@
          world.owner().on_vm_order_sent(vm, world.now());
          world.crash_for(worker, 500ms);
          world.run_for(1200ms);
-         world.owner().end_reservation(vm);
+         world.owner().end_reservation(vm, world.now());
      }},
     {"crashes of one worker each",
      [](cell_world& world, std::uint32_t worker)
--- a/tests/kernel/cell/reservation_test.cpp
+++ b/tests/kernel/cell/reservation_test.cpp
@@ -256,6 +256,56 @@
     CHECK(world.tasks_ended_by_orders_ == 0);
 }
 
+// Guards against sound jobs that are given up since their tasks were sent to
+// workers that a move had ended, one after the other.
+TEST_CASE("a worker that an order has ended gets no task")
+{
+    constexpr std::uint32_t moved = 6;
+    for (bool const is_new_worker_known : {false, true})
+    {
+        CAPTURE(is_new_worker_known);
+        cell_world world(1, moved + 1);
+        world.run_for(100ms);
+        for (std::uint32_t i = 0; i < moved; ++i)
+        {
+            auto const vm = world.worker(i).entry_.vm_;
+            world.owner().reserve(vm);
+            world.owner().on_vm_order_sent(vm, world.now());
+            world.crash(i);
+            world.cut(i, !is_new_worker_known);
+        }
+        // The store still has the entries of the earlier workers.
+        world.run_for(1500ms);
+        for (std::uint32_t i = 0; i < moved; ++i)
+        {
+            world.owner().end_reservation(world.worker(i).entry_.vm_,
+                                          world.now());
+        }
+        world.submit("a", {cell_world::make_step(4, 4000, 300ms)});
+        world.run_for(1000ms);
+        CHECK(world.logged_["start_unanswered"].empty());
+        CHECK(world.logged_["run_lost"].empty());
+        CHECK(world.status("a") == job_status::completed);
+    }
+}
+
+// Guards against a VM that gets no task after an order that the platform did
+// not carry out.
+TEST_CASE("a worker that an order has not ended gets tasks again")
+{
+    cell_world world(1, 1);
+    world.run_for(100ms);
+    auto const vm = world.worker(0).entry_.vm_;
+    world.owner().reserve(vm);
+    world.owner().on_vm_order_sent(vm, world.now());
+    world.run_for(500ms);
+    world.owner().end_reservation(vm, world.now());
+    world.submit("a", {cell_world::make_step(4, 4000, 300ms)});
+    world.run_for(1000ms);
+    CHECK(world.status("a") == job_status::completed);
+    CHECK(world.violations() == "");
+}
+
 namespace
 {
 
--- a/tests/kernel/cell/start_budget_test.cpp
+++ b/tests/kernel/cell/start_budget_test.cpp
@@ -198,7 +198,7 @@
                 }
                 else if (!world.worker(k).is_down_ && i % 200 == 0)
                 {
-                    world.owner().end_reservation(vm);
+                    world.owner().end_reservation(vm, world.now());
                 }
             }
             world.run_for(5ms);
