cell: Give a VM back only after it could not be emptied for the whole drain timeout

A reservation that was older than the drain timeout was given back if the VM's long-running tasks could not leave at that one moment, as they can't for some seconds after a loss nearby.

--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -190,17 +190,20 @@
     }
     std::set<vm_id> releasable;
     std::set<vm_id> stuck;
-    for (auto const& item : operations_)
+    for (auto& item : operations_)
     {
-        auto const& operation = item.second;
+        auto& operation = item.second;
         if (operation.ordered_ || operation.order_in_flight_ ||
             now < operation.may_begin_until_)
         {
             continue;
         }
         releasable.insert(item.first);
-        if (now - operation.reserved_at_ >= options_.drain_timeout_ &&
-            !cell_.can_be_emptied(item.first, now))
+        if (cell_.can_be_emptied(item.first, now))
+        {
+            operation.emptiable_at_ = now;
+        }
+        else if (now - operation.emptiable_at_ >= options_.drain_timeout_)
         {
             stuck.insert(item.first);
         }
@@ -407,6 +410,7 @@
         vm_operation operation;
         operation.wave_ = wave.order_.number_;
         operation.reserved_at_ = now;
+        operation.emptiable_at_ = now;
         begin_operation(candidate.second, operation);
     }
 }
@@ -529,6 +533,7 @@
         vm_operation operation;
         operation.target_ = move.to_;
         operation.reserved_at_ = now;
+        operation.emptiable_at_ = now;
         begin_operation(move.vm_, operation);
         actions_.emplace_back(
             log_decision{"move_planned", move.vm_.text(),
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -138,6 +138,8 @@
         /// Empty for maintenance.
         std::optional<pool_name> target_;
         time_point reserved_at_{};
+        /// When its long-running tasks could last leave the VM.
+        time_point emptiable_at_{};
         /// Number of the record of the order, which has to be stored before the
         /// order is sent; see `cell::append_record()`.
         std::uint64_t record_ = 0;
