cell: Query workers later after an order to their VM

Each worker that an order may have ended was queried from 0.3 s after the end of the reservation. They are queried after 2 s now. An order that the platform throttled or refused has ended nobody, so that its VM's workers need no query. The review of reservations is due each 500 ms instead of 250 ms, and computes the room without finite tasks only for the workers that it looks at.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -214,6 +214,9 @@
     /// The order to a reserved VM is sent: from now on its workers may end
     /// because of it.
     void on_vm_order_sent(vm_id const& vm, time_point now);
+    /// The platform rejected the order without effect, and no earlier one may
+    /// be carried out.
+    void on_vm_order_rejected(vm_id const& vm);
     /// Includes them again. If an order was sent, the workers that were there
     /// before have to answer first, since it may have ended them.
     void end_reservation(vm_id const& vm, time_point now);
@@ -285,7 +288,8 @@
     struct pool_room
     {
         std::vector<worker_state const*> present_;
-        std::vector<worker_state const*> later_;
+        /// By the position in `present_`; made when first needed.
+        std::vector<std::optional<worker_state>> later_;
         std::vector<worker_state const*> reserved_;
     };
 
@@ -554,14 +558,14 @@
     /// Whether only a worker is missing for some task of the step.
     static bool has_due_task(step_state const& step, bool long_running,
                              time_point now);
-    /// How many tasks of the step the workers can take, at most `limit` and
-    /// some more.
-    std::uint64_t slots_of(std::vector<worker_state const*> const& workers,
-                           job_step const& shape, step_state const& step,
-                           std::uint32_t limit, time_point now) const;
+    /// How many tasks of the step the worker can take, reserved or not, at most
+    /// `limit`.
+    std::uint32_t slots_of(worker_state const& worker, job_step const& shape,
+                           step_state const& step, std::uint32_t limit,
+                           time_point now) const;
     /// Adds the reserved VMs that a step has been waiting for.
     void find_contended(step_id const& id, job_state const& job,
-                        pool_room const& room, std::set<vm_id>& contended,
+                        pool_room& room, std::set<vm_id>& contended,
                         time_point now);
 
     // cell_crashes.cpp
--- a/source/kernel/cell/cell_reservations.cpp
+++ b/source/kernel/cell/cell_reservations.cpp
@@ -141,27 +141,18 @@
                        });
 }
 
-std::uint64_t cell::slots_of(std::vector<worker_state const*> const& workers,
-                             job_step const& shape, step_state const& step,
-                             std::uint32_t limit, time_point now) const
+std::uint32_t cell::slots_of(worker_state const& worker, job_step const& shape,
+                             step_state const& step, std::uint32_t limit,
+                             time_point now) const
 {
-    std::uint64_t slots = 0;
-    for (auto const* const worker : workers)
-    {
-        if (slots >= limit)
-        {
-            break;
-        }
-        auto view = view_of(*worker, shape, step, task_isolation::none, now);
-        view.isolation_.reset();
-        view.ignores_reservation_ = true;
-        slots += task_slots(view, limit);
-    }
-    return slots;
+    auto view = view_of(worker, shape, step, task_isolation::none, now);
+    view.isolation_.reset();
+    view.ignores_reservation_ = true;
+    return task_slots(view, limit);
 }
 
 void cell::find_contended(step_id const& id, job_state const& job,
-                          pool_room const& room, std::set<vm_id>& contended,
+                          pool_room& room, std::set<vm_id>& contended,
                           time_point now)
 {
     auto const& shape = job.request_->steps_[id.step_];
@@ -171,15 +162,28 @@
         return;
     }
     auto const needed = shape.gang_ ? shape.tasks_ : 1;
-    auto const count_slots =
-        [&](std::vector<worker_state const*> const& workers)
-    { return slots_of(workers, shape, step, needed, now); };
-    bool const fits_later = count_slots(room.later_) >= needed;
+    std::uint64_t slots_later = 0;
+    for (std::size_t i = 0; i < room.present_.size() && slots_later < needed;
+         ++i)
+    {
+        auto& later = room.later_[i];
+        if (!later)
+        {
+            later = without_finite_tasks(*room.present_[i]);
+        }
+        slots_later += slots_of(*later, shape, step, needed, now);
+    }
+    bool const fits_later = slots_later >= needed;
     if (fits_later && !shape.long_running_)
     {
         return;
     }
-    auto slots = count_slots(room.present_);
+    std::uint64_t slots = 0;
+    for (auto const* const worker : room.present_)
+    {
+        slots +=
+            slots < needed ? slots_of(*worker, shape, step, needed, now) : 0;
+    }
     if (slots >= needed ||
         reservation_waits_.observe(id, now) <
             (fits_later ? max_wait_for_finite_tasks : max_wait_without_room))
@@ -189,7 +193,8 @@
     std::set<vm_id> vms;
     for (auto const* const worker : room.reserved_)
     {
-        auto const more = slots < needed ? count_slots({worker}) : 0;
+        auto const more =
+            slots < needed ? slots_of(*worker, shape, step, needed, now) : 0;
         slots += more;
         if (more > 0)
         {
@@ -224,12 +229,7 @@
         auto& room = item.second;
         find_candidates(item.first, now);
         room.present_.assign(candidates_.begin(), candidates_.end());
-        std::deque<worker_state> later;
-        for (auto const* const worker : room.present_)
-        {
-            later.push_back(without_finite_tasks(*worker));
-            room.later_.push_back(&later.back());
-        }
+        room.later_.resize(room.present_.size());
         for (auto const& open : open_jobs_)
         {
             auto const& job = *open.second;
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -23,8 +23,9 @@
 constexpr duration min_stall_check_interval = std::chrono::milliseconds{250};
 
 /// How long a worker is not queried after an order to its VM: usually its
-/// successor answers first.
-constexpr duration order_query_delay = std::chrono::milliseconds{300};
+/// successor answers first, and each query to a worker that is gone costs a
+/// connection.
+constexpr duration order_query_delay = std::chrono::seconds{2};
 
 std::string describe(resource_amount const& size)
 {
@@ -230,6 +231,20 @@
     }
 }
 
+void cell::on_vm_order_rejected(vm_id const& vm)
+{
+    auto const found = reserved_.find(vm);
+    if (found == reserved_.end())
+    {
+        return;
+    }
+    found->second = time_point::max();
+    for (auto const& name : workers_on(vm))
+    {
+        workers_.at(name).order_sent_at_ = time_point::max();
+    }
+}
+
 void cell::end_reservation(vm_id const& vm, time_point now)
 {
     auto const found = reserved_.find(vm);
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -240,6 +240,12 @@
     {
         operation.may_begin_until_ = now + options_.order_pause_;
     }
+    bool const had_no_effect =
+        outcome == vm_outcome::throttled || outcome == vm_outcome::refused;
+    if (had_no_effect && now >= operation.may_begin_until_)
+    {
+        cell_.on_vm_order_rejected(vm);
+    }
     return true;
 }
 
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -40,7 +40,7 @@
     /// owner ticks at each event, and a review looks at every VM.
     duration review_interval_ = std::chrono::milliseconds{20};
     /// Interval at which reservations are reviewed that have not ended yet.
-    duration reservation_review_interval_ = std::chrono::milliseconds{250};
+    duration reservation_review_interval_ = std::chrono::milliseconds{500};
     /// A VM whose reservation was given back is not reserved for this long.
     duration reservation_pause_ = std::chrono::seconds{5};
     /// The same for a VM that could not be emptied when it was to be reserved.
