node: Count the starts of tasks by their outcome

Which of an owner's starts went to workers that had ended could be told from log lines alone, of which 60 a second are written.

node_process_test passes, with a check of the new counter.

--- a/source/node/cell_owner_orders.cpp
+++ b/source/node/cell_owner_orders.cpp
@@ -16,6 +16,34 @@
 /// answered with `unavailable`.
 constexpr duration max_confirmation_age = std::chrono::milliseconds{1500};
 
+char const* outcome_name(call_outcome outcome)
+{
+    switch (outcome)
+    {
+    case call_outcome::accepted:
+        return "accepted";
+    case call_outcome::not_sent:
+        return "not_sent";
+    case call_outcome::no_answer:
+        return "no_answer";
+    case call_outcome::fenced:
+        return "fenced";
+    case call_outcome::run_too_old:
+        return "run_too_old";
+    case call_outcome::too_late:
+        return "too_late";
+    case call_outcome::no_room:
+        return "no_room";
+    case call_outcome::ticket_refused:
+        return "ticket_refused";
+    case call_outcome::incarnation_mismatch:
+        return "incarnation_mismatch";
+    case call_outcome::not_run:
+        return "not_run";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 void cell_owner::run_actions()
@@ -148,8 +176,10 @@
             if (!self->stopped_)
             {
                 auto const now = node_now();
-                self->environment_.metrics_.observe("cuminfold_start_call",
-                                                    now - sent);
+                auto& metrics = self->environment_.metrics_;
+                metrics.observe("cuminfold_start_call", now - sent);
+                metrics.add("cuminfold_starts_total", 1, "outcome",
+                            outcome_name(outcome));
                 self->cell_.on_start_response(worker, task, run, outcome, now);
                 self->post_pump();
             }
--- a/tests/node/node_process_test.cpp
+++ b/tests/node/node_process_test.cpp
@@ -226,6 +226,18 @@
     auto const metrics = system.call(system.vms_[0]->peers_, "GET", "/metrics");
     CHECK(metrics.response_.body_.find("cuminfold_answers_total") !=
           std::string::npos);
+    // The owner counts the starts.
+    bool are_starts_counted = false;
+    for (auto const& vm : system.vms_)
+    {
+        auto const text =
+            system.call(vm->peers_, "GET", "/metrics").response_.body_;
+        are_starts_counted =
+            are_starts_counted ||
+            text.find("cuminfold_starts_total{outcome=\"accepted\"} 36") !=
+                std::string::npos;
+    }
+    CHECK(are_starts_counted);
 }
 
 // Guards against ends that are acknowledged unread, since a worker numbers them
