tests: Check that jobs are given up only after runs that may have begun

The world that cells are tested in knows of each start whether its owner could tell that nobody carried it out. A job that is given up with `starts=` has to have five runs of which that is not known; the check holds in all tests of that world.

--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -30,6 +30,11 @@
 /// `max_starts_after_crashes`.
 constexpr std::uint32_t crashes_before_limit = 3;
 constexpr std::uint32_t max_starts_after_crashes = 3;
+/// A job may be given up once a task had this many runs that have begun or may
+/// have: three that were lost, and two more.
+constexpr std::uint32_t min_runs_to_give_up = 5;
+/// How long a VM is down that moves to another pool.
+constexpr milliseconds move_time{1000};
 /// How long an expired entry is missing.
 constexpr duration entry_absence = milliseconds{1500};
 constexpr std::uint32_t max_attempts = 3;
@@ -321,6 +326,16 @@
              { cell_->on_worker_listed(workers_[worker]->entry_, now_); });
 }
 
+void cell_world::move(std::uint32_t worker)
+{
+    auto const vm = workers_[worker]->entry_.vm_;
+    cell_->reserve(vm);
+    cell_->on_vm_order_sent(vm, now_);
+    crash_for(worker, move_time);
+    schedule(now_ + move_time + registration_delay_,
+             [this, vm] { cell_->end_reservation(vm, now_); });
+}
+
 void cell_world::cut(std::uint32_t worker, bool cut)
 {
     workers_[worker]->disconnected_ = cut;
@@ -689,6 +704,7 @@
 
 void cell_world::carry_out(start_run const& order)
 {
+    possible_runs_[describe(order.task_)].insert(order.run_);
     call(
         order.address_, true,
         [this, order, token = token_of(order), sent = now_]
@@ -734,8 +750,12 @@
         },
         [this, order](call_outcome outcome)
         {
-            unanswered_starts_[order.task_] +=
-                outcome == call_outcome::no_answer ? 1 : 0;
+            bool const is_unanswered = outcome == call_outcome::no_answer;
+            unanswered_starts_[order.task_] += is_unanswered ? 1 : 0;
+            if (!is_unanswered && outcome != call_outcome::accepted)
+            {
+                possible_runs_[describe(order.task_)].erase(order.run_);
+            }
             cell_->on_start_response(order.worker_, order.task_, order.run_,
                                      outcome, now_);
         });
@@ -868,6 +888,25 @@
 void cell_world::carry_out(log_decision const& line)
 {
     logged_[line.event_].push_back(line.cause_);
+    if (line.event_ == std::string("job_failed"))
+    {
+        check_given_up(line.cause_);
+    }
+}
+
+void cell_world::check_given_up(std::string const& cause)
+{
+    auto const end = cause.find(" starts=");
+    if (end == std::string::npos)
+    {
+        return;
+    }
+    auto const runs = possible_runs_[cause.substr(0, end)].size();
+    if (runs < min_runs_to_give_up)
+    {
+        violations_.push_back("LOST " + cause +
+                              " runs=" + std::to_string(runs));
+    }
 }
 
 bool cell_world::exceeds_size(fake_worker const& on, time_point sent) const
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -81,6 +81,9 @@
     /// @param report_delay below `shrink_grace`
     void resize(std::uint32_t worker, resource_amount const& size,
                 std::chrono::milliseconds report_delay);
+    /// Orders the move of a worker's VM. The next incarnation registers while
+    /// the store still has the entry of this one.
+    void move(std::uint32_t worker);
     /// Starts or ends a network partition between the owner and a worker.
     void cut(std::uint32_t worker, bool cut);
     /// Reports each VM with its present worker to the owner.
@@ -259,6 +262,9 @@
     /// Ends the runs of gangs of which a member has begun and ended otherwise
     /// than done.
     void break_gangs();
+    /// Checks that a job that is given up after lost runs had as many.
+    /// @param cause as it is logged: the task and the number of its starts
+    void check_given_up(std::string const& cause);
     /// Records the runs that ended, and those whose end was acknowledged.
     void record_ends();
     bool chance(std::uint32_t percent);
@@ -305,6 +311,9 @@
     /// Starts of a task since it caused its third crash.
     std::map<task_id, std::uint32_t> starts_after_crashes_;
     std::map<task_id, std::uint32_t> runs_lost_;
+    /// The runs of each task that a worker may have begun, as far as the owners
+    /// that sent their starts know.
+    std::map<std::string, std::set<std::uint32_t>> possible_runs_;
     time_point next_vm_list_{};
     std::set<task_id> done_;
     /// Number of tasks in `done_` by their step.
--- a/tests/kernel/cell/event_pattern.cpp
+++ b/tests/kernel/cell/event_pattern.cpp
@@ -6,6 +6,23 @@
 namespace
 {
 
+bool is_idle(cell_world& world, std::uint32_t worker)
+{
+    auto const& state = world.worker(worker);
+    return !state.is_down_ && state.running_.empty() && state.ends_.empty();
+}
+
+void restart_idle_workers(cell_world& world)
+{
+    for (std::uint32_t i = 0; i < world.worker_count(); ++i)
+    {
+        if (is_idle(world, i))
+        {
+            world.crash(i);
+        }
+    }
+}
+
 void execute(cell_world& world, event_kind kind, std::uint32_t worker)
 {
     switch (kind)
@@ -34,6 +51,15 @@
     case event_kind::cut:
         world.cut(worker, !world.worker(worker).disconnected_);
         return;
+    case event_kind::move:
+        if (is_idle(world, worker))
+        {
+            world.move(worker);
+        }
+        return;
+    case event_kind::mass_restart:
+        restart_idle_workers(world);
+        return;
     }
 }
 
--- a/tests/kernel/cell/event_pattern.hpp
+++ b/tests/kernel/cell/event_pattern.hpp
@@ -24,7 +24,11 @@
     end_of_runs,
     expired_entry,
     /// A worker is cut off or connected again.
-    cut
+    cut,
+    /// An idle worker's VM is moved.
+    move,
+    /// The idle workers start again.
+    mass_restart
 };
 
 /// Random events during which an owner has to keep long-running tasks at work.
--- a/tests/kernel/cell/start_budget_test.cpp
+++ b/tests/kernel/cell/start_budget_test.cpp
@@ -1,11 +1,13 @@
 #include "kernel/cell/start_budget.hpp"
 
 #include "kernel/cell/cell_world.hpp"
+#include "kernel/cell/event_pattern.hpp"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
 #include <cstdint>
+#include <random>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -332,3 +334,86 @@
     }
     CHECK(sound > 0);
 }
+
+namespace
+{
+
+/// Ways in which starts get lost that nobody has carried out.
+event_pattern const loss_patterns[] = {
+    {"moves", {}, {{event_kind::move, 60}, {event_kind::takeover, 5}}},
+    {"mass restarts",
+     {},
+     {{event_kind::mass_restart, 20}, {event_kind::takeover, 5}},
+     0ms,
+     true},
+    {"cut links and late calls",
+     {5, 5, 20},
+     {{event_kind::cut, 30},
+      {event_kind::move, 20},
+      {event_kind::takeover, 5}}},
+    {"everything at once",
+     {5, 5, 10},
+     {{event_kind::move, 20},
+      {event_kind::mass_restart, 10},
+      {event_kind::crash, 10},
+      {event_kind::takeover, 10},
+      {event_kind::store_outage, 5},
+      {event_kind::expired_entry, 15},
+      {event_kind::cut, 15}},
+     0ms,
+     true},
+};
+
+constexpr std::uint32_t deadly_jobs = 3;
+constexpr std::uint32_t mixed_jobs = 60;
+
+/// Submits sound jobs, and some with one task that crashes its workers.
+void submit_mixed(cell_world& world, std::uint32_t number)
+{
+    constexpr std::uint32_t sound_before_deadly = 6;
+    world.submit("sound" + std::to_string(number),
+                 {cell_world::make_step(8, 3700, 400ms)});
+    auto const deadly = number / sound_before_deadly;
+    if (number % sound_before_deadly == 0 && deadly < deadly_jobs)
+    {
+        auto const id = "deadly" + std::to_string(deadly);
+        world.deadly_.insert({job_id{id}, 0, 0, 0});
+        world.submit(id, {cell_world::make_step(2, 900, 400ms)});
+    }
+}
+
+} // namespace
+
+// Guards against sound jobs that are given up for starts that were not carried
+// out, and against tasks that crash worker after worker meanwhile.
+TEST_CASE("jobs are given up only after runs that may have begun")
+{
+    constexpr std::uint32_t workers = 16;
+    for (auto const& pattern : loss_patterns)
+    {
+        for (std::uint32_t seed = 1; seed <= 12; ++seed)
+        {
+            CAPTURE(std::string(pattern.name_));
+            CAPTURE(seed);
+            std::mt19937 random(seed);
+            cell_world world(seed, workers);
+            world.lists_vms_ = true;
+            world.refuses_connections_ = seed % 2 == 0;
+            world.run_for(100ms);
+            begin_faults(world, pattern);
+            for (std::uint32_t i = 0; i < mixed_jobs; ++i)
+            {
+                submit_mixed(world, i);
+                for (int event = 0; event < 4; ++event)
+                {
+                    execute_event(world, pattern, random);
+                    world.run_for(100ms);
+                }
+            }
+            end_faults(world);
+            world.run_for(60'000ms);
+            CHECK(world.violations() == "");
+            CHECK(world.all_ended());
+        }
+    }
+}
