--- a/source/kernel/cell/pool_plan.hpp
+++ b/source/kernel/cell/pool_plan.hpp
@@ -22,7 +22,7 @@
     /// Workers with long-running tasks, which stay in the pool.
     std::uint32_t fixed_ = 0;
     /// Work that is ready to run, in worker-seconds: of jobs that can still end
-    /// on time, and of late jobs.
+    /// on time, and of late jobs with what the isolation of tasks takes.
     double backlog_ = 0;
     double late_backlog_ = 0;
     /// Work that clients submit, in worker-seconds per second.
--- a/tests/kernel/cell/crashing_task_test.cpp
+++ b/tests/kernel/cell/crashing_task_test.cpp
@@ -1,8 +1,10 @@
 #include "kernel/cell/cell_world.hpp"
+#include "kernel/cell/pool_plan.hpp"
 #include "kernel/cell/task_isolation.hpp"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <string>
 
 using namespace cuminfold;
@@ -522,3 +524,51 @@
     CHECK(world.crashes_by(deadly_task) <= max_crashes);
     CHECK(world.stored_texts(record_kind::crashes).empty());
 }
+
+namespace
+{
+
+/// The number of workers that the owner's plan wants in the pool.
+std::uint32_t wanted_workers(cell_world& world)
+{
+    std::uint32_t wanted = 0;
+    for (auto const& load : world.owner().loads(world.now()))
+    {
+        wanted += target_workers(load);
+    }
+    return wanted;
+}
+
+} // namespace
+
+// Guards against jobs that wait to the end in a pool whose few workers are
+// crashed by other jobs' tasks, while VMs of other pools are free.
+TEST_CASE("tasks that are to run alone count as work of whole workers")
+{
+    constexpr std::uint32_t workers = 8;
+    constexpr std::uint32_t deadly_jobs = 30;
+    for (std::uint32_t seed = 1; seed <= 5; ++seed)
+    {
+        CAPTURE(seed);
+        cell_world world(seed, workers);
+        world.lists_vms_ = true;
+        world.run_for(50ms);
+        for (std::uint32_t i = 0; i < deadly_jobs; ++i)
+        {
+            auto const id = "deadly" + std::to_string(i);
+            world.deadly_.insert({job_id{id}, 0, 0, 0});
+            world.submit(id, {cell_world::make_step(1, 900, 640ms)});
+        }
+        std::uint32_t most_wanted = 0;
+        for (int second = 0; second < 120 && !world.all_ended(); ++second)
+        {
+            world.run_for(1000ms);
+            most_wanted = std::max(most_wanted, wanted_workers(world));
+        }
+        // Each crash takes seconds of a worker, so that eight aren't enough.
+        CHECK(most_wanted > workers);
+        CHECK(world.all_ended());
+        CHECK(wanted_workers(world) <= workers);
+        CHECK(world.violations() == "");
+    }
+}
