cell: Serve isolated tasks with free VMs that no pool wants

It is a backlog of its own now. Once each pool has its target, free VMs of standby and of other pools' surplus go there; a pool that has surplus keeps it for its own isolated tasks unless another one has a deficit.

--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -252,10 +252,10 @@
             double isolated = 0;
             for (auto const& task : step.tasks_)
             {
-                isolated += task.phase_ == task_phase::waiting
-                                ? to_seconds(isolation_time_of(
-                                      task, step.run_time_))
-                                : 0;
+                isolated +=
+                    task.phase_ == task_phase::waiting
+                        ? to_seconds(isolation_time_of(task, step.run_time_))
+                        : 0;
                 bool const held = task.phase_ != task_phase::waiting &&
                                   task.phase_ != task_phase::done;
                 running +=
@@ -322,7 +322,7 @@
             auto const work = remaining_work_of(job, typical.at(job.pool_));
             (is_late(job, now) ? load->second.late_backlog_
                                : load->second.backlog_) += work.ready_;
-            load->second.late_backlog_ += work.isolated_;
+            load->second.isolated_backlog_ += work.isolated_;
         }
     }
     for (auto& item : emptying)
--- a/source/kernel/cell/pool_plan.hpp
+++ b/source/kernel/cell/pool_plan.hpp
@@ -22,9 +22,11 @@
     /// Workers with long-running tasks, which stay in the pool.
     std::uint32_t fixed_ = 0;
     /// Work that is ready to run, in worker-seconds: of jobs that can still end
-    /// on time, and of late jobs with what the isolation of tasks takes.
+    /// on time, and of late jobs.
     double backlog_ = 0;
     double late_backlog_ = 0;
+    /// Worker-seconds that the isolation of suspected tasks takes in addition.
+    double isolated_backlog_ = 0;
     /// Work that clients submit, in worker-seconds per second.
     double rate_ = 0;
     /// VMs that may be moved: those without tasks, and those whose tasks end
@@ -46,7 +48,8 @@
 
 /// Plans moves of surplus VMs to the pools that have fewer workers than their
 /// target. Each VM goes to the pool with the smallest share of its target. VMs
-/// of standby pools are moved first, then those of the largest surplus.
+/// of standby pools are moved first, then those of the largest surplus. Once
+/// each pool has its target, free surplus VMs go to pools with isolated tasks.
 std::vector<planned_move> plan_moves(std::vector<pool_load> const& loads);
 
 } // namespace cuminfold
