--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -281,8 +281,6 @@
         double ready_ = 0;
         /// Of the tasks of these steps that are not placed.
         double waiting_ = 0;
-        /// What the isolation of these tasks takes in addition.
-        double isolated_ = 0;
     };
 
     /// The workers of a pool: those that take tasks, the same without their
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -2,7 +2,6 @@
 
 #include "kernel/cell/admission_check.hpp"
 #include "kernel/cell/outage_retry.hpp"
-#include "kernel/cell/task_isolation.hpp"
 
 #include <algorithm>
 
@@ -249,13 +248,8 @@
                 worker_share(shape.each_, worker) * to_seconds(step.run_time_);
             double const waiting = each * step.waiting_;
             double running = 0;
-            double isolated = 0;
             for (auto const& task : step.tasks_)
             {
-                isolated +=
-                    task.phase_ == task_phase::waiting
-                        ? to_seconds(isolation_time_of(task, step.run_time_))
-                        : 0;
                 bool const held = task.phase_ != task_phase::waiting &&
                                   task.phase_ != task_phase::done;
                 running +=
@@ -267,7 +261,6 @@
             {
                 left.waiting_ += waiting;
                 left.ready_ += waiting + running;
-                left.isolated_ += isolated;
             }
         }
     }
@@ -319,10 +312,10 @@
         auto const load = by_pool.find(job.pool_);
         if (load != by_pool.end() && !job.ended() && job.request_)
         {
-            auto const work = remaining_work_of(job, typical.at(job.pool_));
+            auto const work =
+                remaining_work_of(job, typical.at(job.pool_)).ready_;
             (is_late(job, now) ? load->second.late_backlog_
-                               : load->second.backlog_) += work.ready_;
-            load->second.isolated_backlog_ += work.isolated_;
+                               : load->second.backlog_) += work;
         }
     }
     for (auto& item : emptying)
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -19,7 +19,7 @@
 /// Interval at which the load of each pool is logged.
 constexpr duration load_log_interval = std::chrono::seconds{1};
 
-/// The backlogs are in worker-seconds, the rate is in
+/// Backlog and late backlog are in worker-seconds, the rate is in
 /// worker-seconds per second; the other values are numbers of workers
 /// or VMs.
 std::string describe(pool_load const& load)
@@ -29,8 +29,7 @@
     text << "workers=" << load.workers_ << " incoming=" << load.incoming_
          << " fixed=" << load.fixed_ << " free=" << load.free_.size()
          << " wanted=" << target_workers(load) << " backlog=" << load.backlog_
-         << " late=" << load.late_backlog_ << " rate=" << load.rate_
-         << " isolated=" << load.isolated_backlog_;
+         << " late=" << load.late_backlog_ << " rate=" << load.rate_;
     return text.str();
 }
 
--- a/source/kernel/cell/pool_plan.cpp
+++ b/source/kernel/cell/pool_plan.cpp
@@ -21,78 +21,6 @@
 /// could be moved to it.
 constexpr std::uint32_t min_workers = 3;
 
-struct deficit
-{
-    pool_load const* load_;
-    std::uint32_t available_;
-    std::uint32_t target_;
-};
-
-struct surplus
-{
-    pool_load const* load_;
-    std::uint32_t movable_;
-    /// Free VMs come first.
-    std::vector<vm_id> candidates_;
-};
-
-/// Workers for isolated tasks beyond the target.
-std::uint32_t isolated_workers(pool_load const& load)
-{
-    return load.standby_ ? 0
-                         : static_cast<std::uint32_t>(std::ceil(
-                               load.isolated_backlog_ / late_backlog_seconds));
-}
-
-/// Moves VMs of the surpluses, in their order, until no pool has a deficit.
-void fill(std::vector<deficit>& deficits, std::vector<surplus>& surpluses,
-          std::vector<planned_move>& moves)
-{
-    // Each VM goes to the pool with the smallest share of its target. A pool
-    // whose target exceeds all VMs would otherwise get every one of them.
-    auto const serves_less = [](deficit const& a, deficit const& b)
-    {
-        return std::uint64_t{a.available_} * b.target_ <
-               std::uint64_t{b.available_} * a.target_;
-    };
-    for (auto& from : surpluses)
-    {
-        std::size_t next = 0;
-        for (; from.movable_ > 0 && !deficits.empty() &&
-               next < from.candidates_.size();
-             ++next, --from.movable_)
-        {
-            auto const least_served =
-                std::min_element(deficits.begin(), deficits.end(), serves_less);
-            moves.push_back({from.candidates_[next], from.load_->pool_,
-                             least_served->load_->pool_});
-            if (++least_served->available_ == least_served->target_)
-            {
-                deficits.erase(least_served);
-            }
-        }
-        auto const moved = static_cast<std::ptrdiff_t>(next);
-        from.candidates_.erase(from.candidates_.begin(),
-                               from.candidates_.begin() + moved);
-    }
-}
-
-/// Leaves of each surplus what the pool's own isolated tasks do not need, and
-/// of the VMs those that are free.
-void keep_unneeded(std::vector<surplus>& surpluses)
-{
-    for (auto& from : surpluses)
-    {
-        from.movable_ -= std::min(from.movable_, isolated_workers(*from.load_));
-        auto const& free = from.load_->free_;
-        auto const is_busy = [&](vm_id const& vm)
-        { return std::find(free.begin(), free.end(), vm) == free.end(); };
-        from.candidates_.erase(std::remove_if(from.candidates_.begin(),
-                                              from.candidates_.end(), is_busy),
-                               from.candidates_.end());
-    }
-}
-
 } // namespace
 
 std::uint32_t target_workers(pool_load const& load)
@@ -110,14 +38,25 @@
 
 std::vector<planned_move> plan_moves(std::vector<pool_load> const& loads)
 {
+    struct deficit
+    {
+        pool_load const* load_;
+        std::uint32_t available_;
+        std::uint32_t target_;
+    };
+    struct surplus
+    {
+        pool_load const* load_;
+        std::uint32_t movable_;
+        /// Free VMs come first.
+        std::vector<vm_id> candidates_;
+    };
     std::vector<deficit> deficits;
-    std::vector<deficit> isolated;
     std::vector<surplus> surpluses;
     for (auto const& load : loads)
     {
         auto const target = target_workers(load);
         auto const available = load.workers_ + load.incoming_;
-        auto const with_isolated = target + isolated_workers(load);
         if (target > available)
         {
             deficits.push_back({&load, available, target});
@@ -130,11 +69,6 @@
                                     load.emptying_.end());
             surpluses.push_back(std::move(from));
         }
-        if (with_isolated > std::max(available, target))
-        {
-            isolated.push_back(
-                {&load, std::max(available, target), with_isolated});
-        }
     }
     std::sort(surpluses.begin(), surpluses.end(),
               [](surplus const& a, surplus const& b)
@@ -143,12 +77,29 @@
                              ? a.load_->standby_
                              : a.movable_ > b.movable_;
               });
+    // Each VM goes to the pool with the smallest share of its target. A pool
+    // whose target exceeds all VMs would otherwise get every one of them.
     std::vector<planned_move> moves;
-    fill(deficits, surpluses, moves);
-    if (deficits.empty() && !isolated.empty())
+    auto const serves_less = [](deficit const& a, deficit const& b)
     {
-        keep_unneeded(surpluses);
-        fill(isolated, surpluses, moves);
+        return std::uint64_t{a.available_} * b.target_ <
+               std::uint64_t{b.available_} * a.target_;
+    };
+    for (auto& from : surpluses)
+    {
+        for (std::size_t next = 0; from.movable_ > 0 && !deficits.empty() &&
+                                   next < from.candidates_.size();
+             ++next, --from.movable_)
+        {
+            auto const least_served =
+                std::min_element(deficits.begin(), deficits.end(), serves_less);
+            moves.push_back({from.candidates_[next], from.load_->pool_,
+                             least_served->load_->pool_});
+            if (++least_served->available_ == least_served->target_)
+            {
+                deficits.erase(least_served);
+            }
+        }
     }
     return moves;
 }
--- a/source/kernel/cell/pool_plan.hpp
+++ b/source/kernel/cell/pool_plan.hpp
@@ -25,8 +25,6 @@
     /// on time, and of late jobs.
     double backlog_ = 0;
     double late_backlog_ = 0;
-    /// Worker-seconds that the isolation of suspected tasks takes in addition.
-    double isolated_backlog_ = 0;
     /// Work that clients submit, in worker-seconds per second.
     double rate_ = 0;
     /// VMs that may be moved: those without tasks, and those whose tasks end
@@ -48,8 +46,7 @@
 
 /// Plans moves of surplus VMs to the pools that have fewer workers than their
 /// target. Each VM goes to the pool with the smallest share of its target. VMs
-/// of standby pools are moved first, then those of the largest surplus. Once
-/// each pool has its target, free surplus VMs go to pools with isolated tasks.
+/// of standby pools are moved first, then those of the largest surplus.
 std::vector<planned_move> plan_moves(std::vector<pool_load> const& loads);
 
 } // namespace cuminfold
--- a/source/kernel/cell/task_isolation.cpp
+++ b/source/kernel/cell/task_isolation.cpp
@@ -27,8 +27,6 @@
 /// many crashes that it has no part in come soon after one of its starts.
 constexpr duration max_long_running_suspected_age =
     std::chrono::milliseconds{100};
-/// How long a worker is away after a crash.
-constexpr duration crash_down_time = std::chrono::seconds{3};
 /// One worker in this many may be kept for suspected tasks.
 constexpr std::size_t workers_per_isolated_worker = 3;
 
@@ -116,15 +114,6 @@
     return may_run && task.start_sent_ <= lost_at;
 }
 
-duration isolation_time_of(task_state const& task, duration run_time)
-{
-    auto const losses = task.crashes_ + task.unexplained_losses_;
-    return losses == 0 ? duration{0}
-           : losses < losses_to_run_alone
-               ? task.ran_before_loss_ ? duration{0} : run_time / max_group_size
-               : run_time + crash_down_time;
-}
-
 std::size_t max_isolated_workers(std::size_t pool_workers)
 {
     return std::max<std::size_t>(1, pool_workers / workers_per_isolated_worker);
--- a/source/kernel/cell/task_isolation.hpp
+++ b/source/kernel/cell/task_isolation.hpp
@@ -51,12 +51,6 @@
 bool may_have_crashed(task_state const& task, bool long_running,
                       time_point lost_at);
 
-/// Time of a whole worker that the task's next run is expected to take because
-/// of its isolation; 0 for a task without lost workers. One that has lost
-/// several is expected to crash the next, which is away for a while.
-/// @param run_time of the task
-duration isolation_time_of(task_state const& task, duration run_time);
-
 /// How many of a pool's workers may be kept for suspected tasks.
 std::size_t max_isolated_workers(std::size_t pool_workers);
 
