review: Show that a filling work item is not restarted

A lasting work item with `fills` whose minion is lost for good is never started again while all other minions of its service have a serving one, with spare machines idle.

--- a/review/stand-in-2/cases.cpp
+++ b/review/stand-in-2/cases.cpp
@@ -335,93 +335,100 @@
     return idle >= 3000 && running == 0 && without_ticket > 0 ? broken : held;
 }
 
-/// Large jobs come at once whose work items may not share a minion.
-int run_starvation(setting const& with)
+/// The minion of a work item that fills is lost for good. All others of its
+/// service have a work item that serves.
+int run_fills(setting const& with)
 {
-    constexpr unsigned large_jobs = 13;
+    constexpr unsigned serving_items = 8;
+    constexpr std::int64_t watch_ms = 30'000;
     platform site;
-    std::map<std::string, std::int64_t> first_start;
+    std::string const serving = "/sample/1a2e7a21d94b36f8";
+    std::string const filling = "/sample/5c0e7a21d94b36f8";
+    std::string at_work;
+    unsigned starts = 0;
     site.plan_ = [](minion&, std::string const&, std::uint32_t)
     {
         run_plan plan;
-        plan.work_ms_ = 20'000;
+        plan.work_ms_ = 1000;
+        plan.lasts_ = true;
         return plan;
     };
     site.on_start_ = [&](minion& at, std::string const& task, std::uint32_t run)
     {
-        auto const job = task.substr(0, task.find('.'));
-        if (first_start.emplace(job, now_ms()).second)
+        record(at.machine_ + " starts " + task + " run " + std::to_string(run));
+        if (task.rfind("5c0e", 0) == 0)
         {
-            record(at.machine_ + " starts " + task + " run " +
-                   std::to_string(run) + ", the first of its job");
+            at_work = at.machine_;
+            ++starts;
         }
     };
-    site.put_config(make_config(
+    log_runs(site);
+    auto config = make_config(
         1, json::array({make_route("r-sample", "/sample/", "sampling-unit")}),
-        "sampling-unit"));
-    add_machines(site, 9, "sampling-unit");
+        "sampling-unit");
+    auto spare = config["services"][0];
+    spare["name"] = "admin-desk";
+    spare["standby"] = true;
+    config["services"].push_back(spare);
+    site.put_config(config);
+    add_machines(site, serving_items + 1, "sampling-unit");
+    for (unsigned i = 0; i < 8; ++i)
+    {
+        site.add_machine("m-" + std::to_string(300 + i), "admin-desk",
+                         "r2-" + std::to_string(i / 4));
+    }
     nodes system(with.program_, with.folder_, site.address(), node_count);
     if (!system.wait_ready(20'000))
     {
         return could_not_run;
     }
-    for (unsigned i = 0; with.trouble_ && i < large_jobs; ++i)
-    {
-        char id[17];
-        std::snprintf(id, sizeof id, "1a2e%012x", i);
-        if (!system.submit(std::string("/sample/") + id,
-                           make_job("large", {{"count", 24},
-                                              {"cpu", 400},
-                                              {"mem_mb", 1000},
-                                              {"anti_affinity", 1},
-                                              {"estimate_ms", 20'000}})))
-        {
-            return could_not_run;
-        }
+    json const item = {{"count", 1},           {"cpu", 1300},
+                       {"mem_mb", 8700},       {"estimate_ms", 900},
+                       {"long_running", true}, {"max_unavailable", 1}};
+    auto serves = item;
+    serves["count"] = serving_items;
+    serves["anti_affinity"] = 1;
+    serves["image"] = "desk";
+    serves["target_ms"] = 200;
+    auto fills = item;
+    fills["image"] = "index";
+    fills["fills"] = true;
+    if (!system.submit(serving, make_job("serve", serves)))
+    {
+        return could_not_run;
     }
-    std::string const id = "5c0e7a21d94b36f8";
-    if (!system.submit("/sample/" + id,
-                       make_job("plain", {{"count", 4},
-                                          {"cpu", 1000},
-                                          {"mem_mb", 1000},
-                                          {"estimate_ms", 20'000}})))
+    sleep_ms(2000);
+    if (!system.submit(filling, make_job("fill", fills)))
     {
         return could_not_run;
     }
-    auto const accepted = now_ms();
-    double most_used = 0;
-    std::int64_t started = 0;
-    while (now_ms() < accepted + finish_ms + 3000 && started == 0)
-    {
-        sleep_ms(250);
-        site.run(
-            [&]
-            {
-                double used = 0;
-                for (auto const& each : site.machines_)
-                {
-                    for (auto const& run : each.second.minion_->running_)
-                    {
-                        used += run.first.rfind("1a2e", 0) == 0 ? 0.4 : 1.0;
-                    }
-                }
-                most_used = std::max(most_used, used);
-                auto const found = first_start.find(id);
-                started = found == first_start.end() ? 0 : found->second;
-            });
+    sleep_ms(2000);
+    std::string minion_machine;
+    site.run([&] { minion_machine = at_work; });
+    if (minion_machine.empty())
+    {
+        record("the work item that fills was not started");
+        return could_not_run;
     }
-    record("GET /sample/" + id + ": " + system.state("/sample/" + id));
-    record("of 144 cores at most " + std::to_string(most_used) +
-           " were in use; the job needs 4");
-    if (started != 0)
+    if (with.trouble_)
     {
-        record("the rule held: the job began " +
-               std::to_string(started - accepted) + " ms after its ack");
-        return held;
+        record(minion_machine + " crashes and is lost for good");
+        site.crash(minion_machine, 1'000'000);
     }
-    record("the job had nothing running for " +
-           std::to_string(finish_ms + 3000) + " ms after its ack");
-    return broken;
+    unsigned started = 1;
+    auto const since = now_ms();
+    while (now_ms() < since + watch_ms && started == 1)
+    {
+        sleep_ms(100);
+        site.run([&] { started = starts; });
+    }
+    bool const is_running = !with.trouble_ || started > 1;
+    record("GET " + filling + ": " + system.state(filling));
+    record(std::string("the work item that fills is ") +
+           (is_running ? "" : "not ") + "running after " +
+           std::to_string(now_ms() - since) +
+           " ms; of 128 cores of its service 10.4 are in use");
+    return is_running ? held : broken;
 }
 
 /// Upkeep is ordered for a new machine while the list of machines is not
@@ -492,7 +499,7 @@
         {"crashes", run_crashes},
         {"gang", run_gang},
         {"removed-queue", run_removed_queue},
-        {"starvation", run_starvation},
+        {"fills", run_fills},
         {"wave", run_wave}};
     auto const found = argc == 4 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end())
--- a/review/stand-in-2/platform.cpp
+++ b/review/stand-in-2/platform.cpp
@@ -646,6 +646,8 @@
 
 json minion::report() const
 {
+    // A work item that lasts is at work after this time.
+    constexpr std::int64_t startup_ms = 300;
     json running = json::array();
     for (auto const& each : running_)
     {
@@ -654,7 +656,9 @@
             run.works_since_ < 0 ? 0 : now_ms() - run.works_since_;
         auto const percent = std::min<std::int64_t>(
             99, worked * 100 / std::max<std::int64_t>(1, run.plan_.work_ms_));
-        running.push_back({each.first, run.number_, "", percent, 500});
+        bool const is_at_work = run.plan_.lasts_ && worked > startup_ms;
+        running.push_back(
+            {each.first, run.number_, "", is_at_work ? 100 : percent, 50});
     }
     json finished = json::array();
     for (auto const& each : finished_)
@@ -734,7 +738,7 @@
         {
             end(each.first, "alone");
         }
-        else if (run.works_since_ >= 0 &&
+        else if (run.works_since_ >= 0 && !run.plan_.lasts_ &&
                  now - run.works_since_ >= run.plan_.work_ms_)
         {
             auto const how = run.plan_.end_;
--- a/review/stand-in-2/platform.h
+++ b/review/stand-in-2/platform.h
@@ -124,6 +124,8 @@
     unsigned gang_size_ = 0;
     /// The run needs a ticket of the policy service.
     bool needs_ticket_ = false;
+    /// The run works until it is stopped.
+    bool lasts_ = false;
 };
 
 class platform;
