--- a/review/stand-in-2/cases.cpp
+++ b/review/stand-in-2/cases.cpp
@@ -6,6 +6,9 @@
 // TROUBLE=0 in the environment leaves the disruption out.
 #include "platform.h"
 
+#include <signal.h>
+
+#include <atomic>
 #include <cstdlib>
 #include <iostream>
 #include <mutex>
@@ -111,29 +114,30 @@
     };
 }
 
-/// Three minions crash, one after the other, a second after each has begun the
-/// same work item.
-int run_crashes(setting const& with)
+/// Each minion of a work item is cut off for a while, and the owner is killed
+/// before the minion answers again. No minion crashes.
+int run_cuts(setting const& with)
 {
+    constexpr unsigned rounds = 5;
+    constexpr std::int64_t cut_ms = 5500;
+    constexpr std::int64_t down_ms = 1000;
     platform site;
-    std::mutex mutex;
-    std::string to_crash;
+    std::string at_work;
     unsigned starts = 0;
     unsigned failed = 0;
     site.plan_ = [](minion&, std::string const&, std::uint32_t)
     {
         run_plan plan;
-        plan.work_ms_ = 3000;
+        plan.work_ms_ = 15'000;
         return plan;
     };
-    log_runs(site);
     site.on_start_ = [&](minion& at, std::string const& task, std::uint32_t run)
     {
         record(at.machine_ + " starts " + task + " run " + std::to_string(run));
-        std::lock_guard<std::mutex> const lock(mutex);
-        to_crash = at.machine_;
+        at_work = at.machine_;
         ++starts;
     };
+    log_runs(site);
     auto const log_end = site.on_end_;
     site.on_end_ = [&](minion& at, std::string const& task, std::uint32_t run,
                        std::string const& how)
@@ -151,40 +155,67 @@
         return could_not_run;
     }
     std::string const path = "/sample/5c0e7a21d94b36f8";
-    if (!system.submit(path, make_job("sample", {{"count", 1},
-                                                 {"cpu", 1900},
-                                                 {"mem_mb", 7100},
-                                                 {"estimate_ms", 3000}})))
+    if (!system.submit(path, make_job("weighting", {{"count", 1},
+                                                    {"cpu", 1900},
+                                                    {"mem_mb", 7100},
+                                                    {"estimate_ms", 15'000}})))
     {
         return could_not_run;
     }
-    unsigned const crashes = with.trouble_ ? 3 : 0;
-    for (unsigned i = 0; i < crashes; ++i)
-    {
-        std::string name;
-        for (auto const until = now_ms() + 25'000;
-             name.empty() && now_ms() < until;)
-        {
+    std::string state = "running";
+    for (unsigned round = 0;
+         with.trouble_ && round < rounds && state != "failed"; ++round)
+    {
+        sleep_ms(800);
+        unsigned starts_before = 0;
+        auto const until = now_ms() + cut_ms;
+        site.run(
+            [&]
             {
-                std::lock_guard<std::mutex> const lock(mutex);
-                name = starts > i ? to_crash : "";
-            }
-            sleep_ms(10);
+                starts_before = starts;
+                record(at_work + " is cut off from the nodes for 5.5 s");
+                site.machines_.at(at_work).minion_->cut_until_ = until;
+            });
+        unsigned starts_now = starts_before;
+        while (now_ms() < until - 200 && starts_now == starts_before)
+        {
+            sleep_ms(20);
+            site.run([&] { starts_now = starts; });
         }
-        if (name.empty())
+        auto const owner = system.owner();
+        record("the owner, node " + std::to_string(owner + 1) +
+               ", is killed, and started again after 1 s");
+        system.kill(owner, SIGKILL);
+        sleep_ms(down_ms);
+        system.restart(owner);
+        while (now_ms() < until)
         {
-            record("the work item was not started again");
-            break;
+            sleep_ms(20);
+        }
+        bool is_running = false;
+        for (auto const limit = now_ms() + 10'000;
+             now_ms() < limit && !is_running && state != "failed";
+             sleep_ms(100))
+        {
+            state = system.state(path);
+            site.run(
+                [&]
+                {
+                    for (auto const& each : site.machines_)
+                    {
+                        is_running = is_running ||
+                                     !each.second.minion_->running_.empty();
+                    }
+                });
         }
-        sleep_ms(1000);
-        record(name + " crashes; a new minion is there 4.5 s later");
-        site.crash(name, 4500);
+        record("GET " + path + ": " + state);
     }
-    auto const state = await_end(system, path, 30'000);
+    state = await_end(system, path, 30'000);
     unsigned ends = 0;
     site.run([&] { ends = failed; });
     record("runs that ended failed: " + std::to_string(ends) +
-           "; max_attempts: 3; the job is shown as " + state);
+           "; max_attempts: 3; crashes of minions: 0; the job is shown as " +
+           state);
     return state == "failed" && ends >= 3 ? held : require_completed(state);
 }
 
@@ -335,100 +366,160 @@
     return idle >= 3000 && running == 0 && without_ticket > 0 ? broken : held;
 }
 
-/// The minion of a work item that fills is lost for good. All others of its
-/// service have a work item that serves.
-int run_fills(setting const& with)
+/// One job of many work items comes, beside ordinary ones. The platform kills a
+/// process that exceeds its memory, and starts it again.
+int run_memory(setting const& with)
 {
-    constexpr unsigned serving_items = 8;
-    constexpr std::int64_t watch_ms = 30'000;
+    constexpr double memory_limit_mb = 260;
+    constexpr std::int64_t traffic_ms = 20'000;
     platform site;
-    std::string const serving = "/sample/1a2e7a21d94b36f8";
-    std::string const filling = "/sample/5c0e7a21d94b36f8";
-    std::string at_work;
-    unsigned starts = 0;
+    std::set<std::string> unfinished;
     site.plan_ = [](minion&, std::string const&, std::uint32_t)
     {
         run_plan plan;
-        plan.work_ms_ = 1000;
-        plan.lasts_ = true;
+        plan.work_ms_ = 640;
         return plan;
     };
-    site.on_start_ = [&](minion& at, std::string const& task, std::uint32_t run)
-    {
-        record(at.machine_ + " starts " + task + " run " + std::to_string(run));
-        if (task.rfind("5c0e", 0) == 0)
-        {
-            at_work = at.machine_;
-            ++starts;
-        }
-    };
-    log_runs(site);
-    auto config = make_config(
+    site.put_config(make_config(
         1, json::array({make_route("r-sample", "/sample/", "sampling-unit")}),
-        "sampling-unit");
-    auto spare = config["services"][0];
-    spare["name"] = "admin-desk";
-    spare["standby"] = true;
-    config["services"].push_back(spare);
-    site.put_config(config);
-    add_machines(site, serving_items + 1, "sampling-unit");
-    for (unsigned i = 0; i < 8; ++i)
-    {
-        site.add_machine("m-" + std::to_string(300 + i), "admin-desk",
-                         "r2-" + std::to_string(i / 4));
-    }
+        "sampling-unit"));
+    add_machines(site, 9, "sampling-unit");
     nodes system(with.program_, with.folder_, site.address(), node_count);
     if (!system.wait_ready(20'000))
     {
         return could_not_run;
     }
-    json const item = {{"count", 1},           {"cpu", 1300},
-                       {"mem_mb", 8700},       {"estimate_ms", 900},
-                       {"long_running", true}, {"max_unavailable", 1}};
-    auto serves = item;
-    serves["count"] = serving_items;
-    serves["anti_affinity"] = 1;
-    serves["image"] = "desk";
-    serves["target_ms"] = 200;
-    auto fills = item;
-    fills["image"] = "index";
-    fills["fills"] = true;
-    if (!system.submit(serving, make_job("serve", serves)))
-    {
-        return could_not_run;
-    }
-    sleep_ms(2000);
-    if (!system.submit(filling, make_job("fill", fills)))
+    auto const plain = [](unsigned steps)
     {
-        return could_not_run;
-    }
-    sleep_ms(2000);
-    std::string minion_machine;
-    site.run([&] { minion_machine = at_work; });
-    if (minion_machine.empty())
+        json const step = {
+            {"count", 6}, {"cpu", 880}, {"mem_mb", 3300}, {"estimate_ms", 640}};
+        auto job = make_job("plain", step);
+        for (unsigned i = 1; i < steps; ++i)
+        {
+            auto next = step;
+            next["depends_on"] = {i - 1};
+            job["steps"].push_back(next);
+        }
+        return job;
+    };
+    std::vector<std::string> paths;
+    for (unsigned i = 0; i < 3; ++i)
     {
-        record("the work item that fills was not started");
-        return could_not_run;
+        auto const path = "/sample/5c0e7a21d94b000" + std::to_string(i);
+        if (!system.submit(path, plain(4)))
+        {
+            return could_not_run;
+        }
+        paths.push_back(path);
     }
     if (with.trouble_)
     {
-        record(minion_machine + " crashes and is lost for good");
-        site.crash(minion_machine, 1'000'000);
+        json job = {{"spec", "wide"}, {"steps", json::array()}};
+        for (unsigned i = 0; i < 20; ++i)
+        {
+            json step = {{"count", 100'000},
+                         {"cpu", 1},
+                         {"mem_mb", 1},
+                         {"estimate_ms", 100}};
+            if (i > 0)
+            {
+                step["depends_on"] = {i - 1};
+            }
+            job["steps"].push_back(step);
+        }
+        record("a job of 20 steps of 100,000 work items, " +
+               std::to_string(to_cbor(job).size()) + " bytes");
+        if (!system.submit("/sample/1a2e7a21d94b36f8", job))
+        {
+            record("the job was not accepted");
+            return held;
+        }
     }
-    unsigned started = 1;
-    auto const since = now_ms();
-    while (now_ms() < since + watch_ms && started == 1)
+    // The platform watches the memory of the processes all the time.
+    std::vector<unsigned> kills(system.count());
+    std::vector<double> most(system.count());
+    std::atomic<bool> is_over{false};
+    std::thread watcher(
+        [&]
+        {
+            constexpr std::int64_t restart_delay_ms = 1000;
+            std::vector<std::int64_t> restart_at(system.count(), -1);
+            for (; !is_over; sleep_ms(10))
+            {
+                for (unsigned i = 0; i < system.count(); ++i)
+                {
+                    if (restart_at[i] >= 0)
+                    {
+                        if (now_ms() >= restart_at[i])
+                        {
+                            restart_at[i] = -1;
+                            system.restart(i);
+                        }
+                        continue;
+                    }
+                    auto const memory = system.memory_mb(i);
+                    most[i] = std::max(most[i], memory);
+                    if (memory > memory_limit_mb)
+                    {
+                        record("node " + std::to_string(i + 1) + " holds " +
+                               std::to_string(static_cast<int>(memory)) +
+                               " MB of 260 and is killed");
+                        ++kills[i];
+                        system.kill(i, SIGKILL);
+                        restart_at[i] = now_ms() + restart_delay_ms;
+                    }
+                }
+            }
+        });
+    unsigned accepted = 0;
+    unsigned refused = 0;
+    auto const end = now_ms() + traffic_ms;
+    for (unsigned i = 0; now_ms() < end; ++i)
+    {
+        char id[17];
+        std::snprintf(id, sizeof id, "5c0e%012x", i);
+        auto const path = std::string("/sample/") + id;
+        auto const result = system.call(i % system.count(), "POST", path,
+                                        to_cbor(plain(1)), 1000);
+        if (result.status_ / 100 == 2)
+        {
+            ++accepted;
+        }
+        else
+        {
+            ++refused;
+        }
+        sleep_ms(300);
+    }
+    record("ordinary jobs: " + std::to_string(accepted) + " accepted, " +
+           std::to_string(refused) + " not");
+    sleep_ms(finish_ms);
+    unsigned lost = 0;
+    for (auto const& path : paths)
+    {
+        answer shown;
+        for (unsigned i = 0; i < system.count() && shown.status_ != 200; ++i)
+        {
+            shown = system.call(i, "GET", path, "", 1000);
+        }
+        auto const state = shown.status_ == 200 ? shown.body_.value("state", "")
+                                                : std::to_string(shown.status_);
+        record("GET " + path + ": " + state);
+        lost += state == "completed" ? 0 : 1;
+    }
+    is_over = true;
+    watcher.join();
+    unsigned ends = 0;
+    for (unsigned i = 0; i < system.count(); ++i)
     {
-        sleep_ms(100);
-        site.run([&] { started = starts; });
+        record("node " + std::to_string(i + 1) + ": at most " +
+               std::to_string(static_cast<int>(most[i])) + " MB, " +
+               std::to_string(kills[i]) + " ends");
+        ends += kills[i] >= 3 ? 1 : 0;
     }
-    bool const is_running = !with.trouble_ || started > 1;
-    record("GET " + filling + ": " + system.state(filling));
-    record(std::string("the work item that fills is ") +
-           (is_running ? "" : "not ") + "running after " +
-           std::to_string(now_ms() - since) +
-           " ms; of 128 cores of its service 10.4 are in use");
-    return is_running ? held : broken;
+    record(std::to_string(lost) +
+           " of the 3 jobs that were accepted first are not completed");
+    return ends >= 2 || lost > 0 ? broken : held;
 }
 
 /// Upkeep is ordered for a new machine while the list of machines is not
@@ -496,10 +587,10 @@
 int main(int argc, char** argv)
 {
     std::map<std::string, int (*)(setting const&)> const cases = {
-        {"crashes", run_crashes},
+        {"cuts", run_cuts},
         {"gang", run_gang},
+        {"memory", run_memory},
         {"removed-queue", run_removed_queue},
-        {"fills", run_fills},
         {"wave", run_wave}};
     auto const found = argc == 4 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end())
--- a/review/stand-in-2/platform.cpp
+++ b/review/stand-in-2/platform.cpp
@@ -531,7 +531,7 @@
 
 void minion::serve(request const& call, respond_function const& respond)
 {
-    if (!alive_)
+    if (!alive_ || now_ms() < cut_until_)
     {
         return;
     }
@@ -646,8 +646,6 @@
 
 json minion::report() const
 {
-    // A work item that lasts is at work after this time.
-    constexpr std::int64_t startup_ms = 300;
     json running = json::array();
     for (auto const& each : running_)
     {
@@ -656,9 +654,7 @@
             run.works_since_ < 0 ? 0 : now_ms() - run.works_since_;
         auto const percent = std::min<std::int64_t>(
             99, worked * 100 / std::max<std::int64_t>(1, run.plan_.work_ms_));
-        bool const is_at_work = run.plan_.lasts_ && worked > startup_ms;
-        running.push_back(
-            {each.first, run.number_, "", is_at_work ? 100 : percent, 50});
+        running.push_back({each.first, run.number_, "", percent, 500});
     }
     json finished = json::array();
     for (auto const& each : finished_)
@@ -738,7 +734,7 @@
         {
             end(each.first, "alone");
         }
-        else if (run.works_since_ >= 0 && !run.plan_.lasts_ &&
+        else if (run.works_since_ >= 0 &&
                  now - run.works_since_ >= run.plan_.work_ms_)
         {
             auto const how = run.plan_.end_;
@@ -831,26 +827,6 @@
         });
 }
 
-void platform::crash(std::string const& name, std::int64_t down_ms)
-{
-    run(
-        [&]
-        {
-            auto& on = machines_.at(name);
-            auto const ended = on.minion_;
-            ended->crash();
-            graveyard_.push_back(ended);
-            on.state_ = "down";
-            auto const id = ended->id_;
-            // The entry goes after three intervals of silence.
-            later_.emplace_back(
-                now_ms() + 3 * heartbeat_ms_,
-                [this, id] { store_.put("keyed.servers", id, std::nullopt); });
-            later_.emplace_back(now_ms() + down_ms, [this, name]
-                                { start_minion(machines_.at(name)); });
-        });
-}
-
 void platform::put_config(json const& config)
 {
     run([&] { store_.put("keyed.op", "config", to_cbor(config)); });
@@ -1142,15 +1118,15 @@
 
 nodes::nodes(std::string program, std::string folder, std::string platform,
              unsigned count)
+    : program_(std::move(program)), folder_(std::move(folder))
 {
     for (unsigned i = 0; i < count; ++i)
     {
         auto const name = "edge-" + std::to_string(i + 1);
         clients_.push_back(free_address());
         health_.push_back(free_address());
-        auto const settings = folder + "/" + name + ".yaml";
         // As deploy/settings.yaml.in renders it for a small installation.
-        std::ofstream(settings)
+        std::ofstream(folder_ + "/" + name + ".yaml")
             << "name: \"" << name << "\"\n"
             << "data_centre: \"walu-hall\"\n"
             << "clients_address: \"" << clients_[i] << "\"\nhealth_address: \""
@@ -1165,24 +1141,79 @@
                "max_append_bytes: 2097152\n"
                "cpu_share: 0.25\n"
                "cpu_speed: 1\n";
-        auto const pid = fork();
-        if (pid == 0)
+        pids_.push_back(0);
+        start(i);
+    }
+}
+
+void nodes::start(unsigned node)
+{
+    auto const path = folder_ + "/edge-" + std::to_string(node + 1);
+    auto const settings = path + ".yaml";
+    auto const log = path + ".log";
+    auto const pid = fork();
+    if (pid == 0)
+    {
+        int const out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        dup2(out, 1);
+        dup2(out, 2);
+        for (int fd = 3; fd < 256; ++fd)
         {
-            auto const log = folder + "/" + name + ".log";
-            int const out =
-                open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0644);
-            dup2(out, 1);
-            dup2(out, 2);
-            for (int fd = 3; fd < 256; ++fd)
+            close(fd);
+        }
+        execl(program_.c_str(), program_.c_str(), "--config", settings.c_str(),
+              nullptr);
+        _exit(127);
+    }
+    pids_.at(node) = pid;
+}
+
+void nodes::restart(unsigned node)
+{
+    int status = 0;
+    waitpid(pids_.at(node), &status, 0);
+    start(node);
+}
+
+unsigned nodes::owner() const
+{
+    unsigned found = 0;
+    std::uint64_t newest = 0;
+    for (unsigned i = 0; i < pids_.size(); ++i)
+    {
+        std::ifstream in(folder_ + "/edge-" + std::to_string(i + 1) + ".log");
+        for (std::string line; std::getline(in, line);)
+        {
+            auto const at = line.find(" epoch=");
+            if (line.find("event=owner_serves") == std::string::npos ||
+                at == std::string::npos)
+            {
+                continue;
+            }
+            auto const epoch = std::stoull(line.substr(at + 7));
+            if (epoch > newest)
             {
-                close(fd);
+                newest = epoch;
+                found = i;
             }
-            execl(program.c_str(), program.c_str(), "--config",
-                  settings.c_str(), nullptr);
-            _exit(127);
         }
-        pids_.push_back(pid);
     }
+    return found;
+}
+
+double nodes::memory_mb(unsigned node) const
+{
+    std::ifstream in("/proc/" + std::to_string(pids_.at(node)) + "/status");
+    for (std::string word; in >> word;)
+    {
+        if (word == "VmRSS:")
+        {
+            double kilobytes = 0;
+            in >> kilobytes;
+            return kilobytes / 1024;
+        }
+    }
+    return 0;
 }
 
 nodes::~nodes()
--- a/review/stand-in-2/platform.h
+++ b/review/stand-in-2/platform.h
@@ -124,8 +124,6 @@
     unsigned gang_size_ = 0;
     /// The run needs a ticket of the policy service.
     bool needs_ticket_ = false;
-    /// The run works until it is stopped.
-    bool lasts_ = false;
 };
 
 class platform;
@@ -144,6 +142,8 @@
     std::vector<std::string> const labels_;
     std::string address_;
     bool alive_ = true;
+    /// Cut off from the nodes: no call is answered until then.
+    std::int64_t cut_until_ = 0;
 
     struct run
     {
@@ -213,8 +213,6 @@
 
     void add_machine(std::string const& name, std::string const& pool,
                      std::string const& rack);
-    /// The minion's process ends; a new one is there after that time.
-    void crash(std::string const& machine, std::int64_t down_ms);
     void put_config(json const& config);
     void put_wave(int number, std::vector<std::string> const& machines,
                   int duration_s, int max_count);
@@ -286,6 +284,12 @@
     /// The state that some node shows; empty if none answers.
     std::string state(std::string const& path);
     void kill(unsigned node, int signal);
+    /// Memory of a node's process, in megabytes.
+    double memory_mb(unsigned node) const;
+    /// Starts the node's process again after it was killed.
+    void restart(unsigned node);
+    /// The node that serves the newest epoch, by the logs.
+    unsigned owner() const;
     unsigned count() const
     {
         return static_cast<unsigned>(pids_.size());
@@ -294,6 +298,10 @@
     std::string host_ = "queue.example";
 
 private:
+    void start(unsigned node);
+
+    std::string program_;
+    std::string folder_;
     std::vector<int> pids_;
     std::vector<std::string> clients_;
     std::vector<std::string> health_;
