cell: Complete a wave only by proof that each VM is maintained or gone

Cause: a VM that the last list lacked counted as gone, whatever the list's age, and an order that the platform refused as maintenance. On related paths the same conclusion ended operations, settled orders of earlier owners, and took malformed rows for VMs that are gone.

Change: `vm_absences` tells a VM that is gone from one that a list leaves out: no complete list has had it for 3 s, counted from lists requested after the wave was read, and no worker on it is registered. A refused upkeep is ordered again after 5 s. A list requested before a wave does not cancel the wish for a new one.

Ruled out: trusting one fresh list, since a page may miss a VM while the list changes.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -232,6 +232,8 @@
     /// @param releasable the VMs to choose from
     std::set<vm_id> contended_vms(std::set<vm_id> const& releasable,
                                   time_point now);
+    /// Whether the store has an entry of a worker on that VM.
+    bool has_registered_worker(vm_id const& vm) const;
     /// Whether a worker of that VM was first seen after `since`.
     bool has_new_incarnation(vm_id const& vm, time_point since) const;
 
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -294,6 +294,18 @@
     return count;
 }
 
+bool cell::has_registered_worker(vm_id const& vm) const
+{
+    auto const& names = workers_on(vm);
+    return std::any_of(names.begin(), names.end(),
+                       [&](std::string const& name)
+                       {
+                           auto const& worker = workers_.at(name);
+                           return !worker.unlisted_ &&
+                                  !worker.entry_.address_.empty();
+                       });
+}
+
 bool cell::has_new_incarnation(vm_id const& vm, time_point since) const
 {
     auto const& names = workers_on(vm);
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -37,7 +37,8 @@
 
 fleet_plan::fleet_plan(fleet_plan_options options, cell& owned)
     : options_(options), cell_(owned),
-      orders_(options.order_pause_, options.min_down_time_)
+      orders_(options.order_pause_, options.min_down_time_),
+      absences_(options.min_absence_)
 {
 }
 
@@ -51,13 +52,24 @@
         {
             // The order was not known before, so a list is requested at once.
             next_list_ = now;
+            list_wanted_since_ = now;
+        }
+        if (!wave.completed_reported_)
+        {
+            auto const& known = wave.order_.vms_;
+            for (auto const& vm : item.second.vms_)
+            {
+                if (std::find(known.begin(), known.end(), vm) == known.end())
+                {
+                    absences_.watch(vm, now);
+                }
+            }
         }
         wave.order_ = item.second;
     }
 }
 
-void fleet_plan::listed(std::vector<listed_vm> vms, time_point requested_at,
-                        time_point now)
+void fleet_plan::listed(vm_list list, time_point requested_at, time_point now)
 {
     list_in_flight_ = false;
     list_received_ = true;
@@ -66,16 +78,20 @@
                       std::any_of(waves_.begin(), waves_.end(),
                                   [](auto const& wave)
                                   { return !wave.second.completed_reported_; });
-    next_list_ =
-        now + (busy ? options_.list_interval_ : options_.idle_list_interval_);
+    next_list_ = requested_at < list_wanted_since_ ? now
+                 : busy ? now + options_.list_interval_
+                        : now + options_.idle_list_interval_;
     vms_.clear();
-    for (auto& vm : vms)
+    for (auto& vm : list.vms_)
     {
         auto const id = vm.vm_;
         cell_.on_vm_listed(id, vm.worker_, requested_at, now);
         vms_[id] = std::move(vm);
     }
-    orders_.listed(vms_, requested_at);
+    absences_.retain([this](vm_id const& vm) { return is_watched(vm); });
+    absences_.listed(vms_, list.is_complete_, requested_at);
+    orders_.listed(
+        vms_, [this](vm_id const& vm) { return is_gone(vm); }, requested_at);
     for (auto place = operations_.begin(); place != operations_.end();)
     {
         auto const found = vms_.find(place->first);
@@ -84,8 +100,7 @@
                                               options_.min_down_time_ &&
                            found != vms_.end() &&
                            found->second.status_ == vm_status::up;
-        bool const removed = found == vms_.end();
-        if (is_up || removed)
+        if (is_up || is_gone(place->first))
         {
             cell_.end_reservation(place->first, now);
             place = operations_.erase(place);
@@ -107,6 +122,7 @@
                                time_point now)
 {
     orders_.restore(vm, decode_vm_order_record(text), now);
+    absences_.watch(vm, now);
 }
 
 void fleet_plan::restore_wave(wave_number wave)
@@ -143,6 +159,7 @@
     operation.record_ =
         append_order_record(vm, encode(orders_.plan(vm, operation.wave_)));
     operations_[vm] = operation;
+    absences_.watch(vm, operation.reserved_at_);
     cell_.reserve(vm);
 }
 
@@ -266,8 +283,13 @@
     case vm_outcome::refused:
         actions_.emplace_back(log_decision{"maintenance_refused", vm.text(),
                                            "wave=" + std::to_string(wave)});
-        append_order_record(vm, encode(orders_.set_maintained(vm, wave)));
-        end_operation(vm, now);
+        // An order without an answer may still be carried out, so that the VM
+        // stays reserved.
+        if (now >= operations_.at(vm).may_begin_until_)
+        {
+            end_operation(vm, now);
+            next_reservations_[vm] = now + options_.reservation_pause_;
+        }
         return;
     case vm_outcome::busy:
     case vm_outcome::fenced:
@@ -421,24 +443,50 @@
     }
 }
 
+bool fleet_plan::is_gone(vm_id const& vm) const
+{
+    return absences_.is_gone(vm) && !cell_.has_registered_worker(vm);
+}
+
+bool fleet_plan::is_watched(vm_id const& vm) const
+{
+    auto const has_vm = [&](auto const& item)
+    {
+        auto const& vms = item.second.order_.vms_;
+        return !item.second.completed_reported_ &&
+               std::find(vms.begin(), vms.end(), vm) != vms.end();
+    };
+    return operations_.count(vm) != 0 || orders_.may_be_down(vm) ||
+           std::any_of(waves_.begin(), waves_.end(), has_vm);
+}
+
 void fleet_plan::report(wave_state& wave)
 {
     if (wave.report_in_flight_ || wave.completed_reported_)
     {
         return;
     }
-    bool const all =
-        std::all_of(wave.order_.vms_.begin(), wave.order_.vms_.end(),
-                    [&](vm_id const& vm)
-                    {
-                        return orders_.is_maintained(vm, wave.order_.number_) ||
-                               vms_.count(vm) == 0;
-                    });
+    std::size_t gone = 0;
+    bool all = true;
+    for (auto const& vm : wave.order_.vms_)
+    {
+        bool const is_maintained =
+            orders_.is_maintained(vm, wave.order_.number_);
+        gone += !is_maintained && is_gone(vm) ? 1 : 0;
+        all = all && (is_maintained || is_gone(vm));
+    }
     if (!wave.running_reported_ || all)
     {
+        bool const is_completed = wave.running_reported_ && all;
         wave.report_in_flight_ = true;
-        actions_.emplace_back(
-            report_wave{wave.order_.number_, wave.running_reported_ && all});
+        actions_.emplace_back(report_wave{wave.order_.number_, is_completed});
+        if (is_completed)
+        {
+            actions_.emplace_back(log_decision{
+                "wave_completed", std::to_string(wave.order_.number_),
+                "vms=" + std::to_string(wave.order_.vms_.size()) +
+                    " gone=" + std::to_string(gone)});
+        }
     }
 }
 
--- a/source/kernel/cell/fleet_plan.hpp
+++ b/source/kernel/cell/fleet_plan.hpp
@@ -2,6 +2,7 @@
 #define CUMINFOLD_KERNEL_CELL_FLEET_PLAN_HPP
 
 #include "kernel/cell/cell.hpp"
+#include "kernel/cell/vm_absences.hpp"
 #include "kernel/cell/vm_order_book.hpp"
 #include "kernel/cell/wave_order.hpp"
 #include "kernel/time.hpp"
@@ -41,9 +42,13 @@
     duration review_interval_ = std::chrono::milliseconds{20};
     /// Interval at which reservations are reviewed that have not ended yet.
     duration reservation_review_interval_ = std::chrono::milliseconds{500};
-    /// A VM whose reservation was given back is not reserved for this long.
+    /// A VM whose reservation was given back, or whose maintenance was refused,
+    /// is not reserved for this long.
     duration reservation_pause_ = std::chrono::seconds{5};
-    /// The same for a VM that could not be emptied when it was to be reserved.
+    /// A VM is gone if the platform's lists lack it for this long.
+    duration min_absence_ = std::chrono::seconds{3};
+    /// The same as `reservation_pause_` for a VM that could not be emptied when
+    /// it was to be reserved.
     duration emptying_retry_interval_ = std::chrono::milliseconds{500};
 };
 
@@ -99,7 +104,8 @@
     void restore_wave(wave_number wave);
     /// @}
 
-    /// Adds or updates waves; waves that are missing in `waves` are kept.
+    /// Adds or updates waves; waves that are missing in `waves` are kept. A
+    /// wave is completed once each of its VMs is maintained or gone.
     void set_waves(std::map<wave_number, wave_order> const& waves,
                    time_point now);
 
@@ -107,9 +113,8 @@
     /// @{
     /// The list was received. Its VMs replace those known before, and
     /// operations on VMs that are up again or gone end.
-    /// @param vms the platform's list, read at some time after `requested_at`
-    void listed(std::vector<listed_vm> vms, time_point requested_at,
-                time_point now);
+    /// @param list read at some time after `requested_at`
+    void listed(vm_list list, time_point requested_at, time_point now);
     /// The list was not received; it is requested again.
     void list_failed(time_point now);
     /// An attempt to maintain the VM ended; called for every outcome.
@@ -183,6 +188,11 @@
     /// deletes what is stored of its VMs.
     void append_wave_record(wave_number wave);
     void report(wave_state& wave);
+    /// Whether the VM is proved to be gone: a list without it is no proof, and
+    /// a registered worker is one against it.
+    bool is_gone(vm_id const& vm) const;
+    /// Whether it matters if the VM is gone.
+    bool is_watched(vm_id const& vm) const;
     /// Whether the VM counts as out of service for the wave: it is reserved for
     /// it, in maintenance, or an earlier owner's order for it is not settled.
     bool is_down_for(wave_number wave, vm_id const& vm) const;
@@ -202,9 +212,12 @@
     /// emptied.
     std::map<vm_id, time_point> next_reservations_;
     vm_order_book orders_;
+    vm_absences absences_;
     time_point next_review_{};
     time_point next_reservation_review_{};
     time_point next_list_{};
+    /// A list that was requested earlier does not answer the latest waves.
+    time_point list_wanted_since_{};
     time_point next_balance_{};
     time_point next_load_log_{};
     bool list_in_flight_ = false;
--- a/source/kernel/cell/vm_order_book.cpp
+++ b/source/kernel/cell/vm_order_book.cpp
@@ -52,6 +52,7 @@
 }
 
 void vm_order_book::listed(std::map<vm_id, listed_vm> const& vms,
+                           std::function<bool(vm_id const&)> const& is_gone,
                            time_point requested_at)
 {
     for (auto& item : entries_)
@@ -62,9 +63,11 @@
             continue;
         }
         auto const found = vms.find(item.first);
-        bool const done = found == vms.end() ||
-                          (found->second.status_ != vm_status::maintained &&
-                           requested_at > order.unsettled_until_);
+        bool const done =
+            found == vms.end()
+                ? is_gone(item.first)
+                : found->second.status_ != vm_status::maintained &&
+                      requested_at > order.unsettled_until_;
         order.unsettled_ = !done;
     }
 }
--- a/source/kernel/cell/vm_order_book.hpp
+++ b/source/kernel/cell/vm_order_book.hpp
@@ -34,7 +34,7 @@
     /// An order is about to be sent.
     /// @param wave 0 for a move
     vm_order_record const& plan(vm_id const& vm, wave_number wave);
-    /// The maintenance for that wave began or was refused.
+    /// The maintenance for that wave began.
     vm_order_record const& set_maintained(vm_id const& vm, wave_number wave);
     /// @}
 
@@ -42,9 +42,11 @@
     void sent(vm_id const& vm, time_point now);
 
     /// Settles the orders of earlier owners that the platform's list shows to
-    /// be done, and those for VMs that are missing there.
+    /// be done, and those for VMs that are gone.
     /// @param requested_at when the list was requested
-    void listed(std::map<vm_id, listed_vm> const& vms, time_point requested_at);
+    void listed(std::map<vm_id, listed_vm> const& vms,
+                std::function<bool(vm_id const&)> const& is_gone,
+                time_point requested_at);
 
     /// Whether an order of an earlier owner may still be carried out.
     bool is_held(vm_id const& vm, time_point now) const;
--- a/source/kernel/cell/vm_order_record.hpp
+++ b/source/kernel/cell/vm_order_record.hpp
@@ -19,7 +19,7 @@
     /// doesn't say.
     wave_number wave_ = 0;
     /// Waves that need no further order for the VM, because its maintenance
-    /// has begun or the platform refused it.
+    /// has begun. Older programs added those that the platform refused.
     std::set<wave_number> maintained_;
 };
 
--- a/source/kernel/cell/wave_order.hpp
+++ b/source/kernel/cell/wave_order.hpp
@@ -46,12 +46,22 @@
     data_centre_name data_centre_;
 };
 
+/// The platform's list of VMs.
+struct vm_list
+{
+    std::vector<listed_vm> vms_;
+    /// False if a row was malformed, so that a VM may be missing.
+    bool is_complete_ = true;
+};
+
 /// The result of an order for a VM.
 enum class vm_outcome : std::uint8_t
 {
-    done,      ///< the operation began, or was done before
-    busy,      ///< the VM is not up
-    refused,   ///< the platform rejected the order as invalid
+    done, ///< the operation began, or was done before
+    busy, ///< the VM is not up
+    /// The platform rejected the order as invalid. This proves neither that the
+    /// operation is done nor that it is not needed.
+    refused,
     fenced,    ///< a newer owner has sent orders
     throttled, ///< too many orders; this one had no effect
     no_answer  ///< the order may have been carried out
--- a/source/node/cell_owner_orders.cpp
+++ b/source/node/cell_owner_orders.cpp
@@ -68,16 +68,15 @@
 {
     auto const requested_at = node_now();
     environment_.vm_client_.list(
-        [self = shared_from_this(),
-         requested_at](std::optional<std::vector<listed_vm>> vms)
+        [self = shared_from_this(), requested_at](std::optional<vm_list> list)
         {
             if (self->stopped_)
             {
                 return;
             }
-            if (vms)
+            if (list)
             {
-                self->fleet_.listed(std::move(*vms), requested_at, node_now());
+                self->fleet_.listed(std::move(*list), requested_at, node_now());
             }
             else
             {
--- a/tests/kernel/cell/fleet_world.cpp
+++ b/tests/kernel/cell/fleet_world.cpp
@@ -1,6 +1,7 @@
 #include "kernel/cell/fleet_world.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cuminfold
@@ -81,6 +82,17 @@
             carry_out(action);
         }
         restart_vms();
+        answer_lists();
+    }
+}
+
+void fleet_world::answer_lists()
+{
+    while (!lists_.empty() && lists_.begin()->first <= jobs_.now())
+    {
+        auto const answer = std::move(lists_.begin()->second);
+        lists_.erase(lists_.begin());
+        plan().listed(answer.second, answer.first, jobs_.now());
     }
 }
 
@@ -93,6 +105,13 @@
                           jobs_.now());
         return;
     }
+    if (rejected_orders_ > 0)
+    {
+        --rejected_orders_;
+        plan().maintained(order.vm_, order.wave_, vm_outcome::refused,
+                          jobs_.now());
+        return;
+    }
     auto const number = number_of(order.vm_);
     auto const& running = jobs_.worker(number).running_;
     tasks_ended_by_orders_ += static_cast<std::size_t>(std::count_if(
@@ -116,9 +135,20 @@
 
 void fleet_world::carry_out(fleet_action const& action)
 {
-    if (std::holds_alternative<list_vms>(action))
+    if (std::holds_alternative<list_vms>(action) && is_silent_)
+    {
+        plan().list_failed(jobs_.now());
+    }
+    else if (std::holds_alternative<list_vms>(action))
     {
-        plan().listed(vms_, jobs_.now(), jobs_.now());
+        vm_list list;
+        list.is_complete_ = !has_malformed_rows_;
+        std::copy_if(vms_.begin(), vms_.end(), std::back_inserter(list.vms_),
+                     [&](listed_vm const& vm)
+                     { return unlisted_.count(vm.vm_) == 0; });
+        lists_.emplace(jobs_.now() + list_latency_,
+                       std::make_pair(jobs_.now(), std::move(list)));
+        answer_lists();
     }
     else if (auto const* const order = std::get_if<maintain_vm>(&action))
     {
--- a/tests/kernel/cell/fleet_world.hpp
+++ b/tests/kernel/cell/fleet_world.hpp
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cuminfold
@@ -47,6 +48,17 @@
     std::size_t tasks_ended_by_orders_ = 0;
     /// The platform refuses this many orders, as too many at once.
     std::uint32_t throttled_orders_ = 0;
+    /// After these, it rejects this many as invalid.
+    std::uint32_t rejected_orders_ = 0;
+    /// The platform answers no requests for lists.
+    bool is_silent_ = false;
+    /// VMs that are missing in the list.
+    std::set<vm_id> unlisted_;
+    /// Rows of the list were malformed.
+    bool has_malformed_rows_ = false;
+    /// The platform answers a request for a list after this time, with its
+    /// state at the request.
+    std::chrono::milliseconds list_latency_{0};
     /// The store shows the entry of a VM's previous incarnation 100 ms after
     /// the order.
     bool delays_entries_ = false;
@@ -65,7 +77,9 @@
     void carry_out(fleet_action const& action);
     void maintain(maintain_vm const& order);
     void restart_vms();
+    void answer_lists();
 
+    std::multimap<time_point, std::pair<time_point, vm_list>> lists_;
     std::multimap<time_point, worker_registration> delayed_entries_;
 };
 
--- a/tests/kernel/cell/wave_takeover_test.cpp
+++ b/tests/kernel/cell/wave_takeover_test.cpp
@@ -171,10 +171,10 @@
               {
                   if (owner == owner_)
                   {
-                      std::vector<listed_vm> list;
+                      vm_list list;
                       for (auto const& vm : seen.empty() ? vms_ : seen)
                       {
-                          list.push_back(vm.second);
+                          list.vms_.push_back(vm.second);
                       }
                       plan_->listed(std::move(list), requested_at, jobs_.now());
                   }
