cell: Store which lost runs may be taken back

Seen by callers: a job with one task of 15 s was shown as failed (starts=5) after its worker had been cut off for 5.5 s and the owner killed, five times.

Cause: a run whose worker's lease lapses counts in the task's start budget, and the count is stored; that it may be taken back was in the owner's memory alone, so that a new owner took it for lost. Losses without an explanation were stored as crashes in the same way, and a cut of over 20 s counted for good.

Change: `lost_runs`, a record beside the counts (key `l`), which earlier programs pass over: task, run, worker, VM, and which count has it. A new owner restores them to the worker, so that its answer takes them back and another incarnation on its VM settles them. Runs of a worker that is registered can be taken back however long it is silent.

Ruled out: leaving lapsed runs out of the count until a crash is proved. Not reached by a test: the bound on crashes by the same flaw.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -7,6 +7,7 @@
 #include "kernel/cell/fleet_config.hpp"
 #include "kernel/cell/job_definition.hpp"
 #include "kernel/cell/job_state.hpp"
+#include "kernel/cell/lost_runs.hpp"
 #include "kernel/cell/placement_rule.hpp"
 #include "kernel/cell/pool_plan.hpp"
 #include "kernel/cell/run_time_model.hpp"
@@ -119,6 +120,11 @@
     /// The same for the starts that count under a job's tasks.
     /// @param text as `encode(start_counts)` wrote it
     void restore_start_counts(std::string const& name, std::string const& text);
+    /// The same for the runs of which it is not known whether they were lost;
+    /// called after both counts.
+    /// @param text as `encode(lost_runs)` wrote it
+    void restore_lost_runs(std::string const& name, std::string const& text,
+                           time_point now);
     /// Restores on which incarnation of a worker its stored runs were started;
     /// called after the progress of all jobs.
     /// @param start as the record of kind `incarnation` holds it
@@ -608,8 +614,15 @@
     job_state* find_counted(record_kind kind, std::string const& name);
     /// Adds a block's crash and start counts to the batch if they have changed,
     /// or deletes them once the job has ended.
-    static void append_count_records(std::string const& id, job_state& job,
-                                     block_number block, cell_batch& batch);
+    void append_count_records(std::string const& id, job_state& job,
+                              block_number block, cell_batch& batch) const;
+    /// The runs of a block's tasks whose workers do not answer.
+    lost_runs lost_runs_of(std::string const& id, job_state const& job,
+                           block_number block) const;
+    /// Adds the job's lost runs to the next batch.
+    void store_lost_runs(job_state& job, task_id const& task);
+    /// No run that was lost with the worker may be forgiven any more.
+    void settle_lapsed_runs(worker_state& worker);
     /// Reports an event of a run to its task's `start_budget`, and adds a
     /// change to the next batch.
     void update_budget(task_id const& task, task_location const& at,
@@ -629,8 +642,9 @@
     /// before its outcome was known.
     void forgive_lost_start(std::string const& worker, task_id const& task,
                             std::uint32_t run);
-    /// Whether it may still turn out that a lost run of the task was no crash.
-    bool may_be_forgiven(task_id const& task) const;
+    /// Whether it is likely to turn out yet that a lost run of the task was no
+    /// crash.
+    bool may_be_forgiven(task_id const& task, time_point now) const;
     /// Whether the task may not be started now, since too many of its runs were
     /// lost. Fails its job if none of them can be forgiven any more.
     bool is_out_of_starts(task_id const& task, task_location const& at,
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -130,6 +130,7 @@
     wave,     ///< a wave that is completed
     crashes,  ///< a job's `crash_counts`
     starts,   ///< a job's `start_counts`
+    losses,   ///< a job's `lost_runs`
     /// The incarnation of a worker on which its stored runs were started.
     incarnation
 };
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -122,7 +122,7 @@
         {
             auto const at = find(run.first);
             ++at.task_->unexplained_losses_;
-            store_crashes(*at.job_, run.first);
+            store_lost_runs(*at.job_, run.first);
             if (needs_crash_proof(*at.task_) && !at.shape_->long_running_)
             {
                 at.task_->not_before_ = now + crash_proof_wait;
@@ -178,7 +178,7 @@
         if (at && at.task_->unexplained_losses_ > 0)
         {
             --at.task_->unexplained_losses_;
-            store_crashes(*at.job_, run.first);
+            store_lost_runs(*at.job_, run.first);
             placement_due_ = true;
         }
     }
@@ -306,10 +306,9 @@
          job.blocks_.tasks_of(block, job.occurrences_.size()))
     {
         auto const& state = task_of(job, task);
-        auto const losses = state.crashes_ + state.unexplained_losses_;
-        if (losses > 0)
+        if (state.crashes_ > 0)
         {
-            counts[task] = {losses, state.prime_crashes_};
+            counts[task] = {state.crashes_, state.prime_crashes_};
         }
     }
     return counts;
@@ -330,8 +329,57 @@
     return counts;
 }
 
+lost_runs cell::lost_runs_of(std::string const& id, job_state const& job,
+                             block_number block) const
+{
+    std::map<std::pair<task_id, std::string>, lost_run> found;
+    job_id const job_name{id};
+    auto const add = [&](worker_state const& worker,
+                         std::map<task_id, std::uint32_t> const& runs,
+                         bool lost_run::*trait)
+    {
+        for (auto place = runs.lower_bound({job_name, 0, 0, 0});
+             place != runs.end() && place->first.job_ == job_name; ++place)
+        {
+            // Crashes of acquitted runs do not count.
+            bool const is_settled =
+                trait == &lost_run::is_suspected_ &&
+                place->second <= task_of(job, place->first).acquitted_run_;
+            if (job.blocks_.block_of(place->first) == block && !is_settled)
+            {
+                auto& run = found[{place->first, worker.entry_.id_}];
+                run.task_ = place->first;
+                run.run_ = place->second;
+                run.*trait = true;
+                run.worker_ = worker.entry_.id_;
+                run.vm_ = worker.entry_.vm_;
+            }
+        }
+    };
+    for (auto const& item : workers_)
+    {
+        add(item.second, item.second.lapsed_runs_, &lost_run::is_counted_);
+        add(item.second, item.second.lost_runs_, &lost_run::is_suspected_);
+    }
+    lost_runs runs;
+    for (auto const& item : found)
+    {
+        runs.push_back(item.second);
+    }
+    return runs;
+}
+
+void cell::store_lost_runs(job_state& job, task_id const& task)
+{
+    if (!job.ended())
+    {
+        job.loss_records_.changed_.insert(job.blocks_.block_of(task));
+        mark_dirty(job, task);
+    }
+}
+
 void cell::append_count_records(std::string const& id, job_state& job,
-                                block_number block, cell_batch& batch)
+                                block_number block, cell_batch& batch) const
 {
     append_counts(
         record_kind::crashes, id, job.ended(), block, job.crash_records_,
@@ -339,6 +387,9 @@
     append_counts(
         record_kind::starts, id, job.ended(), block, job.start_records_,
         [&] { return start_counts_of(job, block); }, batch);
+    append_counts(
+        record_kind::losses, id, job.ended(), block, job.loss_records_,
+        [&] { return lost_runs_of(id, job, block); }, batch);
 }
 
 job_state* cell::find_counted(record_kind kind, std::string const& name)
@@ -420,6 +471,48 @@
     }
 }
 
+void cell::restore_lost_runs(std::string const& name, std::string const& text,
+                             time_point now)
+{
+    auto* const job = find_counted(record_kind::losses, name);
+    if (job == nullptr)
+    {
+        return;
+    }
+    auto const id = parse_block_name(name);
+    job->loss_records_.stored_.insert(id.second);
+    for (auto const& run : decode_lost_runs(text))
+    {
+        task_id task = run.task_;
+        task.job_ = id.first;
+        auto const at = find(task);
+        if (!at || at.task_->phase_ == task_phase::done)
+        {
+            continue;
+        }
+        auto& worker = ensure_worker(run.worker_, now);
+        worker.lost_at_ = now;
+        if (worker.entry_.vm_.empty() && !run.vm_.empty())
+        {
+            worker.entry_.vm_ = run.vm_;
+            vm_workers_[run.vm_].push_back(run.worker_);
+        }
+        if (run.is_counted_)
+        {
+            worker.lapsed_runs_[task] = run.run_;
+        }
+        if (run.is_suspected_ &&
+            worker.lost_runs_.emplace(task, run.run_).second)
+        {
+            ++at.task_->unexplained_losses_;
+        }
+        log_event("lost_run_restored", describe(task),
+                  run.worker_ + " run=" + std::to_string(run.run_) +
+                      " counted=" + std::to_string(run.is_counted_) +
+                      " suspected=" + std::to_string(run.is_suspected_));
+    }
+}
+
 void cell::update_budget(task_id const& task, task_location const& at,
                          void (start_budget::*event)(std::uint32_t) noexcept,
                          std::uint32_t run)
@@ -477,7 +570,19 @@
                           run.second);
         }
     }
-    worker.lapsed_runs_.clear();
+    settle_lapsed_runs(worker);
+}
+
+void cell::settle_lapsed_runs(worker_state& worker)
+{
+    for (auto const& run : std::exchange(worker.lapsed_runs_, {}))
+    {
+        auto const at = find(run.first);
+        if (at)
+        {
+            store_lost_runs(*at.job_, run.first);
+        }
+    }
 }
 
 void cell::forgive_lost_start(std::string const& worker, task_id const& task,
@@ -495,11 +600,12 @@
     if (found != workers_.end())
     {
         found->second.lapsed_runs_.erase(task);
+        store_lost_runs(*at.job_, task);
     }
     placement_due_ = true;
 }
 
-bool cell::may_be_forgiven(task_id const& task) const
+bool cell::may_be_forgiven(task_id const& task, time_point now) const
 {
     auto const start = lost_starts_.lower_bound({task, 0});
     if (start != lost_starts_.end() && start->first == task)
@@ -508,7 +614,10 @@
     }
     return std::any_of(workers_.begin(), workers_.end(),
                        [&](auto const& worker)
-                       { return worker.second.lapsed_runs_.count(task) != 0; });
+                       {
+                           return worker.second.lapsed_runs_.count(task) != 0 &&
+                                  now - worker.second.lost_at_ <= max_loss_age;
+                       });
 }
 
 void cell::clear_crashes(task_id const& id, task_location const& at)
@@ -516,6 +625,10 @@
     auto& job = *at.job_;
     auto& task = *at.task_;
     task.acquitted_run_ = task.run_;
+    if (task.unexplained_losses_ > 0)
+    {
+        store_lost_runs(job, id);
+    }
     if (task.crashes_ > 0)
     {
         log_event("crashes_cleared", job.request_->id_.text(),
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -62,6 +62,7 @@
                       " ends_recorded=" + std::to_string(worker.recorded_));
         count_crash(worker, has_answered, now, report);
         count_lost_runs(worker, now, report);
+        settle_lapsed_runs(worker);
         unsettle_tasks(worker, now);
         forget_reported_ends(worker.entry_.id_);
         tickets_.erase_worker(worker.entry_.id_);
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -302,7 +302,7 @@
     {
         return false;
     }
-    if (may_be_forgiven(task))
+    if (may_be_forgiven(task, now))
     {
         next_isolation_retry_ = now + isolation_retry_interval;
     }
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -235,6 +235,8 @@
     auto counted = job.crash_records_.stored_;
     counted.insert(job.start_records_.stored_.begin(),
                    job.start_records_.stored_.end());
+    counted.insert(job.loss_records_.stored_.begin(),
+                   job.loss_records_.stored_.end());
     for (auto const block : counted)
     {
         append_count_records(name, job, block, batch);
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -12,10 +12,6 @@
 /// their steps for this long; after that, the rest leave at once.
 constexpr duration gradual_evacuation_time = std::chrono::milliseconds{1200};
 
-/// A worker that was lost longer ago than this and has not returned is not
-/// expected to show any more whether it crashed.
-constexpr duration max_loss_age = std::chrono::seconds{20};
-
 } // namespace
 
 void cell::send_stop(worker_state& worker, task_id const& task,
@@ -115,7 +111,11 @@
             {
                 record_loss(worker, now);
             }
-            worker.lapsed_runs_ = count_lost_runs(worker, now);
+            for (auto const& run : count_lost_runs(worker, now))
+            {
+                worker.lapsed_runs_.insert(run);
+                store_lost_runs(*find(run.first).job_, run.first);
+            }
             worker.lost_at_ = now;
             release_all(worker, now);
         }
@@ -127,7 +127,10 @@
                           "runs=" + std::to_string(worker.lost_runs_.size()));
             }
             forget_losses(worker);
-            worker.lapsed_runs_.clear();
+            if (worker.unlisted_)
+            {
+                settle_lapsed_runs(worker);
+            }
         }
         bool const removable =
             worker.unlisted_ && worker.tasks_.empty() &&
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -365,7 +365,7 @@
     log_event("worker_life_ended", worker.entry_.id_, cause);
     count_crash(worker, true, now);
     count_lost_runs(worker, now);
-    worker.lapsed_runs_.clear();
+    settle_lapsed_runs(worker);
     release_all(worker, now);
     worker.unlisted_ = true;
     worker.incarnation_ended_ = true;
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -63,7 +63,7 @@
     /// crashed without much of their rack or data centre. Stored.
     std::uint32_t prime_crashes_ = 0;
     /// Workers that stopped answering while they ran the task, of which it is
-    /// not known whether they crashed.
+    /// not known whether they crashed. Stored as `lost_runs`.
     std::uint32_t unexplained_losses_ = 0;
     /// Of a finite task. Stored.
     start_budget start_budget_;
@@ -172,6 +172,8 @@
     block_records crash_records_;
     /// The tasks' `start_budget::used()`.
     block_records start_records_;
+    /// The tasks' `lost_runs`.
+    block_records loss_records_;
     time_point arrived_{};
     time_point ended_{};
     /// Time by which the job should end.
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -15,6 +15,10 @@
 namespace cuminfold
 {
 
+/// A worker that was lost longer ago than this and has not returned is not
+/// expected to show any more whether it crashed.
+constexpr duration max_loss_age = std::chrono::seconds{20};
+
 /// The start of an incarnation for logs, in milliseconds since 1970.
 inline std::string describe(calendar_time start)
 {
@@ -132,7 +136,7 @@
     time_point end_due_{};
 
     /// Tasks and runs that were released when the lease lapsed, until the
-    /// worker answers or it is known how it ended.
+    /// worker answers or it is known how it ended. Stored as `lost_runs`.
     std::map<task_id, std::uint32_t> lapsed_runs_;
 
     /// Until then only suspected tasks are placed on the worker.
--- a/source/node/cell_owner_store.cpp
+++ b/source/node/cell_owner_store.cpp
@@ -34,6 +34,7 @@
 constexpr char const* wave_prefix = "w";
 constexpr char const* crashes_prefix = "c";
 constexpr char const* starts_prefix = "s";
+constexpr char const* losses_prefix = "l";
 constexpr char const* incarnation_prefix = "b";
 
 char const* key_prefix(record_kind kind)
@@ -52,6 +53,8 @@
         return crashes_prefix;
     case record_kind::starts:
         return starts_prefix;
+    case record_kind::losses:
+        return losses_prefix;
     case record_kind::incarnation:
         return incarnation_prefix;
     }
@@ -101,6 +104,7 @@
     std::map<std::string, std::string> progress;
     std::map<std::string, std::string> crashes;
     std::map<std::string, std::string> starts;
+    std::map<std::string, std::string> losses;
     std::map<std::string, std::string> incarnations;
     std::size_t jobs = 0;
     for (auto const& record : content.records_)
@@ -129,6 +133,10 @@
             {
                 starts[id] = *record.value_;
             }
+            else if (record.key_.rfind(losses_prefix, 0) == 0)
+            {
+                losses[id] = *record.value_;
+            }
             else if (record.key_.rfind(incarnation_prefix, 0) == 0)
             {
                 incarnations[id] = *record.value_;
@@ -178,6 +186,9 @@
     restore_each(starts_prefix, starts,
                  [&](std::string const& job, std::string const& text)
                  { cell_.restore_start_counts(job, text); });
+    restore_each(losses_prefix, losses,
+                 [&](std::string const& job, std::string const& text)
+                 { cell_.restore_lost_runs(job, text, now); });
     restore_each(incarnation_prefix, incarnations,
                  [&](std::string const& worker, std::string const& start)
                  { cell_.restore_incarnation(worker, start); });
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -196,6 +196,13 @@
             cell_->restore_start_counts(starts.first, starts.second);
         }
     }
+    for (auto const& losses : stored_texts_[record_kind::losses])
+    {
+        if (!losses.second.empty())
+        {
+            cell_->restore_lost_runs(losses.first, losses.second, now_);
+        }
+    }
     for (auto const& start : stored_texts_[record_kind::incarnation])
     {
         if (!start.second.empty())
@@ -537,6 +544,7 @@
     case record_kind::wave:
     case record_kind::crashes:
     case record_kind::starts:
+    case record_kind::losses:
     case record_kind::incarnation:
         set(stored_texts_[record.kind_], record.text_);
         return;
--- a/tests/kernel/cell/start_budget_test.cpp
+++ b/tests/kernel/cell/start_budget_test.cpp
@@ -47,6 +47,23 @@
              world.take_over();
          }
      }},
+    {"owners are replaced soon after each crash", [](cell_world&) {},
+     [](cell_world& world, int second)
+     {
+         if (second % 4 == 1)
+         {
+             world.take_over();
+         }
+     }},
+    {"owners are replaced again and again",
+     [](cell_world& world) { world.deadly_delay_ = 300ms; },
+     [](cell_world& world, int second)
+     {
+         if (second % 3 != 0)
+         {
+             world.take_over();
+         }
+     }},
     {"starts are late",
      [](cell_world& world) { world.faults_.calls_late_ = 50; }, do_nothing},
     {"workers that crash are away for longer than a loss is explained",
