cell: Bound the memory of accepted jobs

Cause: the owner makes a state for each task of a job when it accepts or loads the job (240 bytes). Neither the tasks of one job nor their sum were bounded, and ended jobs kept theirs for 130 s.

Change: `memory_bound()` bounds what a job takes, for all its occurrences. The sum over all jobs stays below half of `memory_mb`, which the platform's settings give. Ended jobs release their tasks once their end is stored. A new owner that reads more than fits fails the largest jobs, so that a cell that no owner could load comes back.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -65,6 +65,9 @@
     /// Upper bound of a record in the store, in bytes. A job that needs a
     /// larger one is refused.
     std::size_t max_record_bytes_ = 262'144;
+    /// Limit on the `memory_bound()` of all jobs that have not ended, in bytes.
+    /// A job beyond it is refused.
+    std::uint64_t max_job_memory_ = 134'217'728;
     /// A batch of at least this many bytes gets no further block of a job.
     std::size_t max_batch_bytes_ = 1'048'576;
     /// If the workers' entries were read longer ago than this, nothing is
@@ -380,6 +383,13 @@
     void answer_waiting_clients(job_state& job);
     /// Removes jobs that ended longer ago than `ended_job_retention_`.
     void remove_ended_jobs(time_point now);
+    /// Releases the tasks of a job that has ended and has none on a worker.
+    void release_memory(job_state& job);
+    /// Releases the tasks of the largest jobs until there is room for that one,
+    /// which may be the largest. These jobs fail at the end of the restore.
+    void make_room(job_state& job);
+    /// The jobs with a task on a worker.
+    std::set<std::string> jobs_on_workers() const;
     void initialize_job(job_state& job, time_point now);
     /// Adds the occurrences of a recurring job whose time has come.
     void add_due_occurrences(job_state& job, calendar_time calendar);
@@ -711,6 +721,8 @@
     demand_estimator demand_;
     std::map<pool_name, std::uint32_t> incoming_;
     std::unordered_map<std::string, job_state> jobs_;
+    /// Sum of `job_state::memory_`, in bytes.
+    std::uint64_t job_memory_ = 0;
     /// Jobs that have not ended, and some that ended recently. Loops use it
     /// because most entries of `jobs_` are ended jobs that are still retained.
     std::map<std::string, job_state*> open_jobs_;
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -1,6 +1,7 @@
 #include "kernel/cell/cell.hpp"
 
 #include "kernel/cell/admission_check.hpp"
+#include "kernel/cell/job_memory.hpp"
 #include "kernel/cell/outage_retry.hpp"
 
 #include <algorithm>
@@ -76,6 +77,19 @@
         reply(exchange, make_answer(answer_kind::too_large, "job_too_large"));
         return;
     }
+    auto const memory = memory_bound(request);
+    if (memory > options_.max_job_memory_)
+    {
+        reply(exchange, make_answer(answer_kind::too_large, "job_memory"));
+        return;
+    }
+    if (job_memory_ + memory > options_.max_job_memory_)
+    {
+        auto refusal = make_answer(answer_kind::overloaded, "job_memory");
+        refusal.retry_after_ = max_retry;
+        reply(exchange, refusal);
+        return;
+    }
     auto const already_waited = time_already_waited(route, time_left);
     demand_.add(route.pool_, request.id_,
                 run_times_.work(request, typical_worker(route.pool_)), now);
@@ -117,6 +131,8 @@
     job.pool_ = route.pool_;
     job.arrived_ = now;
     job.objective_ = now + objective;
+    job.memory_ = memory;
+    job_memory_ += memory;
     initialize_job(job, now);
     job.accept_waiters_.push_back(exchange);
     mark_dirty(job);
@@ -376,6 +392,7 @@
                   make_answer(answer_kind::no_such_job, "never_stored"));
         }
         release_all(job, now);
+        release_memory(job);
         open_jobs_.erase(name);
         jobs_.erase(found);
     }
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -1,5 +1,7 @@
 #include "kernel/cell/cell.hpp"
 
+#include "kernel/cell/job_memory.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -95,7 +97,7 @@
     job.long_running_ =
         std::any_of(job.request_->steps_.begin(), job.request_->steps_.end(),
                     [](job_step const& step) { return step.long_running_; });
-    if (job.request_->occurrences_ == 0)
+    if (job.request_->occurrences_ == 0 && !job.exceeds_memory_)
     {
         add_occurrence(job);
     }
@@ -451,9 +453,37 @@
     job.pool_ = job.request_->pool_;
     job.request_written_ = true;
     job.stored_ = true;
+    make_room(job);
     initialize_job(job, now);
 }
 
+void cell::make_room(job_state& job)
+{
+    auto const needed = memory_bound(*job.request_);
+    while (job_memory_ + needed > options_.max_job_memory_)
+    {
+        auto const largest =
+            std::max_element(jobs_.begin(), jobs_.end(),
+                             [](auto const& a, auto const& b)
+                             { return a.second.memory_ < b.second.memory_; });
+        if (largest->second.memory_ <= needed)
+        {
+            job.exceeds_memory_ = true;
+            return;
+        }
+        largest->second.exceeds_memory_ = true;
+        release_memory(largest->second);
+    }
+    job.memory_ = needed;
+    job_memory_ += needed;
+}
+
+void cell::release_memory(job_state& job)
+{
+    job_memory_ -= std::exchange(job.memory_, 0);
+    job.occurrences_ = {};
+}
+
 void cell::restore_progress(std::string const& name,
                             job_progress const& progress, time_point now)
 {
@@ -519,6 +549,10 @@
 void cell::restore_task(job_id const& id, job_state& job,
                         task_record const& record, time_point now)
 {
+    if (job.exceeds_memory_)
+    {
+        return;
+    }
     while (job.occurrences_.size() <= record.task_.occurrence_ &&
            job.occurrences_.size() < job.request_->occurrences_)
     {
@@ -593,6 +627,12 @@
                 now + longest_chain +
                 (route != nullptr ? route->objective_ : duration{0});
             open_jobs_[it->first] = &job;
+            if (job.exceeds_memory_)
+            {
+                fail_job(job, "job_memory", now);
+                ++it;
+                continue;
+            }
             complete_gangs(job, now);
             for (auto& occurrence : job.occurrences_)
             {
@@ -602,6 +642,7 @@
         }
         else
         {
+            release_memory(job);
             job.request_.reset();
         }
         ++it;
@@ -609,6 +650,19 @@
     set_config(fleet_config(config_));
 }
 
+std::set<std::string> cell::jobs_on_workers() const
+{
+    std::set<std::string> jobs;
+    for (auto const& worker : workers_)
+    {
+        for (auto const& task : worker.second.tasks_)
+        {
+            jobs.insert(task.job_.text());
+        }
+    }
+    return jobs;
+}
+
 void cell::remove_ended_jobs(time_point now)
 {
     if (now < next_cleanup_)
@@ -616,32 +670,25 @@
         return;
     }
     next_cleanup_ = now + cleanup_interval;
+    auto const busy = jobs_on_workers();
     for (auto it = jobs_.begin(); it != jobs_.end();)
     {
         auto& job = it->second;
         if (!job.ended() || job.stored_status_ != job.status_ ||
-            !job.dirty_blocks_.empty() ||
-            job.ended_ + options_.ended_job_retention_ > now)
+            !job.dirty_blocks_.empty() || busy.count(it->first) != 0)
         {
             ++it;
             continue;
         }
-        bool const busy = std::any_of(
-            workers_.begin(), workers_.end(),
-            [&](auto const& worker)
-            {
-                return std::any_of(worker.second.tasks_.begin(),
-                                   worker.second.tasks_.end(),
-                                   [&](task_id const& task)
-                                   { return task.job_.text() == it->first; });
-            });
-        if (busy)
+        release_memory(job);
+        job.request_.reset();
+        open_jobs_.erase(it->first);
+        if (job.ended_ + options_.ended_job_retention_ > now)
         {
             ++it;
             continue;
         }
         removed_jobs_.push_back(it->first);
-        open_jobs_.erase(it->first);
         it = jobs_.erase(it);
     }
 }
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -174,6 +174,11 @@
     block_records start_records_;
     /// The tasks' `lost_runs`.
     block_records loss_records_;
+    /// Its `memory_bound()` while the owner holds its tasks.
+    std::uint64_t memory_ = 0;
+    /// It was accepted by an earlier owner and does not fit into this one's
+    /// memory.
+    bool exceeds_memory_ = false;
     time_point arrived_{};
     time_point ended_{};
     /// Time by which the job should end.
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -32,6 +32,10 @@
 constexpr duration drain_notice_margin = std::chrono::milliseconds{500};
 /// Part of a record that is left for its key.
 constexpr std::size_t max_key_bytes = 256;
+constexpr std::uint64_t bytes_per_mb = 1'000'000;
+/// One part in this many of the process's memory is for jobs. The rest is for
+/// the records that a new owner reads, batches, connections and the process.
+constexpr std::uint64_t job_memory_divisor = 2;
 /// Interval of the `owner_load` log lines.
 constexpr duration load_log_interval = std::chrono::seconds{1};
 
@@ -50,6 +54,8 @@
     options.longest_lease_ = options.lease_;
     options.stop_grace_ = settings.stop_grace_ + order_latency_margin;
     options.max_record_bytes_ = settings.max_record_bytes_ - max_key_bytes;
+    options.max_job_memory_ =
+        settings.memory_mb_ * bytes_per_mb / job_memory_divisor;
     // The last block of a batch may exceed the limit of the batch.
     options.max_batch_bytes_ = settings.max_append_bytes_ / 2;
     options.max_entries_age_ = std::max(
--- a/source/node/node_settings_file.cpp
+++ b/source/node/node_settings_file.cpp
@@ -15,6 +15,8 @@
     constexpr double max_cores = 1000;
     constexpr std::uint32_t min_limit = 65'536;
     constexpr std::uint32_t max_limit = 1U << 30U;
+    constexpr std::uint32_t min_memory_mb = 16;
+    constexpr std::uint32_t max_memory_mb = 1U << 20U;
     read_log_settings(in, settings.log_);
     for (auto const* const key : {"name", "clients_address", "health_address",
                                   "peers_address", "store_address"})
@@ -44,6 +46,7 @@
             max_limit);
     in.read("max_append_bytes", settings.max_append_bytes_, min_limit,
             max_limit);
+    in.read("memory_mb", settings.memory_mb_, min_memory_mb, max_memory_mb);
     in.read("cpu_share", settings.cpu_share_, 0, max_cores);
     in.read("cpu_speed", settings.cpu_speed_, 0, max_cores);
 }
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -172,6 +172,7 @@
     append_in_flight_ = false;
     cell_options options;
     options.min_stall_timeout_ = std::chrono::seconds{60};
+    options.max_job_memory_ = max_job_memory_;
     cell_ = std::make_unique<cell>(options, now_);
     cell_->set_config(config_);
     for (auto const& job : stored_jobs_)
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -140,6 +140,8 @@
 
     faults faults_;
     bool store_down_ = false;
+    /// Of later owners, in bytes: see `cell_options`.
+    std::uint64_t max_job_memory_ = cell_options{}.max_job_memory_;
     /// Largest record of the store, and largest append, in bytes.
     bool measures_records_ = false;
     std::size_t largest_record_ = 0;
