cell: Count the failures of a gang's members in one run once

Cause: the failures of all members were added up. The users count failed runs of the gang.

Change: a member's number of failures is that of the gang's failed runs when it last failed. Which run was counted last is concluded from the members' records after a takeover.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -400,8 +400,9 @@
     /// so that one end completes them all.
     void complete_run(task_id const& task, task_location const& at,
                       time_point now);
-    /// Completes the gangs of which a member is stored as done.
-    void complete_gangs(job_state& job, time_point now);
+    /// Completes the gangs of which a member is stored as done, and restores
+    /// which failed runs of gangs were counted.
+    void restore_gangs(job_state& job, time_point now);
     /// Computes whether all tasks of the occurrence are done.
     static void update_done(occurrence_state& occurrence);
     /// Ends the job if all its occurrences are done.
@@ -424,6 +425,13 @@
     void handle_failure(worker_state& worker, task_id const& task,
                         task_location const& at, time_point now);
     std::uint32_t max_attempts_of(job_state const& job) const;
+    /// Counts a failed run of the task, or of its gang: members that fail in
+    /// one run count once.
+    static void count_failure(task_location const& at);
+    /// The number of the gang's runs that have failed.
+    static std::uint32_t failures_of_gang(step_state const& gang);
+    /// Concludes from a gang's stored tasks which run was counted last.
+    static void restore_failed_run(step_state& gang);
     /// Counts a consecutive failure of the worker. Placement avoids it for a
     /// while after several of them.
     void record_failure(worker_state& worker, time_point now);
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -588,16 +588,20 @@
     }
 }
 
-void cell::complete_gangs(job_state& job, time_point now)
+void cell::restore_gangs(job_state& job, time_point now)
 {
     for (std::uint32_t k = 0; k < job.occurrences_.size(); ++k)
     {
         for (std::uint32_t s = 0; s < job.request_->steps_.size(); ++s)
         {
-            auto const& step = job.occurrences_[k].steps_[s];
-            bool const is_split = job.request_->steps_[s].gang_ &&
-                                  step.done_ > 0 &&
-                                  step.done_ < step.tasks_.size();
+            auto& step = job.occurrences_[k].steps_[s];
+            bool const is_gang = job.request_->steps_[s].gang_;
+            if (is_gang)
+            {
+                restore_failed_run(step);
+            }
+            bool const is_split =
+                is_gang && step.done_ > 0 && step.done_ < step.tasks_.size();
             task_id const first{job.request_->id_, k, s, 0};
             if (is_split)
             {
@@ -633,7 +637,7 @@
                 ++it;
                 continue;
             }
-            complete_gangs(job, now);
+            restore_gangs(job, now);
             for (auto& occurrence : job.occurrences_)
             {
                 update_done(occurrence);
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -228,10 +228,48 @@
     }
 }
 
+std::uint32_t cell::failures_of_gang(step_state const& gang)
+{
+    std::uint32_t failures = 0;
+    for (auto const& member : gang.tasks_)
+    {
+        failures = std::max(failures, member.failures_);
+    }
+    return failures;
+}
+
+void cell::count_failure(task_location const& at)
+{
+    auto& task = *at.task_;
+    auto failures = task.failures_ + 1;
+    if (at.shape_->gang_)
+    {
+        bool const is_counted = at.step_->failed_run_ == task.run_;
+        auto const runs = failures_of_gang(*at.step_);
+        failures = std::max(failures, is_counted ? runs : runs + 1);
+        at.step_->failed_run_ = task.run_;
+    }
+    task.failures_ = failures;
+}
+
+void cell::restore_failed_run(step_state& gang)
+{
+    auto const runs = failures_of_gang(gang);
+    for (auto const& member : gang.tasks_)
+    {
+        // It may have ended otherwise in its latest run; then a failure of
+        // another member in that run is not counted.
+        if (runs > 0 && member.failures_ == runs && member.worker_.empty())
+        {
+            gang.failed_run_ = std::max(gang.failed_run_, member.run_);
+        }
+    }
+}
+
 void cell::handle_failure(worker_state& worker, task_id const& task,
                           task_location const& at, time_point now)
 {
-    ++at.task_->failures_;
+    count_failure(at);
     bool const is_fault_of_task = at.shape_->long_running_ &&
                                   at.task_->failures_ > max_failures_of_workers;
     if (!is_fault_of_task)
@@ -242,15 +280,7 @@
     at.task_->not_before_ =
         now + (is_fault_of_task ? long_restart_delay : restart_delay);
     mark_dirty(*at.job_, task);
-    std::uint32_t failures = at.task_->failures_;
-    if (at.shape_->gang_)
-    {
-        failures = 0;
-        for (auto const& member : at.step_->tasks_)
-        {
-            failures += member.failures_;
-        }
-    }
+    auto const failures = at.task_->failures_;
     if (!at.shape_->long_running_ && failures >= max_attempts_of(*at.job_))
     {
         fail_job(*at.job_,
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -53,6 +53,8 @@
 {
     task_phase phase_ = task_phase::waiting;
     std::uint32_t run_ = 0;
+    /// Failed runs. A member of a gang has the number of the gang's runs that
+    /// had failed when it last failed.
     std::uint32_t failures_ = 0;
     std::string worker_;
     std::string checkpoint_;
@@ -121,6 +123,8 @@
     std::vector<task_state> tasks_;
     std::uint32_t done_ = 0;
     std::uint32_t waiting_ = 0;
+    /// The latest run of a gang that counts as failed.
+    std::uint32_t failed_run_ = 0;
     /// Run time of one task of the step: the predicted one at first, later the
     /// shortest successful run, since the tasks of a step are alike.
     duration run_time_{0};
