cell: Keep the policy of a removed queue for its jobs

Cause: the policy was looked up in the present configuration alone.

Change: the owner stores the policy of a queue that has jobs (key `q`, which earlier programs pass over) and follows it while the configuration lacks the queue. The test workers demand tickets by the policy that they were given, not by the present configuration.

Ruled out: the policy in the job's record, which earlier programs would skip.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -123,6 +123,10 @@
     /// The same for the starts that count under a job's tasks.
     /// @param text as `encode(start_counts)` wrote it
     void restore_start_counts(std::string const& name, std::string const& text);
+    /// Restores the policy of a queue that has jobs.
+    /// @param text as `encode(advice_policy)` wrote it
+    /// @throws std::invalid_argument if the text is not readable
+    void restore_policy(std::string const& queue, std::string const& text);
     /// The same for the runs of which it is not known whether they were lost;
     /// called after both counts.
     /// @param text as `encode(lost_runs)` wrote it
@@ -707,6 +711,11 @@
     /// many workers of its pool.
     void log_wait(step_id const& id, job_state& job, time_point now);
     advice_policy const* advice_for(job_state const& job) const;
+    /// Stores the policy of a queue that has jobs, if it has changed.
+    void store_policy(queue_route const& route);
+    /// Deletes the stored policies of queues that were removed and have no
+    /// jobs.
+    void delete_unused_policies();
     /// Queries the policy service about some of these workers, unless a limit
     /// on such queries forbids it.
     void request_advice(step_id const& id, advice_policy const& advice,
@@ -727,6 +736,8 @@
     run_time_model run_times_;
     ticket_cache tickets_;
     demand_estimator demand_;
+    /// As stored, by the queue's name.
+    std::map<std::string, advice_policy> policies_;
     std::map<pool_name, std::uint32_t> incoming_;
     std::unordered_map<std::string, job_state> jobs_;
     /// Sum of `job_state::memory_`, in bytes.
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -131,6 +131,7 @@
     crashes,  ///< a job's `crash_counts`
     starts,   ///< a job's `start_counts`
     losses,   ///< a job's `lost_runs`
+    policy,   ///< a queue's `advice_policy`
     /// The incarnation of a worker on which its stored runs were started.
     incarnation
 };
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -135,6 +135,7 @@
     job_memory_ += memory;
     initialize_job(job, now);
     job.accept_waiters_.push_back(exchange);
+    store_policy(route);
     mark_dirty(job);
     placement_due_ = true;
 }
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -1,5 +1,6 @@
 #include "kernel/cell/cell.hpp"
 
+#include "kernel/cell/policy_record.hpp"
 #include "kernel/cell/task_isolation.hpp"
 
 #include <algorithm>
@@ -565,7 +566,62 @@
 advice_policy const* cell::advice_for(job_state const& job) const
 {
     auto const* const route = config_.find_by_name(job.route_);
-    return route != nullptr && route->advice_ ? &*route->advice_ : nullptr;
+    if (route != nullptr)
+    {
+        return route->advice_ ? &*route->advice_ : nullptr;
+    }
+    auto const stored = policies_.find(job.route_);
+    return stored != policies_.end() ? &stored->second : nullptr;
+}
+
+void cell::restore_policy(std::string const& queue, std::string const& text)
+{
+    policies_[queue] = decode_policy(text);
+}
+
+void cell::store_policy(queue_route const& route)
+{
+    auto const stored = policies_.find(route.name_);
+    bool const is_stored = stored != policies_.end();
+    if (!route.advice_)
+    {
+        if (is_stored)
+        {
+            policies_.erase(stored);
+            delete_record(record_kind::policy, route.name_);
+        }
+        return;
+    }
+    auto text = encode(*route.advice_);
+    if (is_stored && encode(stored->second) == text)
+    {
+        return;
+    }
+    policies_[route.name_] = *route.advice_;
+    cell_record record;
+    record.kind_ = record_kind::policy;
+    record.name_ = route.name_;
+    record.text_ = std::move(text);
+    append_record(std::move(record));
+}
+
+void cell::delete_unused_policies()
+{
+    for (auto place = policies_.begin(); place != policies_.end();)
+    {
+        bool const is_used =
+            config_.find_by_name(place->first) != nullptr ||
+            std::any_of(open_jobs_.begin(), open_jobs_.end(),
+                        [&](auto const& job)
+                        { return job.second->route_ == place->first; });
+        if (is_used)
+        {
+            ++place;
+            continue;
+        }
+        delete_record(record_kind::policy, place->first);
+        place = policies_.erase(place);
+    }
 }
 
 void cell::request_advice(step_id const& id, advice_policy const& advice,
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -674,6 +674,7 @@
         return;
     }
     next_cleanup_ = now + cleanup_interval;
+    delete_unused_policies();
     auto const busy = jobs_on_workers();
     for (auto it = jobs_.begin(); it != jobs_.end();)
     {
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -83,6 +83,7 @@
         if (route != nullptr)
         {
             job.pool_ = route->pool_;
+            store_policy(*route);
         }
     }
     placement_due_ = true;
--- a/source/node/cell_owner_store.cpp
+++ b/source/node/cell_owner_store.cpp
@@ -35,6 +35,7 @@
 constexpr char const* crashes_prefix = "c";
 constexpr char const* starts_prefix = "s";
 constexpr char const* losses_prefix = "l";
+constexpr char const* policy_prefix = "q";
 constexpr char const* incarnation_prefix = "b";
 
 char const* key_prefix(record_kind kind)
@@ -55,6 +56,8 @@
         return starts_prefix;
     case record_kind::losses:
         return losses_prefix;
+    case record_kind::policy:
+        return policy_prefix;
     case record_kind::incarnation:
         return incarnation_prefix;
     }
@@ -133,6 +136,10 @@
             {
                 starts[id] = *record.value_;
             }
+            else if (record.key_.rfind(policy_prefix, 0) == 0)
+            {
+                cell_.restore_policy(id, *record.value_);
+            }
             else if (record.key_.rfind(losses_prefix, 0) == 0)
             {
                 losses[id] = *record.value_;
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -197,6 +197,10 @@
             cell_->restore_start_counts(starts.first, starts.second);
         }
     }
+    for (auto const& policy : stored_texts_[record_kind::policy])
+    {
+        cell_->restore_policy(policy.first, policy.second);
+    }
     for (auto const& losses : stored_texts_[record_kind::losses])
     {
         if (!losses.second.empty())
@@ -546,6 +550,7 @@
     case record_kind::crashes:
     case record_kind::starts:
     case record_kind::losses:
+    case record_kind::policy:
     case record_kind::incarnation:
         set(stored_texts_[record.kind_], record.text_);
         return;
@@ -734,13 +739,10 @@
                 planned.fails_ = true;
                 planned.ends_ = now_ + failing_run_time;
             }
-            auto const advice = config_.routes_.empty()
-                                    ? std::nullopt
-                                    : config_.routes_[0].advice_;
-            if (advice &&
+            if (policy_ &&
                 (order.ticket_.empty() ||
                  now_ >= time_point{milliseconds{std::stoll(order.ticket_)}} +
-                             advice->validity_))
+                             policy_->validity_))
             {
                 return call_outcome::ticket_refused;
             }
@@ -844,8 +846,8 @@
 
 void cell_world::set_policy(std::chrono::milliseconds validity)
 {
-    config_.routes_[0].advice_ =
-        advice_policy{milliseconds{20}, milliseconds{1}, validity};
+    policy_ = advice_policy{milliseconds{20}, milliseconds{1}, validity};
+    config_.routes_[0].advice_ = policy_;
     cell_->set_config(config_);
 }
 
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -278,6 +278,8 @@
     std::uint64_t epoch_ = 0;
     std::unique_ptr<cell> cell_;
     fleet_config config_;
+    /// What the workers demand tickets by, also for a queue that was removed.
+    std::optional<advice_policy> policy_;
     std::vector<std::unique_ptr<fake_worker>> workers_;
     restart_ids ids_;
     std::vector<std::uint32_t> incarnations_;
