cell: Forget the lost runs of a job with the job

Cause: runs that may have been lost stay with a worker that is registered for as long as it is silent. A later job may get the id of one that was removed, 130 s after its end, and would be given the runs of the first.

Change: they are dropped when the job is removed.

Result: kernel_lost_runs_test passes, with a case for it; found by reading, so that the case was not seen to fail.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -643,6 +643,8 @@
                            block_number block) const;
     /// Adds the job's lost runs to the next batch.
     void store_lost_runs(job_state& job, task_id const& task);
+    /// Drops the lost runs of a job that is removed: another may get its id.
+    void forget_lost_runs(job_id const& job);
     /// No run that was lost with the worker may be forgiven any more.
     void settle_lapsed_runs(worker_state& worker);
     /// Reports an event of a run to its task's `start_budget`, and adds a
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -378,6 +378,22 @@
     }
 }
 
+void cell::forget_lost_runs(job_id const& job)
+{
+    for (auto& item : workers_)
+    {
+        for (auto* const runs :
+             {&item.second.lapsed_runs_, &item.second.lost_runs_})
+        {
+            auto place = runs->lower_bound({job, 0, 0, 0});
+            while (place != runs->end() && place->first.job_ == job)
+            {
+                place = runs->erase(place);
+            }
+        }
+    }
+}
+
 void cell::append_count_records(std::string const& id, job_state& job,
                                 block_number block, cell_batch& batch) const
 {
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -693,6 +693,7 @@
             ++it;
             continue;
         }
+        forget_lost_runs(job_id{it->first});
         removed_jobs_.push_back(it->first);
         it = jobs_.erase(it);
     }
--- a/tests/kernel/cell/lost_runs_test.cpp
+++ b/tests/kernel/cell/lost_runs_test.cpp
@@ -130,6 +130,27 @@
     CHECK(world.stored_texts(record_kind::losses).empty());
 }
 
+// Guards against runs of a job that count for a later one with the same id.
+TEST_CASE("the lost runs of a job are forgotten with the job")
+{
+    cell_world world(1, worker_count);
+    world.run_for(50ms);
+    world.submit("a", {cell_world::make_step(1, 1900, 60'000ms),
+                       cell_world::make_step(1, 1900, 1000ms),
+                       cell_world::make_step(1, 1900, 60'000ms)});
+    auto const worker = await_run(world, worker_count);
+    REQUIRE(worker < worker_count);
+    world.cut(worker, true);
+    REQUIRE(await_run(world, worker) < worker_count);
+    world.cancel("a");
+    world.run_for(140'000ms);
+    CHECK(world.status("a") == job_status::queued);
+    world.cut(worker, false);
+    world.run_for(2000ms);
+    CHECK(world.stored_texts(record_kind::losses).empty());
+    CHECK(world.violations() == "");
+}
+
 TEST_CASE("lost runs are restored as they were stored")
 {
     lost_run run;
