cell: Log what a worker's lease rests on

Change: these lines name the worker's last known clock, the end of its lease on that clock, when the owner counts on its end and when a lease was last requested; the answer's own clock beside them. No logic is changed.

Ruled out: a line for each lease (60 lines a second of each kind are kept).

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -496,6 +496,10 @@
     /// Computes the end of a new lease on the worker's clock, and extends
     /// `lease_expires_at_` to cover it.
     worker_clock lease_for(worker_state& worker, time_point now);
+    /// The worker's lease for logs: clock and end of the lease on the worker's
+    /// clock, the rest in milliseconds.
+    static std::string describe_lease(worker_state const& worker,
+                                      time_point now);
     /// By when all runs of a worker have ended if it doesn't answer again. An
     /// answer after the computed end of its lease shows that runs may have
     /// outlasted it.
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -35,7 +35,8 @@
 {
     log_event("worker_unconfirmed", worker.entry_.id_,
               std::string(cause) +
-                  " born=" + describe(worker.incarnation_start_));
+                  " born=" + describe(worker.incarnation_start_) +
+                  describe_lease(worker, now));
     worker.fenced_ = false;
     // Requests with a lower token may still arrive. An incarnation that answers
     // refuses them from then on.
@@ -59,7 +60,9 @@
                       describe(report.incarnation_start_) +
                       " tasks=" + std::to_string(worker.tasks_.size()) +
                       " ends_read=" + std::to_string(worker.read_) +
-                      " ends_recorded=" + std::to_string(worker.recorded_));
+                      " ends_recorded=" + std::to_string(worker.recorded_) +
+                      " answer_clock=" + std::to_string(report.clock_.count()) +
+                      describe_lease(worker, now));
         count_crash(worker, has_answered, now, report);
         count_lost_runs(worker, now, report);
         settle_lapsed_runs(worker);
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -59,9 +59,27 @@
         lapse_margin;
     worker.lease_expires_at_ = std::max(worker.lease_expires_at_, lapse);
     worker.leased_until_ = std::max(worker.leased_until_, until);
+    worker.lease_requested_at_ = now;
     return until;
 }
 
+std::string cell::describe_lease(worker_state const& worker, time_point now)
+{
+    auto const in_milliseconds = [](duration time)
+    {
+        return std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(time)
+                .count());
+    };
+    return " clock=" + std::to_string(worker.clock_.count()) +
+           " leased_until=" + std::to_string(worker.leased_until_.count()) +
+           " lease_ends_in=" + in_milliseconds(worker.lease_expires_at_ - now) +
+           " lease_requested_ago=" +
+           (worker.lease_requested_at_ == time_point{}
+                ? "never"
+                : in_milliseconds(now - worker.lease_requested_at_));
+}
+
 time_point cell::runs_end_by(worker_state const& worker) const
 {
     if (worker.answered_ <= worker.lease_expires_at_)
@@ -239,7 +257,9 @@
                   "renewal born=" + describe(report.incarnation_start_) +
                       " ends_listed=" + std::to_string(report.ended_.size()) +
                       " ends_read=" + std::to_string(worker.read_) +
-                      " ends_recorded=" + std::to_string(worker.recorded_));
+                      " ends_recorded=" + std::to_string(worker.recorded_) +
+                      " answer_clock=" + std::to_string(report.clock_.count()) +
+                      describe_lease(worker, now));
         placement_due_ = true;
     }
     forget_losses(worker);
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -100,7 +100,8 @@
         if (silent && now > runs_end_by(worker) && !worker.tasks_.empty())
         {
             log_event("worker_lapsed", worker.entry_.id_,
-                      "tasks=" + std::to_string(worker.tasks_.size()));
+                      "tasks=" + std::to_string(worker.tasks_.size()) +
+                          describe_lease(worker, now));
             if (worker.entry_.address_.empty())
             {
                 // Known from an earlier owner's records alone: nothing will
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -175,6 +175,9 @@
     /// then.
     time_point order_sent_at_ = time_point::max();
 
+    /// When an order that requests a lease was last sent to the worker's id.
+    /// Unset if this owner has sent none.
+    time_point lease_requested_at_{};
     /// All runs on the worker end by then unless the lease is renewed.
     time_point lease_expires_at_{};
     /// When the worker last answered.
