tests: Show two runs at once after restarts under kept ids

Change: the world's workers take a bound of their own; starts and renewals can be under way for a time, across restarts and network partitions. Directed cases and random histories of restarts, cuts and new owners.

--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -63,8 +63,9 @@
 } // namespace
 
 cell_world::cell_world(std::uint32_t seed, std::uint32_t workers,
-                       restart_ids ids)
-    : random_(seed), ids_(ids), previous_entries_(workers)
+                       restart_ids ids, milliseconds max_lease)
+    : random_(seed), ids_(ids), max_lease_(max_lease),
+      previous_entries_(workers)
 {
     config_.version_ = 1;
     queue_route route;
@@ -78,11 +79,18 @@
     incarnations_.resize(workers, 0);
     for (std::uint32_t i = 0; i < workers; ++i)
     {
-        workers_.push_back(std::make_unique<fake_worker>(entry(i), now_));
+        workers_.push_back(make_worker(i));
     }
     take_over();
 }
 
+std::unique_ptr<fake_worker> cell_world::make_worker(std::uint32_t number) const
+{
+    auto worker = std::make_unique<fake_worker>(entry(number), now_);
+    worker->max_lease_ = max_lease_;
+    return worker;
+}
+
 worker_registration cell_world::entry(std::uint32_t number) const
 {
     worker_registration entry;
@@ -236,7 +244,7 @@
     bool const was_cut = workers_[worker]->disconnected_;
     previous_entries_[worker] = workers_[worker]->entry_;
     ++incarnations_[worker];
-    workers_[worker] = std::make_unique<fake_worker>(entry(worker), now_);
+    workers_[worker] = make_worker(worker);
     workers_[worker]->disconnected_ = was_cut;
     // The store lists the earlier incarnation until its entry expires.
     schedule(now_ + registration_delay_, [this, worker]
@@ -716,60 +724,105 @@
              });
 }
 
+void cell_world::call_later(std::string const& address, duration delay,
+                            std::function<call_outcome()> execute,
+                            call_end done)
+{
+    auto const answer =
+        [this, epoch = epoch_, done = std::move(done)](call_outcome outcome)
+    {
+        if (epoch == epoch_)
+        {
+            done(outcome);
+            process();
+        }
+    };
+    auto const* const worker = find(address);
+    if (worker == nullptr || worker->disconnected_)
+    {
+        schedule(now_ + call_timeout,
+                 [answer] { answer(call_outcome::no_answer); });
+        return;
+    }
+    bool const is_in_time = delay < call_timeout;
+    schedule(now_ + delay,
+             [this, address, execute, answer, is_in_time]
+             {
+                 auto const* const reached = find(address);
+                 auto const outcome = reached == nullptr || reached->is_down_
+                                          ? call_outcome::no_answer
+                                          : execute();
+                 if (is_in_time)
+                 {
+                     bool const is_answered =
+                         reached != nullptr && !reached->disconnected_;
+                     answer(is_answered ? outcome : call_outcome::no_answer);
+                 }
+             });
+    if (!is_in_time)
+    {
+        schedule(now_ + call_timeout,
+                 [answer] { answer(call_outcome::no_answer); });
+    }
+}
+
 void cell_world::carry_out(start_run const& order)
 {
     possible_runs_[describe(order.task_)].insert(order.run_);
-    call(
-        order.address_, true,
-        [this, order, token = token_of(order), sent = now_]
+    auto const execute = [this, order, token = token_of(order), sent = now_]
+    {
+        auto* const worker = find(order.worker_);
+        auto const& shape = order.job_->steps_[order.task_.step_];
+        fake_worker::run planned;
+        planned.used_ = usage_of(shape);
+        planned.began_ = now_;
+        planned.ends_ =
+            shape.long_running_ ? time_point::max() : now_ + shape.estimate_;
+        planned.fails_ = failing_.count(order.task_.job_.text()) != 0;
+        bool const ends_early = failing_vms_.count(worker->entry_.vm_) != 0 ||
+                                (planned.fails_ && shape.long_running_);
+        if (ends_early)
         {
-            auto* const worker = find(order.worker_);
-            auto const& shape = order.job_->steps_[order.task_.step_];
-            fake_worker::run planned;
-            planned.used_ = usage_of(shape);
-            planned.began_ = now_;
-            planned.ends_ = shape.long_running_ ? time_point::max()
-                                                : now_ + shape.estimate_;
-            planned.fails_ = failing_.count(order.task_.job_.text()) != 0;
-            bool const ends_early =
-                failing_vms_.count(worker->entry_.vm_) != 0 ||
-                (planned.fails_ && shape.long_running_);
-            if (ends_early)
-            {
-                planned.fails_ = true;
-                planned.ends_ = now_ + failing_run_time;
-            }
-            if (policy_ &&
-                (order.ticket_.empty() ||
-                 now_ >= time_point{milliseconds{std::stoll(order.ticket_)}} +
-                             policy_->validity_))
-            {
-                return call_outcome::ticket_refused;
-            }
-            auto const outcome = worker->start(token, order, planned, now_);
-            if (outcome == call_outcome::accepted)
-            {
-                check_start(order, *worker, sent);
-            }
-            if (deadly_.count(order.task_) != 0)
-            {
-                schedule(now_ + deadly_delay_,
-                         [this, task = order.task_, id = order.worker_]
-                         { crash_under(task, id); });
-            }
-            return outcome;
-        },
-        [this, order](call_outcome outcome)
+            planned.fails_ = true;
+            planned.ends_ = now_ + failing_run_time;
+        }
+        if (policy_ &&
+            (order.ticket_.empty() ||
+             now_ >= time_point{milliseconds{std::stoll(order.ticket_)}} +
+                         policy_->validity_))
         {
-            bool const is_unanswered = outcome == call_outcome::no_answer;
-            unanswered_starts_[order.task_] += is_unanswered ? 1 : 0;
-            if (!is_unanswered && outcome != call_outcome::accepted)
-            {
-                possible_runs_[describe(order.task_)].erase(order.run_);
-            }
-            cell_->on_start_response(order.worker_, order.task_, order.run_,
-                                     outcome, now_);
-        });
+            return call_outcome::ticket_refused;
+        }
+        auto const outcome = worker->start(token, order, planned, now_);
+        if (outcome == call_outcome::accepted)
+        {
+            check_start(order, *worker, sent);
+        }
+        if (deadly_.count(order.task_) != 0)
+        {
+            schedule(now_ + deadly_delay_,
+                     [this, task = order.task_, id = order.worker_]
+                     { crash_under(task, id); });
+        }
+        return outcome;
+    };
+    auto const done = [this, order](call_outcome outcome)
+    {
+        bool const is_unanswered = outcome == call_outcome::no_answer;
+        unanswered_starts_[order.task_] += is_unanswered ? 1 : 0;
+        if (!is_unanswered && outcome != call_outcome::accepted)
+        {
+            possible_runs_[describe(order.task_)].erase(order.run_);
+        }
+        cell_->on_start_response(order.worker_, order.task_, order.run_,
+                                 outcome, now_);
+    };
+    if (start_delay_ > milliseconds{0})
+    {
+        call_later(order.address_, start_delay_, execute, done);
+        return;
+    }
+    call(order.address_, true, execute, done);
 }
 
 void cell_world::carry_out(stop_run const& order)
@@ -816,20 +869,24 @@
 void cell_world::carry_out(renew_worker const& order)
 {
     auto const report = std::make_shared<worker_report>();
-    call(
-        order.address_, false,
-        [this, order, report, token = token_of(order)]
+    auto const execute = [this, order, report, token = token_of(order)]
+    {
+        auto const outcome =
+            find(order.worker_)->renew(token, order, *report, now_);
+        if (report->ended_.size() > max_listed_ends_)
         {
-            auto const outcome =
-                find(order.worker_)->renew(token, order, *report, now_);
-            if (report->ended_.size() > max_listed_ends_)
-            {
-                report->ended_.resize(max_listed_ends_);
-            }
-            return outcome;
-        },
-        [this, order, report, sent = now_](call_outcome outcome)
-        { cell_->on_renewal_response(order, outcome, *report, sent, now_); });
+            report->ended_.resize(max_listed_ends_);
+        }
+        return outcome;
+    };
+    auto const done = [this, order, report, sent = now_](call_outcome outcome)
+    { cell_->on_renewal_response(order, outcome, *report, sent, now_); };
+    if (renewal_delay_ > milliseconds{0})
+    {
+        call_later(order.address_, renewal_delay_, execute, done);
+        return;
+    }
+    call(order.address_, false, execute, done);
 }
 
 void cell_world::add_pool(pool_name const& name)
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -45,8 +45,12 @@
         kept     ///< under the same id, with the start of its incarnation
     };
 
-    explicit cell_world(std::uint32_t seed, std::uint32_t workers = 4,
-                        restart_ids ids = restart_ids::changed);
+    /// @param max_lease a lease that ends later is shortened to this by the
+    /// workers
+    explicit cell_world(
+        std::uint32_t seed, std::uint32_t workers = 4,
+        restart_ids ids = restart_ids::changed,
+        std::chrono::milliseconds max_lease = std::chrono::milliseconds{3000});
 
     static job_step make_step(std::uint32_t tasks, std::int64_t cpu_milli,
                               std::chrono::milliseconds time);
@@ -167,6 +171,12 @@
     std::chrono::milliseconds registration_delay_{500};
     /// The calendar of a worker that starts again is behind that of before.
     bool calendars_step_back_ = false;
+    /// Added to the time that a start takes to be executed. It is under way on
+    /// the worker's VM by then, so that neither a restart of the worker nor a
+    /// network partition drops it.
+    std::chrono::milliseconds start_delay_{0};
+    /// The same for a renewal.
+    std::chrono::milliseconds renewal_delay_{0};
     /// Added to the time that a stop takes to reach its worker.
     std::chrono::milliseconds stop_delay_{0};
     /// Whether the store has the workers' entries when an owner takes over.
@@ -226,6 +236,11 @@
     /// replaced in the meantime
     void call(std::string const& address, bool may_be_late,
               std::function<call_outcome()> execute, call_end done);
+    /// Simulates a call that is executed after `delay` by whichever incarnation
+    /// has the worker's address then. It gets no answer if that is later than
+    /// the owner waits, or if the worker is disconnected by then.
+    void call_later(std::string const& address, duration delay,
+                    std::function<call_outcome()> execute, call_end done);
     /// The fencing token of an order that the present owner sends.
     template <class Order>
     std::uint64_t token_of(Order const& order) const
@@ -272,6 +287,7 @@
     bool chance(std::uint32_t percent);
     fake_worker* find(std::string const& id);
     worker_registration entry(std::uint32_t number) const;
+    std::unique_ptr<fake_worker> make_worker(std::uint32_t number) const;
 
     std::mt19937 random_;
     time_point now_{std::chrono::seconds{1000}};
@@ -282,6 +298,7 @@
     std::optional<advice_policy> policy_;
     std::vector<std::unique_ptr<fake_worker>> workers_;
     restart_ids ids_;
+    std::chrono::milliseconds max_lease_;
     std::vector<std::uint32_t> incarnations_;
     /// The registrations of the previous incarnations.
     std::vector<worker_registration> previous_entries_;
--- /dev/null
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -0,0 +1,389 @@
+#include "kernel/cell/cell_world.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstddef>
+#include <iterator>
+#include <random>
+#include <string>
+
+using namespace cuminfold;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr std::uint32_t worker_count = 4;
+/// The platform's bound on a lease; longer than the owner's own leases.
+constexpr auto platform_lease = 10'000ms;
+/// Longer than the owner's lease, so that the run outlasts it.
+constexpr auto long_run = 8000ms;
+/// Until the runs behind a network partition have ended and all is settled.
+constexpr auto settling_time = 40'000ms;
+constexpr std::size_t pattern_groups = 4;
+
+cell_world make_world(std::uint32_t seed)
+{
+    return cell_world(seed, worker_count, cell_world::restart_ids::kept,
+                      platform_lease);
+}
+
+/// Ends all workers' processes; new incarnations start at once.
+void restart_all(cell_world& world)
+{
+    for (std::uint32_t i = 0; i < worker_count; ++i)
+    {
+        world.crash_for(i, 0ms);
+    }
+}
+
+/// Disconnects the workers that run tasks. At least one other remains.
+void cut_busy_workers(cell_world& world)
+{
+    for (std::uint32_t i = 0; i < worker_count; ++i)
+    {
+        if (!world.worker(i).running_.empty())
+        {
+            world.cut(i, true);
+        }
+    }
+}
+
+void connect_all(cell_world& world)
+{
+    for (std::uint32_t i = 0; i < worker_count; ++i)
+    {
+        world.cut(i, false);
+    }
+}
+
+void submit_long_job(cell_world& world)
+{
+    world.submit("a", {cell_world::make_step(1, 9000, long_run)});
+}
+
+/// How an order for the incarnation before reaches a restarted worker.
+struct lease_case
+{
+    char const* name_;
+    void (*prepare_)(cell_world&);
+};
+
+lease_case const lease_cases[] = {
+    {"a start before the registration is read",
+     [](cell_world& world)
+     {
+         world.registration_delay_ = 200ms;
+         restart_all(world);
+         submit_long_job(world);
+         world.run_for(1000ms);
+     }},
+    {"a start under way at the restart",
+     [](cell_world& world)
+     {
+         world.registration_delay_ = 200ms;
+         world.start_delay_ = 100ms;
+         submit_long_job(world);
+         world.run_for(50ms);
+         restart_all(world);
+         world.start_delay_ = 0ms;
+         world.run_for(1000ms);
+     }},
+    {"a renewal under way at the restart",
+     [](cell_world& world)
+     {
+         world.registration_delay_ = 400ms;
+         submit_long_job(world);
+         world.run_for(300ms);
+         world.renewal_delay_ = 150ms;
+         world.run_for(200ms);
+         restart_all(world);
+         world.run_for(200ms);
+         world.renewal_delay_ = 0ms;
+         world.run_for(1000ms);
+     }},
+    {"a start between two restarts",
+     [](cell_world& world)
+     {
+         world.registration_delay_ = 200ms;
+         restart_all(world);
+         world.start_delay_ = 60ms;
+         submit_long_job(world);
+         world.run_for(40ms);
+         restart_all(world);
+         world.start_delay_ = 0ms;
+         world.run_for(1000ms);
+     }},
+    {"a new owner after the first answer",
+     [](cell_world& world)
+     {
+         world.registration_delay_ = 100ms;
+         restart_all(world);
+         submit_long_job(world);
+         world.run_for(600ms);
+         world.take_over();
+         world.run_for(400ms);
+     }},
+    {"two new owners after the first answer",
+     [](cell_world& world)
+     {
+         world.registration_delay_ = 100ms;
+         restart_all(world);
+         submit_long_job(world);
+         world.run_for(600ms);
+         world.take_over();
+         world.run_for(400ms);
+         world.take_over();
+         world.run_for(400ms);
+     }},
+    {"a new owner before the first answer",
+     [](cell_world& world)
+     {
+         world.registration_delay_ = 300ms;
+         restart_all(world);
+         submit_long_job(world);
+         world.run_for(100ms);
+         world.take_over();
+         world.run_for(400ms);
+     }},
+    {"a new owner without an answer",
+     [](cell_world& world)
+     {
+         world.registration_delay_ = 100ms;
+         restart_all(world);
+         submit_long_job(world);
+         world.run_for(600ms);
+         cut_busy_workers(world);
+         world.take_over();
+     }},
+};
+
+/// How long a start is under way whose worker restarts and is cut off.
+struct late_case
+{
+    char const* name_;
+    std::chrono::milliseconds start_delay_;
+    /// From the restart until the registration is read.
+    std::chrono::milliseconds registration_delay_;
+    bool has_new_owner_;
+};
+
+late_case const late_cases[] = {
+    {"executed before the lease ends", 1000ms, 20ms, false},
+    {"executed after the lease ends", 5000ms, 20ms, false},
+    {"executed at the last moment", 11'900ms, 20ms, false},
+    {"registered late", 5000ms, 900ms, false},
+    {"under a new owner", 5000ms, 20ms, true},
+};
+
+/// A worker that is cut off where no order for another incarnation can be.
+struct prompt_case
+{
+    char const* name_;
+    void (*prepare_)(cell_world&);
+    /// From the cut until the task runs elsewhere.
+    std::chrono::milliseconds max_time_;
+};
+
+prompt_case const prompt_cases[] = {
+    {"no restart", [](cell_world& world) { submit_long_job(world); }, 3500ms},
+    {"a restart of idle workers",
+     [](cell_world& world)
+     {
+         world.registration_delay_ = 50ms;
+         restart_all(world);
+         world.run_for(200ms);
+         submit_long_job(world);
+     },
+     3500ms},
+    {"a restart long ago",
+     [](cell_world& world)
+     {
+         world.registration_delay_ = 50ms;
+         submit_long_job(world);
+         world.run_for(100ms);
+         restart_all(world);
+         world.run_for(platform_lease);
+         world.submit("b", {cell_world::make_step(1, 9000, long_run)});
+         world.run_for(1000ms);
+     },
+     3500ms},
+    {"a new owner and no restart",
+     [](cell_world& world)
+     {
+         submit_long_job(world);
+         world.run_for(500ms);
+         world.take_over();
+     },
+     3500ms},
+};
+
+/// Restarts, cuts and replaces owners at random, while long tasks run.
+void play(cell_world& world, std::uint32_t seed, bool has_new_owners)
+{
+    std::mt19937 random(seed);
+    world.registration_delay_ = std::chrono::milliseconds{20 + random() % 200};
+    for (int round = 0; round < 6; ++round)
+    {
+        for (int job = 0; job < 4; ++job)
+        {
+            world.submit(
+                "job" + std::to_string(round) + "-" + std::to_string(job),
+                {cell_world::make_step(
+                    1 + random() % 4, 1000,
+                    std::chrono::milliseconds{200 + random() % 9000})});
+            world.run_for(std::chrono::milliseconds{random() % 100});
+        }
+        bool const are_held = random() % 2 == 0;
+        world.start_delay_ =
+            std::chrono::milliseconds{are_held ? random() % 250 : 0};
+        world.renewal_delay_ =
+            std::chrono::milliseconds{are_held ? random() % 250 : 0};
+        for (std::uint32_t i = 0; i < worker_count; ++i)
+        {
+            if (random() % 2 == 0)
+            {
+                world.crash_for(i, std::chrono::milliseconds{random() % 400});
+            }
+        }
+        world.submit("late" + std::to_string(round),
+                     {cell_world::make_step(1 + random() % 6, 1000, long_run)});
+        world.run_for(std::chrono::milliseconds{random() % 800});
+        world.start_delay_ = 0ms;
+        world.renewal_delay_ = 0ms;
+        if (has_new_owners && random() % 2 == 0)
+        {
+            world.take_over();
+        }
+        world.run_for(std::chrono::milliseconds{random() % 1500});
+        for (std::uint32_t i = 0; i + 1 < worker_count; ++i)
+        {
+            world.cut(i, random() % 2 == 0);
+        }
+        world.run_for(std::chrono::milliseconds{200 + random() % 1000});
+        if (has_new_owners && random() % 4 == 0)
+        {
+            world.take_over();
+        }
+        world.run_for(std::chrono::milliseconds{3000 + random() % 6000});
+        connect_all(world);
+        world.run_for(std::chrono::milliseconds{random() % 6000});
+    }
+    world.run_for(settling_time);
+}
+
+void check_patterns(std::size_t group)
+{
+    for (std::uint32_t seed = 1; seed <= 40; ++seed)
+    {
+        if (seed % pattern_groups != group)
+        {
+            continue;
+        }
+        for (bool const has_new_owners : {false, true})
+        {
+            CAPTURE(seed);
+            CAPTURE(has_new_owners);
+            auto world = make_world(seed);
+            play(world, seed, has_new_owners);
+            CHECK(world.violations() == "");
+            CHECK(world.all_ended());
+        }
+    }
+}
+
+} // namespace
+
+// Guards against a second run beside one whose lease was requested by the clock
+// of the incarnation before, so that it outlasts the owner's lease.
+TEST_CASE("a task is not started beside a run with a lease by another clock")
+{
+    for (auto const& each : lease_cases)
+    {
+        CAPTURE(std::string(each.name_));
+        auto world = make_world(1);
+        world.run_for(5000ms);
+        each.prepare_(world);
+        cut_busy_workers(world);
+        world.run_for(9000ms);
+        connect_all(world);
+        world.run_for(settling_time);
+        CHECK(world.violations() == "");
+        CHECK(world.status("a") == job_status::completed);
+    }
+}
+
+// Guards against a second run beside one that a restarted worker begins behind
+// a network partition, by a start for the incarnation before.
+TEST_CASE("a task is not started while its start may reach a later incarnation")
+{
+    for (auto const& each : late_cases)
+    {
+        CAPTURE(std::string(each.name_));
+        auto world = make_world(1);
+        world.run_for(5000ms);
+        world.registration_delay_ = each.registration_delay_;
+        world.start_delay_ = each.start_delay_;
+        submit_long_job(world);
+        world.run_for(50ms);
+        world.start_delay_ = 0ms;
+        auto const& workers = world.owner().workers();
+        for (std::uint32_t i = 0; i < worker_count; ++i)
+        {
+            auto const known = workers.find(world.worker(i).entry_.id_);
+            REQUIRE(known != workers.end());
+            if (!known->second.tasks_.empty())
+            {
+                world.crash_for(i, 0ms);
+                world.run_for(10ms);
+                world.cut(i, true);
+            }
+        }
+        if (each.has_new_owner_)
+        {
+            world.take_over();
+        }
+        world.run_for(25'000ms);
+        connect_all(world);
+        world.run_for(settling_time);
+        CHECK(world.violations() == "");
+        CHECK(world.status("a") == job_status::completed);
+    }
+}
+
+// Guards against tasks that wait for the platform's bound on a lease although
+// no order for another incarnation can be under way.
+TEST_CASE("a task of a worker that is cut off is started elsewhere in time")
+{
+    for (auto const& each : prompt_cases)
+    {
+        CAPTURE(std::string(each.name_));
+        auto world = make_world(1);
+        world.run_for(20'000ms);
+        each.prepare_(world);
+        world.run_for(500ms);
+        auto const runs = world.runs_of("a") + world.runs_of("b");
+        cut_busy_workers(world);
+        world.run_for(each.max_time_);
+        CHECK(world.runs_of("a") + world.runs_of("b") > runs);
+        CHECK(world.violations() == "");
+    }
+}
+
+TEST_CASE("restarts and cuts of workers, group 0")
+{
+    check_patterns(0);
+}
+TEST_CASE("restarts and cuts of workers, group 1")
+{
+    check_patterns(1);
+}
+TEST_CASE("restarts and cuts of workers, group 2")
+{
+    check_patterns(2);
+}
+TEST_CASE("restarts and cuts of workers, group 3")
+{
+    check_patterns(3);
+}
