cell: Count on leases by another incarnation's clock

Cause: the end of a lease is a time on one incarnation's clock, and the owner took the 3 s that it grants for the longest lease that can exist. A start or renewal that was computed by the clock of the incarnation before, and reaches the next one before its first answer under a raised token, requests a time far in the future. The platform grants it up to its own bound (hold_max_ms: 6 and 10 s), and no later lease shortens it. After a cut the owner counted the lease as over and started the tasks elsewhere.

Change: cell_options::longest_lease_ is the platform's bound again, and lease_ what owners grant. The first answer of an incarnation proves that no such order is accepted any more; if one may have been under way until then (a lease was requested within the 12 s in which a call may be late, or an earlier owner may have done so), the lease may last until the answer's clock plus the bound. All computed ends of leases include it until that clock has passed. It is stored (prefix f, which older programs skip), since a new owner that comes soon after the restart can't see it. The stored incarnation of a worker without tasks is kept at a takeover for the same reason.

Ruled out: the platform's bound everywhere (each takeover and each cut worker would wait 6 to 10 s instead of 3).

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -52,8 +52,8 @@
     /// An owner sends no orders once the last confirmation of its epoch is
     /// older than this.
     duration confirmation_limit_ = std::chrono::milliseconds{5000};
-    /// The platform's upper bound on a lease. Leases of earlier owners may have
-    /// this duration.
+    /// The platform's upper bound on a lease; at least `lease_`. An order that
+    /// was computed by the clock of another incarnation may get this much.
     duration longest_lease_ = std::chrono::milliseconds{3000};
     /// Time after which a stop has taken effect.
     duration stop_grace_ = std::chrono::milliseconds{600};
@@ -137,7 +137,13 @@
     /// @param start as the record of kind `incarnation` holds it
     /// @throws std::invalid_argument if the text is not readable
     void restore_incarnation(std::string const& worker,
-                             std::string const& start);
+                             std::string const& start, time_point now);
+    /// Restores by when a worker's runs may end that got a lease by another
+    /// clock; called after `restore_incarnation()`.
+    /// @param text as `encode(foreign_lease)` wrote it
+    /// @throws std::invalid_argument if the text is not readable
+    void restore_foreign_lease(std::string const& worker,
+                               std::string const& text, time_point now);
     /// Discards progress without a request and computes the objectives of the
     /// open jobs, counted from `now`.
     void finish_restore(time_point now);
@@ -491,15 +497,30 @@
     /// Adds the worker's incarnation to the next batch, or deletes it there if
     /// it is unknown.
     void store_incarnation(worker_state& worker);
+    /// Whether an order of before may reach the worker's present incarnation,
+    /// or have reached it, that requests a lease by another one's clock.
+    bool may_get_foreign_lease(worker_state const& worker,
+                               time_point now) const;
+    /// Adds the worker's `foreign_lease_until_` to the next batch, or deletes
+    /// it there if there is none.
+    void store_foreign_lease(worker_state& worker);
+    /// Forgets a lease by another clock that has ended.
+    void drop_foreign_lease(worker_state& worker);
 
     // cell_renewals.cpp
     /// Computes the end of a new lease on the worker's clock, and extends
     /// `lease_expires_at_` to cover it.
     worker_clock lease_for(worker_state& worker, time_point now);
+    /// How long a lease may last that the worker's incarnation had when it last
+    /// answered.
+    duration longest_remaining_lease(worker_state const& worker) const;
     /// The worker's lease for logs: clock and end of the lease on the worker's
     /// clock, the rest in milliseconds.
     static std::string describe_lease(worker_state const& worker,
                                       time_point now);
+    /// By when a lease has ended that the platform granted at that time,
+    /// whatever was requested.
+    time_point longest_lease_end(time_point granted) const;
     /// By when all runs of a worker have ended if it doesn't answer again. An
     /// answer after the computed end of its lease shows that runs may have
     /// outlasted it.
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -133,7 +133,8 @@
     losses,   ///< a job's `lost_runs`
     policy,   ///< a queue's `advice_policy`
     /// The incarnation of a worker on which its stored runs were started.
-    incarnation
+    incarnation,
+    foreign_lease ///< a worker's `foreign_lease`
 };
 
 /// One record of a cell's partition. A record without content deletes its key.
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -1,5 +1,8 @@
 #include "kernel/cell/cell.hpp"
 
+#include "kernel/cell/foreign_lease.hpp"
+
+#include <algorithm>
 #include <charconv>
 #include <stdexcept>
 #include <utility>
@@ -53,6 +56,9 @@
     bool const has_answered = worker.clock_read_at_ != time_point{};
     bool const has_predecessor =
         has_answered || worker.incarnation_start_ != calendar_time{};
+    bool const has_foreign_lease =
+        has_predecessor &&
+        (!has_answered || may_get_foreign_lease(worker, now));
     if (has_predecessor)
     {
         log_event("worker_restarted", worker.entry_.id_,
@@ -72,8 +78,63 @@
         static_cast<worker_incarnation&>(worker) = worker_incarnation{};
         worker.first_seen_ = now;
         placement_due_ = true;
+        // The answer has a raised token: no such order is accepted after it.
+        worker.foreign_lease_until_ =
+            has_foreign_lease
+                ? report.clock_ + std::chrono::duration_cast<worker_clock>(
+                                      options_.longest_lease_)
+                : worker_clock{0};
     }
     worker.incarnation_start_ = report.incarnation_start_;
+    store_foreign_lease(worker);
+}
+
+bool cell::may_get_foreign_lease(worker_state const& worker,
+                                 time_point now) const
+{
+    return now <= std::max(worker.lease_requested_at_, takeover_time_) +
+                      options_.max_late_call_;
+}
+
+void cell::store_foreign_lease(worker_state& worker)
+{
+    bool const has_lease = worker.foreign_lease_until_ != worker_clock{0};
+    if (has_lease)
+    {
+        cell_record record;
+        record.kind_ = record_kind::foreign_lease;
+        record.name_ = worker.entry_.id_;
+        record.text_ = encode(foreign_lease{worker.incarnation_start_,
+                                            worker.foreign_lease_until_});
+        append_record(std::move(record));
+    }
+    else if (worker.has_lease_record_)
+    {
+        delete_record(record_kind::foreign_lease, worker.entry_.id_);
+    }
+    worker.has_lease_record_ = has_lease;
+}
+
+void cell::drop_foreign_lease(worker_state& worker)
+{
+    if (worker.foreign_lease_until_ != worker_clock{0} &&
+        worker.clock_ >= worker.foreign_lease_until_)
+    {
+        worker.foreign_lease_until_ = worker_clock{0};
+        store_foreign_lease(worker);
+    }
+}
+
+void cell::restore_foreign_lease(std::string const& name,
+                                 std::string const& text, time_point now)
+{
+    auto const lease = decode_foreign_lease(text);
+    auto& worker = ensure_worker(name, now);
+    worker.incarnation_start_ = lease.incarnation_start_;
+    worker.foreign_lease_until_ = lease.until_;
+    worker.has_lease_record_ = true;
+    worker.lease_expires_at_ =
+        std::max(worker.lease_expires_at_, longest_lease_end(takeover_time_));
 }
 
 void cell::unsettle_tasks(worker_state& worker, time_point now)
@@ -137,7 +198,7 @@
 }
 
 void cell::restore_incarnation(std::string const& name,
-                               std::string const& start)
+                               std::string const& start, time_point now)
 {
     std::int64_t milliseconds = 0;
     auto const* const end = start.data() + start.size();
@@ -147,15 +208,12 @@
         throw std::invalid_argument("not the start of an incarnation: " +
                                     start);
     }
-    auto const worker = workers_.find(name);
-    if (worker == workers_.end())
-    {
-        delete_record(record_kind::incarnation, name);
-        return;
-    }
-    worker->second.incarnation_start_ =
+    // Also without tasks: a restart that no owner has seen yet makes the leases
+    // of before unreliable.
+    auto& worker = ensure_worker(name, now);
+    worker.incarnation_start_ =
         calendar_time{std::chrono::milliseconds{milliseconds}};
-    worker->second.stored_start_ = worker->second.incarnation_start_;
+    worker.stored_start_ = worker.incarnation_start_;
 }
 
 } // namespace cuminfold
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -86,14 +86,30 @@
     {
         return worker.lease_expires_at_;
     }
-    auto const remaining = std::max(options_.longest_lease_,
-                                    std::chrono::duration_cast<duration>(
-                                        worker.leased_until_ - worker.clock_));
     return worker.answered_ +
-           std::chrono::duration_cast<duration>(remaining / min_clock_rate) +
+           std::chrono::duration_cast<duration>(
+               longest_remaining_lease(worker) / min_clock_rate) +
            lapse_margin;
 }
 
+time_point cell::longest_lease_end(time_point granted) const
+{
+    return granted +
+           std::chrono::duration_cast<duration>(options_.longest_lease_ /
+                                                min_clock_rate) +
+           lapse_margin;
+}
+
+duration cell::longest_remaining_lease(worker_state const& worker) const
+{
+    auto const until =
+        std::max(worker.leased_until_, worker.foreign_lease_until_);
+    // An earlier owner with the same settings granted no lease longer than
+    // `lease_` by the worker's clock.
+    return std::max(options_.lease_, std::chrono::duration_cast<duration>(
+                                         until - worker.clock_));
+}
+
 bool cell::needs_renewal(worker_state const& worker) const
 {
     if (worker.unlisted_ && worker.tasks_.empty())
@@ -265,6 +281,7 @@
     forget_losses(worker);
     forgive_lapsed_runs(worker);
     update_clock(worker, report.clock_, now);
+    drop_foreign_lease(worker);
     if (!extra)
     {
         worker.acknowledged_ =
@@ -274,12 +291,13 @@
     {
         worker.fenced_ = true;
         worker.predecessor_drained_ = false;
-        // From now on the worker refuses leases of earlier owners; the last one
-        // that it accepted ends by this time.
+        // From now on the worker refuses leases of earlier owners and those by
+        // another incarnation's clock; the last one that it accepted ends by
+        // this time.
         worker.lease_expires_at_ =
             now +
-            std::chrono::duration_cast<duration>(options_.longest_lease_ /
-                                                 min_clock_rate) +
+            std::chrono::duration_cast<duration>(
+                longest_remaining_lease(worker) / min_clock_rate) +
             lapse_margin;
         placement_due_ = true;
         end_earlier_incarnations(worker, now);
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -62,8 +62,7 @@
         state.first_seen_ = now;
         state.lease_expires_at_ =
             takeover_time_ + options_.confirmation_limit_ +
-            std::chrono::duration_cast<duration>(options_.longest_lease_ *
-                                                 1.05);
+            std::chrono::duration_cast<duration>(options_.lease_ * 1.05);
     }
     return state;
 }
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -150,6 +150,8 @@
     tickets_.erase_worker(position->first);
     worker.incarnation_start_ = {};
     store_incarnation(worker);
+    worker.foreign_lease_until_ = {};
+    store_foreign_lease(worker);
     auto const on_vm = vm_workers_.find(worker.entry_.vm_);
     if (on_vm != vm_workers_.end())
     {
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -119,6 +119,10 @@
     time_point clock_read_at_{};
     /// The latest end of a lease that this owner gave, on the worker's clock.
     worker_clock leased_until_{0};
+    /// The same for orders that were computed by the clock of an earlier
+    /// incarnation; 0 if there were none, or it has passed. Stored as
+    /// `foreign_lease`.
+    worker_clock foreign_lease_until_{0};
 
     /// Ends up to this number were read. Those up to `recorded_` are recorded
     /// and may be acknowledged.
@@ -164,6 +168,8 @@
     std::uint32_t token_offset_ = 0;
     /// `incarnation_start_` as stored; unset if the store has none.
     calendar_time stored_start_{};
+    /// The store has a `foreign_lease` of the worker.
+    bool has_lease_record_ = false;
     /// The worker's entry was removed from the store, or its incarnation ended.
     bool unlisted_ = false;
     /// Another incarnation runs on the worker's VM or answers at its address.
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -49,9 +49,7 @@
 {
     cell_options options;
     options.lease_ = std::min(options.lease_, settings.longest_lease_);
-    // An earlier owner with the same settings granted no lease longer than
-    // `lease_`, even if the platform permits it.
-    options.longest_lease_ = options.lease_;
+    options.longest_lease_ = settings.longest_lease_;
     options.stop_grace_ = settings.stop_grace_ + order_latency_margin;
     options.max_record_bytes_ = settings.max_record_bytes_ - max_key_bytes;
     options.max_job_memory_ =
--- a/source/node/cell_owner_store.cpp
+++ b/source/node/cell_owner_store.cpp
@@ -37,6 +37,7 @@
 constexpr char const* losses_prefix = "l";
 constexpr char const* policy_prefix = "q";
 constexpr char const* incarnation_prefix = "b";
+constexpr char const* foreign_lease_prefix = "f";
 
 char const* key_prefix(record_kind kind)
 {
@@ -60,6 +61,8 @@
         return policy_prefix;
     case record_kind::incarnation:
         return incarnation_prefix;
+    case record_kind::foreign_lease:
+        return foreign_lease_prefix;
     }
     return progress_prefix;
 }
@@ -109,6 +112,7 @@
     std::map<std::string, std::string> starts;
     std::map<std::string, std::string> losses;
     std::map<std::string, std::string> incarnations;
+    std::map<std::string, std::string> foreign_leases;
     std::size_t jobs = 0;
     for (auto const& record : content.records_)
     {
@@ -148,6 +152,10 @@
             {
                 incarnations[id] = *record.value_;
             }
+            else if (record.key_.rfind(foreign_lease_prefix, 0) == 0)
+            {
+                foreign_leases[id] = *record.value_;
+            }
             else if (record.key_.rfind(vm_order_prefix, 0) == 0)
             {
                 fleet_.restore_order(vm_id{id}, *record.value_, now);
@@ -198,7 +206,10 @@
                  { cell_.restore_lost_runs(job, text, now); });
     restore_each(incarnation_prefix, incarnations,
                  [&](std::string const& worker, std::string const& start)
-                 { cell_.restore_incarnation(worker, start); });
+                 { cell_.restore_incarnation(worker, start, now); });
+    restore_each(foreign_lease_prefix, foreign_leases,
+                 [&](std::string const& worker, std::string const& text)
+                 { cell_.restore_foreign_lease(worker, text, now); });
     environment_.log_.write(
         "cell_loaded",
         {{"epoch", std::to_string(record_.epoch_)},
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -181,6 +181,7 @@
     cell_options options;
     options.min_stall_timeout_ = std::chrono::seconds{60};
     options.max_job_memory_ = max_job_memory_;
+    options.longest_lease_ = max_lease_;
     cell_ = std::make_unique<cell>(options, now_);
     cell_->set_config(config_);
     for (auto const& job : stored_jobs_)
@@ -220,9 +221,13 @@
     {
         if (!start.second.empty())
         {
-            cell_->restore_incarnation(start.first, start.second);
+            cell_->restore_incarnation(start.first, start.second, now_);
         }
     }
+    for (auto const& lease : stored_texts_[record_kind::foreign_lease])
+    {
+        cell_->restore_foreign_lease(lease.first, lease.second, now_);
+    }
     if (has_entries_)
     {
         list_workers();
@@ -560,6 +565,7 @@
     case record_kind::losses:
     case record_kind::policy:
     case record_kind::incarnation:
+    case record_kind::foreign_lease:
         set(stored_texts_[record.kind_], record.text_);
         return;
     }
