cell: Keep tasks that an unconfirmed worker may begin

Cause: a start that was sent before the restart was seen carries the former token and clock. The owner knew of the restart by the registration, and still released the task when the lease of the incarnation before had lapsed.

Change: a worker that may have restarted is unconfirmed until it answers. A task that no report of it has listed stays there until no order can arrive any more and the longest lease by such an order has ended. Tasks that were reported ended with their incarnation and are released as before.

Ruled out: keeping all tasks of the worker (those that ran there are known to have ended, and would wait for nothing).

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -497,10 +497,13 @@
     /// Adds the worker's incarnation to the next batch, or deletes it there if
     /// it is unknown.
     void store_incarnation(worker_state& worker);
-    /// Whether an order of before may reach the worker's present incarnation,
-    /// or have reached it, that requests a lease by another one's clock.
-    bool may_get_foreign_lease(worker_state const& worker,
-                               time_point now) const;
+    /// Until when an order may arrive that was computed by the clock of an
+    /// earlier incarnation, unless the worker's present one has answered.
+    time_point last_foreign_order(worker_state const& worker) const;
+    /// The tasks of an unconfirmed worker that the next incarnation may run, by
+    /// orders for the one before.
+    std::set<task_id> tasks_of_successor(worker_state const& worker,
+                                         time_point now);
     /// Adds the worker's `foreign_lease_until_` to the next batch, or deletes
     /// it there if there is none.
     void store_foreign_lease(worker_state& worker);
@@ -566,6 +569,9 @@
                    char const* cause);
     /// Sends the stops that are new or were not acknowledged in time.
     void repeat_stops(time_point now);
+    /// Releases the tasks of a worker whose lease lapsed without an answer,
+    /// except those that its next incarnation may run.
+    void drop_lapsed_tasks(worker_state& worker, time_point now);
     /// Releases the tasks of workers whose leases lapsed without an answer, and
     /// removes workers that are gone.
     void drop_lapsed_workers(time_point now);
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -41,6 +41,7 @@
                   " born=" + describe(worker.incarnation_start_) +
                   describe_lease(worker, now));
     worker.fenced_ = false;
+    worker.is_unconfirmed_ = true;
     // Requests with a lower token may still arrive. An incarnation that answers
     // refuses them from then on.
     worker.token_offset_ = ++token_offset_;
@@ -57,8 +58,7 @@
     bool const has_predecessor =
         has_answered || worker.incarnation_start_ != calendar_time{};
     bool const has_foreign_lease =
-        has_predecessor &&
-        (!has_answered || may_get_foreign_lease(worker, now));
+        has_predecessor && (!has_answered || now <= last_foreign_order(worker));
     if (has_predecessor)
     {
         log_event("worker_restarted", worker.entry_.id_,
@@ -89,11 +89,32 @@
     store_foreign_lease(worker);
 }
 
-bool cell::may_get_foreign_lease(worker_state const& worker,
-                                 time_point now) const
+time_point cell::last_foreign_order(worker_state const& worker) const
 {
-    return now <= std::max(worker.lease_requested_at_, takeover_time_) +
-                      options_.max_late_call_;
+    return std::max(worker.lease_requested_at_, takeover_time_) +
+           options_.max_late_call_;
+}
+
+std::set<task_id> cell::tasks_of_successor(worker_state const& worker,
+                                           time_point now)
+{
+    std::set<task_id> tasks;
+    if (!worker.is_unconfirmed_ ||
+        now > longest_lease_end(last_foreign_order(worker)))
+    {
+        return tasks;
+    }
+    for (auto const& task : worker.tasks_)
+    {
+        auto const at = find(task);
+        // A run that was reported has ended with its incarnation.
+        if (at && at.task_->phase_ != task_phase::placed &&
+            at.task_->reported_at_ == time_point{})
+        {
+            tasks.insert(task);
+        }
+    }
+    return tasks;
 }
 
 void cell::store_foreign_lease(worker_state& worker)
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -290,6 +290,7 @@
     if (!worker.fenced_)
     {
         worker.fenced_ = true;
+        worker.is_unconfirmed_ = false;
         worker.predecessor_drained_ = false;
         // From now on the worker refuses leases of earlier owners and those by
         // another incarnation's clock; the last one that it accepted ends by
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -90,6 +90,40 @@
     }
 }
 
+void cell::drop_lapsed_tasks(worker_state& worker, time_point now)
+{
+    auto const kept = tasks_of_successor(worker, now);
+    for (auto const& task : kept)
+    {
+        worker.tasks_.erase(task);
+    }
+    if (!worker.tasks_.empty())
+    {
+        log_event("worker_lapsed", worker.entry_.id_,
+                  "tasks=" + std::to_string(worker.tasks_.size()) +
+                      " kept=" + std::to_string(kept.size()) +
+                      describe_lease(worker, now));
+        if (worker.entry_.address_.empty())
+        {
+            // Known from an earlier owner's records alone: nothing will show
+            // how it was lost.
+            count_crash(worker, false, now);
+        }
+        else
+        {
+            record_loss(worker, now);
+        }
+        for (auto const& run : count_lost_runs(worker, now))
+        {
+            worker.lapsed_runs_.insert(run);
+            store_lost_runs(*find(run.first).job_, run.first);
+        }
+        worker.lost_at_ = now;
+        release_all(worker, now);
+    }
+    worker.tasks_ = kept;
+}
+
 void cell::drop_lapsed_workers(time_point now)
 {
     for (auto position = workers_.begin(); position != workers_.end();)
@@ -99,26 +133,7 @@
                             worker.entry_.address_.empty() || worker.unlisted_;
         if (silent && now > runs_end_by(worker) && !worker.tasks_.empty())
         {
-            log_event("worker_lapsed", worker.entry_.id_,
-                      "tasks=" + std::to_string(worker.tasks_.size()) +
-                          describe_lease(worker, now));
-            if (worker.entry_.address_.empty())
-            {
-                // Known from an earlier owner's records alone: nothing will
-                // show how it was lost.
-                count_crash(worker, false, now);
-            }
-            else
-            {
-                record_loss(worker, now);
-            }
-            for (auto const& run : count_lost_runs(worker, now))
-            {
-                worker.lapsed_runs_.insert(run);
-                store_lost_runs(*find(run.first).job_, run.first);
-            }
-            worker.lost_at_ = now;
-            release_all(worker, now);
+            drop_lapsed_tasks(worker, now);
         }
         if (now - worker.lost_at_ > max_loss_age)
         {
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -110,6 +110,8 @@
     /// The incarnation has answered a request with the worker's present token,
     /// so that it refuses requests with lower ones.
     bool fenced_ = false;
+    /// Another incarnation may run under the id, and none has answered since.
+    bool is_unconfirmed_ = false;
     /// The incarnation before had announced its end.
     bool predecessor_drained_ = false;
     /// When the owner learned of the incarnation.
