cell: Keep a task until its start under way has ended

Cause: the first answer of a restarted worker proves that it refuses starts for the incarnation before, so that their tasks were started elsewhere at once. A start that is still under way is accepted if the worker restarts once more before it arrives: the second incarnation has seen no token.

Change: while the owner waits for the answer to a start, its task stays with the worker. The call ends within its timeout, and the next report decides.

--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -427,6 +427,7 @@
     }
     at.task_->phase_ = task_phase::starting;
     at.task_->own_start_ = true;
+    at.task_->start_in_flight_ = true;
     at.task_->start_sent_ = now;
     at.task_->started_ = now;
     at.task_->progressed_at_ = now;
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -518,6 +518,11 @@
         return;
     case task_phase::unresolved:
     case task_phase::stopping:
+        if (state.start_in_flight_)
+        {
+            // The worker refuses it, but not if it restarts once more.
+            return;
+        }
         // The task is not running and cannot start later: the worker refuses
         // starts of an earlier epoch, and a start of this epoch once it has
         // accepted the stop of that run.
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -103,6 +103,7 @@
     at.task_->stop_accepted_ = false;
     at.task_->stop_sent_ = {};
     at.task_->own_start_ = false;
+    at.task_->start_in_flight_ = false;
     at.task_->start_sent_ = {};
     at.task_->started_ = {};
     at.task_->reported_at_ = {};
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -396,9 +396,19 @@
 {
     auto const found = workers_.find(name);
     auto const at = find(task);
-    bool const current = found != workers_.end() && at &&
-                         at.task_->worker_ == name && at.task_->run_ == run &&
-                         at.task_->phase_ == task_phase::starting;
+    bool const is_present_run = found != workers_.end() && at &&
+                                at.task_->worker_ == name &&
+                                at.task_->run_ == run;
+    bool const current =
+        is_present_run && at.task_->phase_ == task_phase::starting;
+    if (is_present_run)
+    {
+        at.task_->start_in_flight_ = false;
+        if (at.task_->phase_ == task_phase::unresolved)
+        {
+            found->second.next_renewal_ = now;
+        }
+    }
     bool const is_mismatch = outcome == call_outcome::incarnation_mismatch &&
                              found != workers_.end() && found->second.fenced_;
     if (is_mismatch)
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -88,6 +88,8 @@
     bool stop_accepted_ = false;
     time_point stop_sent_{};
     time_point stop_accepted_at_{};
+    /// This owner waits for the answer to the start.
+    bool start_in_flight_ = false;
     /// When this owner sent the start; unset for runs of earlier owners.
     time_point start_sent_{};
     time_point started_{};
