cell: Query a restored worker whose entry shows a restart

Cause: the first entry that a new owner reads of a worker was compared with an earlier entry alone, and it has none. The stored incarnation, on which the worker's tasks were started, was left out, so that the worker wasn't unconfirmed and its tasks were released 8 s after the takeover.

Change: the entry is compared with what the worker is known to run on, from records too. The test world now lists the registrations that the store has at a takeover and repeats none: the repetition had hidden the fault.

--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -15,17 +15,21 @@
 {
     constexpr calendar_time unknown{};
     auto const start = entry.incarnation_start_;
-    if (start == unknown || worker.entry_.address_.empty())
+    auto const known = worker.incarnation_start_ != unknown
+                           ? worker.incarnation_start_
+                           : worker.entry_.incarnation_start_;
+    if (start == unknown || known == unknown)
     {
         return;
     }
-    if (start != worker.entry_.incarnation_start_)
+    // A worker that is known from records alone has no entry yet.
+    auto const listed = worker.entry_.address_.empty()
+                            ? known
+                            : worker.entry_.incarnation_start_;
+    if (start != listed)
     {
         worker.incarnation_ended_ = false;
     }
-    auto const known = worker.incarnation_start_ != unknown
-                           ? worker.incarnation_start_
-                           : worker.entry_.incarnation_start_;
     if (start != known)
     {
         worker.predecessor_drained_ = worker.entry_.draining_;
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -64,7 +64,7 @@
 
 cell_world::cell_world(std::uint32_t seed, std::uint32_t workers,
                        restart_ids ids, milliseconds max_lease)
-    : random_(seed), ids_(ids), max_lease_(max_lease),
+    : random_(seed), ids_(ids), max_lease_(max_lease), registered_(workers),
       previous_entries_(workers)
 {
     config_.version_ = 1;
@@ -80,6 +80,7 @@
     for (std::uint32_t i = 0; i < workers; ++i)
     {
         workers_.push_back(make_worker(i));
+        registered_[i] = workers_[i]->entry_;
     }
     take_over();
 }
@@ -237,12 +238,22 @@
 
 void cell_world::list_workers()
 {
-    for (auto const& worker : workers_)
+    for (std::uint32_t i = 0; i < worker_count(); ++i)
     {
-        cell_->on_worker_listed(worker->entry_, now_);
+        auto const& present = workers_[i]->entry_;
+        bool const is_registered =
+            ids_ == restart_ids::changed ||
+            registered_[i].incarnation_start_ == present.incarnation_start_;
+        cell_->on_worker_listed(is_registered ? present : registered_[i], now_);
     }
 }
 
+void cell_world::register_worker(std::uint32_t number)
+{
+    registered_[number] = workers_[number]->entry_;
+    cell_->on_worker_listed(registered_[number], now_);
+}
+
 void cell_world::crash(std::uint32_t worker)
 {
     auto const old = workers_[worker]->entry_.id_;
@@ -252,8 +263,8 @@
     workers_[worker] = make_worker(worker);
     workers_[worker]->disconnected_ = was_cut;
     // The store lists the earlier incarnation until its entry expires.
-    schedule(now_ + registration_delay_, [this, worker]
-             { cell_->on_worker_listed(workers_[worker]->entry_, now_); });
+    schedule(now_ + registration_delay_,
+             [this, worker] { register_worker(worker); });
     if (old != workers_[worker]->entry_.id_)
     {
         schedule(now_ + milliseconds{4500},
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -288,6 +288,8 @@
     fake_worker* find(std::string const& id);
     worker_registration entry(std::uint32_t number) const;
     std::unique_ptr<fake_worker> make_worker(std::uint32_t number) const;
+    /// The store gets the entry of a worker that has started again.
+    void register_worker(std::uint32_t number);
 
     std::mt19937 random_;
     time_point now_{std::chrono::seconds{1000}};
@@ -300,6 +302,8 @@
     restart_ids ids_;
     std::chrono::milliseconds max_lease_;
     std::vector<std::uint32_t> incarnations_;
+    /// The registrations that the store has, if ids are kept.
+    std::vector<worker_registration> registered_;
     /// The registrations of the previous incarnations.
     std::vector<worker_registration> previous_entries_;
     std::multimap<time_point, std::function<void()>> events_;
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -17,6 +17,9 @@
 constexpr std::uint32_t worker_count = 4;
 /// The platform's bound on a lease; longer than the owner's own leases.
 constexpr auto platform_lease = 10'000ms;
+/// Before the first restart, so that the clock of the incarnation before is
+/// ahead of the next one's by more than any lease.
+constexpr auto time_before = 20'000ms;
 /// Longer than the owner's lease, so that the run outlasts it.
 constexpr auto long_run = 8000ms;
 /// Until the runs behind a network partition have ended and all is settled.
@@ -175,6 +178,7 @@
     {"executed at the last moment", 11'900ms, 20ms, false},
     {"registered late", 5000ms, 900ms, false},
     {"under a new owner", 5000ms, 20ms, true},
+    {"registered before the new owner", 5000ms, 5ms, true},
 };
 
 /// A worker that is cut off where no order for another incarnation can be.
@@ -303,7 +307,7 @@
     {
         CAPTURE(std::string(each.name_));
         auto world = make_world(1);
-        world.run_for(5000ms);
+        world.run_for(time_before);
         each.prepare_(world);
         cut_busy_workers(world);
         world.run_for(9000ms);
@@ -322,7 +326,7 @@
     {
         CAPTURE(std::string(each.name_));
         auto world = make_world(1);
-        world.run_for(5000ms);
+        world.run_for(time_before);
         world.registration_delay_ = each.registration_delay_;
         world.start_delay_ = each.start_delay_;
         submit_long_job(world);
@@ -336,7 +340,7 @@
             if (!known->second.tasks_.empty())
             {
                 world.crash_for(i, 0ms);
-                world.run_for(10ms);
+                world.run_for(20ms);
                 world.cut(i, true);
             }
         }
@@ -360,7 +364,7 @@
     {
         CAPTURE(std::string(each.name_));
         auto world = make_world(1);
-        world.run_for(20'000ms);
+        world.run_for(time_before);
         each.prepare_(world);
         world.run_for(500ms);
         auto const runs = world.runs_of("a") + world.runs_of("b");
