cell: Remember a worker while its id may return

A task could run twice at once on a worker whose entry had expired and that came back under its id.

Cause: a worker without tasks was forgotten once its lease had lapsed, with the incarnation, the time of the last lease request and the token. Late orders for it passed as those of today when it returned, and its lease was taken for one of 3 s.

Change: where the platform states incarnations, a worker is remembered until no order for it can arrive; that includes the time of an earlier owner's last confirmation. The token rises whenever a worker is forgotten, as its comment says.

Evidence: "a worker that returns under its id refuses orders of before" failed before (a lease of 10 s, TWICE at once) and passes. The cases of leases by another clock now check that such a lease was granted, and the test's workers take the lease of a start that they refuse as old, as the platform does.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -465,6 +465,8 @@
     /// Ends the incarnations that were on the worker's VM before: a VM runs one
     /// at a time, and this one answers.
     void end_earlier_incarnations(worker_state const& worker, time_point now);
+    /// Whether nothing is lost with an unlisted worker that has no tasks.
+    bool may_be_forgotten(worker_state const& worker, time_point now) const;
     /// Removes a worker from `workers_` and its index.
     std::map<std::string, worker_state>::iterator
     erase_worker(std::map<std::string, worker_state>::iterator position);
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -95,7 +95,9 @@
 
 time_point cell::last_foreign_order(worker_state const& worker) const
 {
-    return std::max(worker.lease_requested_at_, takeover_time_) +
+    // An earlier owner may send orders until its confirmation is too old.
+    return std::max(worker.lease_requested_at_,
+                    takeover_time_ + options_.confirmation_limit_) +
            options_.max_late_call_;
 }
 
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -148,10 +148,10 @@
                 settle_lapsed_runs(worker);
             }
         }
-        bool const removable =
-            worker.unlisted_ && worker.tasks_.empty() &&
-            worker.lost_runs_.empty() && worker.lapsed_runs_.empty() &&
-            now > worker.lease_expires_at_ && !worker.renewal_in_flight_;
+        bool const removable = worker.unlisted_ && worker.tasks_.empty() &&
+                               worker.lost_runs_.empty() &&
+                               worker.lapsed_runs_.empty() &&
+                               may_be_forgotten(worker, now);
         position = removable ? erase_worker(position) : std::next(position);
     }
 }
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -146,6 +146,7 @@
 cell::erase_worker(std::map<std::string, worker_state>::iterator position)
 {
     auto& worker = position->second;
+    ++token_offset_;
     forget_reported_ends(position->first);
     tickets_.erase_worker(position->first);
     worker.incarnation_start_ = {};
@@ -202,12 +203,21 @@
     log_event("worker_gone", name,
               "tasks=" + std::to_string(worker.tasks_.size()));
     if (worker.tasks_.empty() && worker.lost_runs_.empty() &&
-        worker.lapsed_runs_.empty() && worker.lease_expires_at_ <= now)
+        worker.lapsed_runs_.empty() && may_be_forgotten(worker, now))
     {
         erase_worker(found);
     }
 }
 
+bool cell::may_be_forgotten(worker_state const& worker, time_point now) const
+{
+    // Its id may return while orders for this incarnation are under way.
+    bool const may_return = worker.incarnation_start_ != calendar_time{} ||
+                            worker.entry_.incarnation_start_ != calendar_time{};
+    return now > worker.lease_expires_at_ && !worker.renewal_in_flight_ &&
+           (!may_return || now > last_foreign_order(worker));
+}
+
 void cell::reserve(vm_id const& vm)
 {
     auto const reservation = reserved_.emplace(vm, time_point::max()).first;
--- a/tests/kernel/cell/fake_worker.cpp
+++ b/tests/kernel/cell/fake_worker.cpp
@@ -80,12 +80,12 @@
     {
         return call_outcome::too_late;
     }
+    extend(order.lease_until_, now);
     auto const ended = ended_runs_.find(order.task_);
     if (ended != ended_runs_.end() && order.run_ <= ended->second)
     {
         return call_outcome::run_too_old;
     }
-    extend(order.lease_until_, now);
     planned.number_ = order.run_;
     running_.emplace(order.task_, planned);
     return call_outcome::accepted;
--- a/tests/kernel/cell/fake_worker.hpp
+++ b/tests/kernel/cell/fake_worker.hpp
@@ -35,8 +35,14 @@
 
     /// The worker's own clock at that time.
     worker_clock clock(time_point now) const;
+    /// How long its lease lasts from that time on, if it is not extended.
+    worker_clock lease_left(time_point now) const
+    {
+        return lease_ - clock(now);
+    }
     /// Starts `planned` with the run number of `order`; a task that is running
-    /// keeps its present run.
+    /// keeps its present run. The lease is also taken from a start that is
+    /// refused as `run_too_old`.
     /// @return `fenced`, `too_late` or `run_too_old` if the token, the lease or
     ///         the run number is out of date
     call_outcome start(std::uint64_t token, start_run const& order, run planned,
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -17,6 +17,7 @@
 constexpr std::uint32_t worker_count = 4;
 /// The platform's bound on a lease; longer than the owner's own leases.
 constexpr auto platform_lease = 10'000ms;
+constexpr auto owner_lease = 3000ms;
 /// Before the first restart, so that the clock of the incarnation before is
 /// ahead of the next one's by more than any lease.
 constexpr auto time_before = 20'000ms;
@@ -53,6 +54,21 @@
     }
 }
 
+/// Of the workers that run tasks.
+worker_clock longest_lease_left(cell_world& world)
+{
+    worker_clock longest{0};
+    for (std::uint32_t i = 0; i < worker_count; ++i)
+    {
+        if (!world.worker(i).running_.empty())
+        {
+            longest =
+                std::max(longest, world.worker(i).lease_left(world.now()));
+        }
+    }
+    return longest;
+}
+
 void connect_all(cell_world& world)
 {
     for (std::uint32_t i = 0; i < worker_count; ++i)
@@ -309,6 +325,7 @@
         auto world = make_world(1);
         world.run_for(time_before);
         each.prepare_(world);
+        CHECK(longest_lease_left(world) > owner_lease);
         cut_busy_workers(world);
         world.run_for(9000ms);
         connect_all(world);
@@ -375,6 +392,40 @@
     }
 }
 
+// Guards against a lease by the clock of before on a worker whose entry expired
+// in between, so that the owner had forgotten it.
+TEST_CASE("a worker that returns under its id refuses orders of before")
+{
+    auto world = make_world(1);
+    world.registration_delay_ = 20ms;
+    world.run_for(time_before);
+    world.submit("b", {cell_world::make_step(1, 9000, 100ms)});
+    world.run_for(50ms);
+    // A renewal is executed late, and all is settled without it.
+    world.renewal_delay_ = 7000ms;
+    world.run_for(40ms);
+    world.renewal_delay_ = 0ms;
+    world.run_for(1000ms);
+    REQUIRE(world.status("b") == job_status::completed);
+    for (std::uint32_t i = 0; i < worker_count; ++i)
+    {
+        world.crash_for(i, 4000ms);
+        world.owner().on_worker_unlisted(world.worker(i).entry_.id_,
+                                         world.now());
+    }
+    world.run_for(4500ms);
+    submit_long_job(world);
+    world.run_for(2000ms);
+    REQUIRE(world.running_tasks("a") == 1);
+    CHECK(longest_lease_left(world) <= owner_lease);
+    cut_busy_workers(world);
+    world.run_for(9000ms);
+    connect_all(world);
+    world.run_for(settling_time);
+    CHECK(world.violations() == "");
+    CHECK(world.status("a") == job_status::completed);
+}
+
 TEST_CASE("restarts and cuts of workers, group 0")
 {
     check_patterns(0);
