cell: Trust a stored lease only for the stored incarnation

After a program without such leases had owned the cell, a new owner could take a worker for restarted that had not been, and count crashes.

Cause: older programs skip the record of a lease by another clock, so that it may be of an incarnation before the stored one. It was kept until the worker stated a later clock, which an idle one never does.

Change: the lease is taken over only if it names the stored incarnation, which is stored with it. Its record is deleted once the lease has ended by the owner's computation, too.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -510,7 +510,7 @@
     /// it there if there is none.
     void store_foreign_lease(worker_state& worker);
     /// Forgets a lease by another clock that has ended.
-    void drop_foreign_lease(worker_state& worker);
+    void drop_foreign_lease(worker_state& worker, time_point now);
 
     // cell_renewals.cpp
     /// Computes the end of a new lease on the worker's clock, and extends
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -134,6 +134,8 @@
         record.text_ = encode(foreign_lease{worker.incarnation_start_,
                                             worker.foreign_lease_until_});
         append_record(std::move(record));
+        // A new owner takes the lease only if both records agree.
+        store_incarnation(worker);
     }
     else if (worker.has_lease_record_)
     {
@@ -142,10 +144,12 @@
     worker.has_lease_record_ = has_lease;
 }
 
-void cell::drop_foreign_lease(worker_state& worker)
+void cell::drop_foreign_lease(worker_state& worker, time_point now)
 {
-    if (worker.foreign_lease_until_ != worker_clock{0} &&
-        worker.clock_ >= worker.foreign_lease_until_)
+    // An idle worker states no clock.
+    bool const has_ended = worker.clock_ >= worker.foreign_lease_until_ ||
+                           now > worker.lease_expires_at_;
+    if (worker.has_lease_record_ && worker.fenced_ && has_ended)
     {
         worker.foreign_lease_until_ = worker_clock{0};
         store_foreign_lease(worker);
@@ -157,9 +161,16 @@
 {
     auto const lease = decode_foreign_lease(text);
     auto& worker = ensure_worker(name, now);
-    worker.incarnation_start_ = lease.incarnation_start_;
-    worker.foreign_lease_until_ = lease.until_;
     worker.has_lease_record_ = true;
+    // If the records differ, the other one is newer and of a program that knows
+    // no such leases.
+    constexpr calendar_time unknown{};
+    if (worker.stored_start_ == unknown ||
+        worker.stored_start_ == lease.incarnation_start_)
+    {
+        worker.incarnation_start_ = lease.incarnation_start_;
+        worker.foreign_lease_until_ = lease.until_;
+    }
     worker.lease_expires_at_ =
         std::max(worker.lease_expires_at_, longest_lease_end(takeover_time_));
 }
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -281,7 +281,6 @@
     forget_losses(worker);
     forgive_lapsed_runs(worker);
     update_clock(worker, report.clock_, now);
-    drop_foreign_lease(worker);
     if (!extra)
     {
         worker.acknowledged_ =
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -135,6 +135,7 @@
         {
             drop_lapsed_tasks(worker, now);
         }
+        drop_foreign_lease(worker, now);
         if (now - worker.lost_at_ > max_loss_age)
         {
             if (!worker.lost_runs_.empty())
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -142,6 +142,12 @@
     /// The stored records of that kind that hold a text, by name.
     std::map<std::string, std::string> stored_texts(record_kind kind) const;
 
+    /// Replaces a stored record, as another program may have written it.
+    void store_text(record_kind kind, std::string const& name, std::string text)
+    {
+        stored_texts_[kind][name] = std::move(text);
+    }
+
     faults faults_;
     bool store_down_ = false;
     /// Of later owners, in bytes: see `cell_options`.
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -1,4 +1,5 @@
 #include "kernel/cell/cell_world.hpp"
+#include "kernel/cell/foreign_lease.hpp"
 
 #include <doctest/doctest.h>
 
@@ -426,6 +427,41 @@
     CHECK(world.status("a") == job_status::completed);
 }
 
+// Guards against crashes that a new owner counts, since a program without such
+// leases has left the record of an earlier incarnation.
+TEST_CASE("a stored lease of an earlier incarnation is ignored and deleted")
+{
+    auto world = make_world(1);
+    world.run_for(time_before);
+    submit_long_job(world);
+    world.run_for(500ms);
+    auto const incarnations = world.stored_texts(record_kind::incarnation);
+    REQUIRE(incarnations.size() == 1);
+    auto const& worker = incarnations.begin()->first;
+    world.store_text(record_kind::foreign_lease, worker,
+                     encode(foreign_lease{calendar_time{}, 999'999'999ms}));
+    world.take_over();
+    world.run_for(2000ms);
+    CHECK(world.logged_["worker_restarted"].empty());
+    CHECK(world.stored_texts(record_kind::foreign_lease).empty());
+    CHECK(world.violations() == "");
+}
+
+TEST_CASE("a stored lease is deleted once it has ended")
+{
+    auto world = make_world(1);
+    world.registration_delay_ = 100ms;
+    world.run_for(time_before);
+    restart_all(world);
+    submit_long_job(world);
+    world.run_for(1000ms);
+    CHECK(world.stored_texts(record_kind::foreign_lease).size() == 1);
+    world.submit("b", {cell_world::make_step(1, 9000, 2 * long_run)});
+    world.run_for(2 * platform_lease);
+    CHECK(world.stored_texts(record_kind::foreign_lease).empty());
+    CHECK(world.violations() == "");
+}
+
 TEST_CASE("restarts and cuts of workers, group 0")
 {
     check_patterns(0);
