cell: Judge a lost worker by all of its runs

Cause: tasks that stay with an unconfirmed worker were taken out of its set while the loss was judged, so that the youngest runs were missing there and an older one was suspected of the crash instead.

Change: the loss is judged by all runs, as before the tasks could stay; only the release leaves them out. Runs that turn out to live are forgiven by the worker's answer, as others are.

Evidence: by reading; the histories of kernel_restart_lease_test pass.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -459,7 +459,9 @@
     void update_clock(worker_state& worker, worker_clock clock, time_point now);
     /// Releases all tasks of a worker on which no run of this cell can exist
     /// any more.
-    void release_all(worker_state& worker, time_point now);
+    /// @param kept tasks that stay
+    void release_all(worker_state& worker, time_point now,
+                     std::set<task_id> const& kept = {});
     void end_incarnation(worker_state& worker, char const* cause,
                          time_point now);
     /// Ends the incarnations that were on the worker's VM before: a VM runs one
@@ -504,8 +506,7 @@
     time_point last_foreign_order(worker_state const& worker) const;
     /// The tasks of an unconfirmed worker that the next incarnation may run, by
     /// orders for the one before.
-    std::set<task_id> tasks_of_successor(worker_state const& worker,
-                                         time_point now);
+    std::set<task_id> tasks_to_keep(worker_state const& worker, time_point now);
     /// Adds the worker's `foreign_lease_until_` to the next batch, or deletes
     /// it there if there is none.
     void store_foreign_lease(worker_state& worker);
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -101,8 +101,8 @@
            options_.max_late_call_;
 }
 
-std::set<task_id> cell::tasks_of_successor(worker_state const& worker,
-                                           time_point now)
+std::set<task_id> cell::tasks_to_keep(worker_state const& worker,
+                                      time_point now)
 {
     std::set<task_id> tasks;
     if (!worker.is_unconfirmed_ ||
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -92,36 +92,31 @@
 
 void cell::drop_lapsed_tasks(worker_state& worker, time_point now)
 {
-    auto const kept = tasks_of_successor(worker, now);
-    for (auto const& task : kept)
+    auto const kept = tasks_to_keep(worker, now);
+    if (kept.size() == worker.tasks_.size())
     {
-        worker.tasks_.erase(task);
+        return;
     }
-    if (!worker.tasks_.empty())
+    log_event("worker_lapsed", worker.entry_.id_,
+              "tasks=" + std::to_string(worker.tasks_.size()) + " kept=" +
+                  std::to_string(kept.size()) + describe_lease(worker, now));
+    if (worker.entry_.address_.empty())
     {
-        log_event("worker_lapsed", worker.entry_.id_,
-                  "tasks=" + std::to_string(worker.tasks_.size()) +
-                      " kept=" + std::to_string(kept.size()) +
-                      describe_lease(worker, now));
-        if (worker.entry_.address_.empty())
-        {
-            // Known from an earlier owner's records alone: nothing will show
-            // how it was lost.
-            count_crash(worker, false, now);
-        }
-        else
-        {
-            record_loss(worker, now);
-        }
-        for (auto const& run : count_lost_runs(worker, now))
-        {
-            worker.lapsed_runs_.insert(run);
-            store_lost_runs(*find(run.first).job_, run.first);
-        }
-        worker.lost_at_ = now;
-        release_all(worker, now);
+        // Known from an earlier owner's records alone: nothing will show how it
+        // was lost.
+        count_crash(worker, false, now);
+    }
+    else
+    {
+        record_loss(worker, now);
+    }
+    for (auto const& run : count_lost_runs(worker, now))
+    {
+        worker.lapsed_runs_.insert(run);
+        store_lost_runs(*find(run.first).job_, run.first);
     }
-    worker.tasks_ = kept;
+    worker.lost_at_ = now;
+    release_all(worker, now, kept);
 }
 
 void cell::drop_lapsed_workers(time_point now)
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -351,13 +351,14 @@
     worker.answered_ = now;
 }
 
-void cell::release_all(worker_state& worker, time_point now)
+void cell::release_all(worker_state& worker, time_point now,
+                       std::set<task_id> const& kept)
 {
     auto const tasks = worker.tasks_;
     for (auto const& task : tasks)
     {
         auto const at = find(task);
-        if (at)
+        if (at && kept.count(task) == 0)
         {
             log_loss(task, at, worker);
             release(task, at, now);
@@ -367,7 +368,7 @@
             }
         }
     }
-    worker.tasks_.clear();
+    worker.tasks_ = kept;
     worker.orphaned_runs_.clear();
     worker.lease_expires_at_ = now;
 }
