cell: Hold a task until its orphaned run's latest lease ends

A task ran twice at once for some tenths of a second after the worker of its orphaned run had been cut off.

Cause: the end of the lease was copied to the task at each report. The next renewal extends the orphaned run's lease as well, and if its worker was cut off before it answered, the task was started by the copy. The copy also left out that an answer after the computed end shows a longer lease.

Change: each renewal of a worker sets the end for the tasks of its orphaned runs anew, by the same rule as for its own tasks.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -536,6 +536,9 @@
     /// @param asked when the report was requested
     void reconcile(worker_state& worker, worker_report const& report,
                    bool lists_all_ends, time_point asked, time_point now);
+    /// Keeps the tasks of the worker's orphaned runs from being started until
+    /// these have ended.
+    void hold_orphaned_tasks(worker_state const& worker);
     /// Removes the orphaned runs that the worker has no more.
     /// @param previous those that were known before the report
     void reconcile_orphans(worker_state& worker,
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -60,9 +60,22 @@
     worker.lease_expires_at_ = std::max(worker.lease_expires_at_, lapse);
     worker.leased_until_ = std::max(worker.leased_until_, until);
     worker.lease_requested_at_ = now;
+    hold_orphaned_tasks(worker);
     return until;
 }
 
+void cell::hold_orphaned_tasks(worker_state const& worker)
+{
+    for (auto const& orphan : worker.orphaned_runs_)
+    {
+        auto const at = find(orphan.first);
+        if (at)
+        {
+            at.task_->orphan_ends_by_ = runs_end_by(worker);
+        }
+    }
+}
+
 std::string cell::describe_lease(worker_state const& worker, time_point now)
 {
     auto const in_milliseconds = [](duration time)
@@ -362,12 +375,11 @@
         bool const gone =
             is_gone(worker, orphan.missing_since_, lists_all_ends, now);
         auto const at = find(each.first);
-        if (at)
+        if (at && gone)
         {
-            at.task_->orphan_ends_by_ =
-                gone ? time_point{} : worker.lease_expires_at_;
-            placement_due_ = true;
+            at.task_->orphan_ends_by_ = {};
         }
+        placement_due_ = true;
         if (!gone)
         {
             worker.orphaned_runs_.emplace(each.first, orphan);
@@ -392,13 +404,10 @@
         else
         {
             worker.orphaned_runs_[running.task_] = {running.run_, {}};
-            if (at)
-            {
-                at.task_->orphan_ends_by_ = worker.lease_expires_at_;
-            }
         }
     }
     reconcile_orphans(worker, previous, lists_all_ends, now);
+    hold_orphaned_tasks(worker);
     auto const tasks = worker.tasks_;
     for (auto const& task : tasks)
     {
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -393,6 +393,37 @@
     }
 }
 
+// Guards against a second run beside an orphaned one whose lease was renewed
+// just before a network partition.
+TEST_CASE("a task waits for its orphaned run until the latest lease has ended")
+{
+    for (auto cut_at = 0ms; cut_at < 600ms; cut_at += 10ms)
+    {
+        CAPTURE(cut_at.count());
+        cell_world world(1, 2, cell_world::restart_ids::kept);
+        world.registration_delay_ = 20ms;
+        world.run_for(50ms);
+        world.entries_stale_ = true;
+        world.run_for(2000ms);
+        submit_long_job(world);
+        world.run_for(100ms);
+        REQUIRE(world.runs_of("a") == 0);
+        world.faults_.stops_lost_ = 100;
+        world.crash_for(0, 0ms);
+        world.run_for(10ms);
+        // As a start of before that is carried out late.
+        world.force_start(0, {job_id{"a"}, 0, 0, 0}, long_run);
+        world.run_for(100ms);
+        world.entries_stale_ = false;
+        world.renewal_delay_ = 250ms;
+        world.run_for(1000ms + cut_at);
+        world.cut(0, true);
+        world.run_for(5000ms);
+        CHECK(world.violations() == "");
+        CHECK(world.runs_of("a") == 2);
+    }
+}
+
 // Guards against a lease by the clock of before on a worker whose entry expired
 // in between, so that the owner had forgotten it.
 TEST_CASE("a worker that returns under its id refuses orders of before")
