--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -244,9 +244,16 @@
 void play(cell_world& world, std::uint32_t seed, bool has_new_owners)
 {
     std::mt19937 random(seed);
-    world.registration_delay_ = std::chrono::milliseconds{20 + random() % 200};
+    world.registration_delay_ = std::chrono::milliseconds{5 + random() % 200};
+    auto steady = cell_world::make_step(3, 500, 0ms);
+    steady.long_running_ = true;
+    world.submit("steady", {steady});
     for (int round = 0; round < 6; ++round)
     {
+        auto gang = cell_world::make_step(
+            2, 1000, std::chrono::milliseconds{200 + random() % 4000});
+        gang.gang_ = true;
+        world.submit("gang" + std::to_string(round), {gang});
         for (int job = 0; job < 4; ++job)
         {
             world.submit(
@@ -265,7 +272,9 @@
         {
             if (random() % 2 == 0)
             {
-                world.crash_for(i, std::chrono::milliseconds{random() % 400});
+                auto const longest_down_time = random() % 4 == 0 ? 5000 : 400;
+                world.crash_for(
+                    i, std::chrono::milliseconds{random() % longest_down_time});
             }
         }
         world.submit("late" + std::to_string(round),
@@ -291,6 +300,7 @@
         connect_all(world);
         world.run_for(std::chrono::milliseconds{random() % 6000});
     }
+    world.cancel("steady");
     world.run_for(settling_time);
 }
 
