cell: Keep the size of a task's state

The flag of a start under way had taken 8 bytes a task by its place (248 bytes); beside the other flags it takes none (240, as docs/CAPACITY.md says).

--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -82,14 +82,14 @@
     /// The task was started under this owner's epoch. A worker that has
     /// received a request of this epoch refuses starts of earlier ones.
     bool own_start_ = false;
+    /// This owner waits for the answer to the start.
+    bool start_in_flight_ = false;
     /// The end of the lease that the start requested, on the worker's clock.
     /// The worker refuses a start that arrives later.
     worker_clock start_expires_at_{0};
     bool stop_accepted_ = false;
     time_point stop_sent_{};
     time_point stop_accepted_at_{};
-    /// This owner waits for the answer to the start.
-    bool start_in_flight_ = false;
     /// When this owner sent the start; unset for runs of earlier owners.
     time_point start_sent_{};
     time_point started_{};
