cell: Count work by workers that have a registration

What callers saw: refusals with objective_out_of_reach, and VMs moved to a pool without workers, for some seconds after a takeover.

Cause: the work of a pool that has no workers is counted in any worker's size, and one that is known from records alone has none: 16,000 worker-seconds instead of 1 in the test.

Change: only workers with a registration are taken for it.

Evidence: "work is counted by workers that have a registration" failed before (16000 < 2) and passes.

--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -145,11 +145,17 @@
     resource_amount any{1000, 1, 1};
     for (auto const& item : workers_)
     {
-        if (item.second.entry_.pool_ == pool)
+        auto const& entry = item.second.entry_;
+        if (entry.address_.empty())
         {
-            return item.second.entry_.size_;
+            // Known from records alone.
+            continue;
+        }
+        if (entry.pool_ == pool)
+        {
+            return entry.size_;
         }
-        any = item.second.entry_.size_;
+        any = entry.size_;
     }
     return any;
 }
--- a/tests/kernel/cell/cell_test.cpp
+++ b/tests/kernel/cell/cell_test.cpp
@@ -230,6 +230,38 @@
     CHECK(world.runs_of("third") == 0);
 }
 
+// Guards against a demand without bounds in a pool that has no workers, since
+// its work was counted by a worker that is known from records alone.
+TEST_CASE("work is counted by workers that have a registration")
+{
+    time_point const now{1000s};
+    cell owner(cell_options{}, now);
+    job_definition job;
+    job.id_ = job_id{"a"};
+    job.route_ = "queue";
+    job.pool_ = pool_name{"empty"};
+    job.steps_ = {cell_world::make_step(4, 4000, 1000ms)};
+    owner.restore(job, now);
+    owner.restore_incarnation("~", "1", now);
+    worker_registration entry;
+    entry.id_ = "w";
+    entry.address_ = "w";
+    entry.pool_ = pool_name{"other"};
+    entry.vm_ = vm_id{"vm"};
+    entry.size_ = {16'000, 65'536, 0};
+    owner.on_worker_listed(entry, now);
+    fleet_config config;
+    config.pools_[job.pool_] = {};
+    config.pools_[entry.pool_] = {};
+    owner.set_config(config);
+    owner.finish_restore(now);
+    for (auto const& load : owner.loads(now))
+    {
+        CAPTURE(load.pool_.text());
+        CHECK(load.backlog_ + load.late_backlog_ < 2);
+    }
+}
+
 TEST_CASE("an owner with stale entries of workers starts nothing")
 {
     cell_world world(1);
