--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -264,6 +264,15 @@
     {
         return jobs_;
     }
+    /// The sum of the jobs' `memory_bound()`, in bytes, and its limit.
+    std::uint64_t job_memory() const noexcept
+    {
+        return job_memory_;
+    }
+    std::uint64_t max_job_memory() const noexcept
+    {
+        return options_.max_job_memory_;
+    }
     fleet_config const& config() const noexcept
     {
         return config_;
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -88,6 +88,10 @@
     /// When the epoch was last known to be the newest: the time of `start()`,
     /// later the time at which the last successful append to the cell's
     /// partition was sent. Heartbeats do not count.
+    cell const& jobs() const noexcept
+    {
+        return cell_;
+    }
     time_point confirmed_at() const noexcept
     {
         return confirmed_at_;
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -13,6 +13,7 @@
 #include "platform/store_client.hpp"
 #include "platform/vm_client.hpp"
 #include "platform/worker_client.hpp"
+#include "transport/process_memory.hpp"
 #include "wire/cell_codec.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -146,6 +147,7 @@
                          static_cast<double>(dropped_log_lines()));
             metrics_.set("cuminfold_open_requests",
                          static_cast<double>(client_frontend_.open_requests()));
+            set_memory_metrics();
             return metrics_.write();
         };
         handler.on_rejected_ = [this](char const* cause)
@@ -156,6 +158,19 @@
         return handler;
     }
 
+    void set_memory_metrics()
+    {
+        metrics_.set("cuminfold_resident_bytes",
+                     static_cast<double>(resident_memory()));
+        // A node that owns no jobs holds none.
+        metrics_.set("cuminfold_job_memory_bytes",
+                     owner_ ? static_cast<double>(owner_->jobs().job_memory())
+                            : 0);
+        metrics_.set(
+            "cuminfold_job_memory_limit_bytes",
+            owner_ ? static_cast<double>(owner_->jobs().max_job_memory()) : 0);
+    }
+
     client_frontend_handler make_client_frontend_handler()
     {
         client_frontend_handler handler;
--- a/tests/node/node_process_test.cpp
+++ b/tests/node/node_process_test.cpp
@@ -224,6 +224,10 @@
     }
     CHECK(system.platform_.total_starts() == 36);
     auto const metrics = system.call(system.vms_[0]->peers_, "GET", "/metrics");
+    CHECK(metrics.response_.body_.find("cuminfold_job_memory_bytes") !=
+          std::string::npos);
+    CHECK(metrics.response_.body_.find("cuminfold_resident_bytes") !=
+          std::string::npos);
     CHECK(metrics.response_.body_.find("cuminfold_answers_total") !=
           std::string::npos);
     // The owner counts the starts.
