cell: Count a lost run when its task leaves the worker

Cause: when the other tasks of an unconfirmed worker were released, the runs that its next incarnation may live on were counted in their start budgets too. The answer of that incarnation settles the counts without taking them back, and a new owner counted them once more.

Change: the suspects of a crash are still judged by all runs, but a run is counted as lost only with the release of its task.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -701,10 +701,12 @@
     /// Counts the runs of finite tasks on a worker that is lost, unless its end
     /// was ordered or announced.
     /// @param survivors lists the runs that began on the next incarnation
+    /// @param kept tasks that the next incarnation may run
     /// @return the runs that were counted, by task
     std::map<task_id, std::uint32_t>
     count_lost_runs(worker_state const& worker, time_point now,
-                    worker_report const& survivors = {});
+                    worker_report const& survivors = {},
+                    std::set<task_id> const& kept = {});
     /// The runs that were released when the worker's lease lapsed have not
     /// crashed it.
     void forgive_lapsed_runs(worker_state& worker);
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -546,7 +546,8 @@
 
 std::map<task_id, std::uint32_t>
 cell::count_lost_runs(worker_state const& worker, time_point now,
-                      worker_report const& survivors)
+                      worker_report const& survivors,
+                      std::set<task_id> const& kept)
 {
     std::map<task_id, std::uint32_t> counted;
     auto const lost_at =
@@ -558,7 +559,8 @@
     for (auto const& task : worker.tasks_)
     {
         auto const at = find(task);
-        bool const counts = at && !at.shape_->long_running_ &&
+        bool const counts = at && kept.count(task) == 0 &&
+                            !at.shape_->long_running_ &&
                             at.task_->phase_ != task_phase::placed &&
                             !lists(survivors, task, at.task_->run_);
         if (counts)
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -110,7 +110,7 @@
     {
         record_loss(worker, now);
     }
-    for (auto const& run : count_lost_runs(worker, now))
+    for (auto const& run : count_lost_runs(worker, now, {}, kept))
     {
         worker.lapsed_runs_.insert(run);
         store_lost_runs(*find(run.first).job_, run.first);
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -503,6 +503,44 @@
     CHECK(world.violations() == "");
 }
 
+// Guards against a job that is given up early, since a run that the next
+// incarnation may have begun is counted as lost while its task stays.
+TEST_CASE("a run that may live is not counted as lost before its task leaves")
+{
+    for (bool const has_new_owner : {false, true})
+    {
+        CAPTURE(has_new_owner);
+        cell_world world(1, 1, cell_world::restart_ids::kept, platform_lease);
+        world.run_for(time_before);
+        world.registration_delay_ = 200ms;
+        world.submit("a", {cell_world::make_step(1, 1000, 60'000ms)});
+        world.run_for(1500ms);
+        world.start_delay_ = 100ms;
+        world.submit("b", {cell_world::make_step(1, 1000, 60'000ms)});
+        world.run_for(50ms);
+        world.crash_for(0, 0ms);
+        world.cut(0, true);
+        world.start_delay_ = 0ms;
+        world.run_for(4500ms);
+        auto const counts = world.stored_texts(record_kind::starts);
+        CHECK(counts.count("a") == 1);
+        CHECK(counts.count("b") == 0);
+        if (has_new_owner)
+        {
+            world.take_over();
+            world.run_for(30'000ms);
+            CHECK(world.stored_texts(record_kind::starts).at("b") ==
+                  world.stored_texts(record_kind::starts).at("a"));
+            continue;
+        }
+        world.cut(0, false);
+        world.run_for(1500ms);
+        CHECK(world.running_tasks("b") == 1);
+        CHECK(world.stored_texts(record_kind::starts).count("b") == 0);
+        CHECK(world.violations() == "");
+    }
+}
+
 // Guards against a job that is given up one lost run early, since a start of it
 // was refused just before a takeover: it is not covered so far.
 TEST_CASE("a start refused before a takeover is no lost run")
