cell: Hold a task until all of its orphaned runs have ended

A task with orphaned runs on two workers was started beside one of them.

Cause: the end of the orphaned runs was one value a task, set or cleared by whichever worker answered last.

Change: it is the latest end over all workers that have such a run.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -548,6 +548,8 @@
     /// Keeps the tasks of the worker's orphaned runs from being started until
     /// these have ended.
     void hold_orphaned_tasks(worker_state const& worker);
+    /// Computes until when orphaned runs of a task may last, on any worker.
+    void update_orphan_end(task_id const& task);
     /// Removes the orphaned runs that the worker has no more.
     /// @param previous those that were known before the report
     void reconcile_orphans(worker_state& worker,
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -68,12 +68,28 @@
 {
     for (auto const& orphan : worker.orphaned_runs_)
     {
-        auto const at = find(orphan.first);
-        if (at)
+        update_orphan_end(orphan.first);
+    }
+}
+
+void cell::update_orphan_end(task_id const& task)
+{
+    auto const at = find(task);
+    if (!at)
+    {
+        return;
+    }
+    // Several workers may have an orphaned run of the task.
+    at.task_->orphan_ends_by_ = {};
+    for (auto const& item : workers_)
+    {
+        if (item.second.orphaned_runs_.count(task) != 0)
         {
-            at.task_->orphan_ends_by_ = runs_end_by(worker);
+            at.task_->orphan_ends_by_ =
+                std::max(at.task_->orphan_ends_by_, runs_end_by(item.second));
         }
     }
+    placement_due_ = true;
 }
 
 std::string cell::describe_lease(worker_state const& worker, time_point now)
@@ -374,13 +390,11 @@
         auto orphan = each.second;
         bool const gone =
             is_gone(worker, orphan.missing_since_, lists_all_ends, now);
-        auto const at = find(each.first);
-        if (at && gone)
+        if (gone)
         {
-            at.task_->orphan_ends_by_ = {};
+            update_orphan_end(each.first);
         }
-        placement_due_ = true;
-        if (!gone)
+        else
         {
             worker.orphaned_runs_.emplace(each.first, orphan);
         }
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -297,11 +297,7 @@
         orphan->second.run_ == end.run_)
     {
         worker.orphaned_runs_.erase(orphan);
-        if (at)
-        {
-            at.task_->orphan_ends_by_ = {};
-            placement_due_ = true;
-        }
+        update_orphan_end(end.task_);
     }
     if (!at || at.task_->phase_ == task_phase::done)
     {
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -447,6 +447,36 @@
     }
 }
 
+// Guards against a run beside an orphaned one behind a cut, since another
+// orphaned run of the task has ended.
+TEST_CASE("a task waits for all of its orphaned runs")
+{
+    cell_world world(1, 3, cell_world::restart_ids::kept);
+    task_id const task{job_id{"a"}, 0, 0, 0};
+    world.registration_delay_ = 20ms;
+    world.run_for(50ms);
+    world.entries_stale_ = true;
+    world.run_for(2000ms);
+    submit_long_job(world);
+    world.run_for(100ms);
+    world.faults_.stops_lost_ = 100;
+    world.crash_for(0, 0ms);
+    world.crash_for(1, 0ms);
+    world.run_for(10ms);
+    // As starts of before that are carried out late, which is TWICE itself.
+    world.force_start(0, task, long_run);
+    world.force_start(1, task, long_run);
+    auto const violations = world.violations();
+    world.run_for(100ms);
+    world.entries_stale_ = false;
+    world.run_for(1000ms);
+    world.cut(0, true);
+    world.force_stop(1, task);
+    world.run_for(10'000ms);
+    CHECK(world.runs_of("a") == 3);
+    CHECK(world.violations() == violations);
+}
+
 // Guards against a lease by the clock of before on a worker whose entry expired
 // in between, so that the owner had forgotten it.
 TEST_CASE("a worker that returns under its id refuses orders of before")
