cell: Name the known start of a worker once

The incarnation that a worker is known to run on was computed in two places, and the name of the time until which orders for another one may arrive said when the last was sent.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -512,9 +512,9 @@
     void store_incarnation(worker_state& worker);
     /// Until when an order may arrive that was computed by the clock of an
     /// earlier incarnation, unless the worker's present one has answered.
-    time_point last_foreign_order(worker_state const& worker) const;
+    time_point foreign_orders_end(worker_state const& worker) const;
     /// The tasks of an unconfirmed worker that the next incarnation may run, by
-    /// orders for the one before.
+    /// orders for the one before; none once such runs must have ended.
     std::set<task_id> tasks_to_keep(worker_state const& worker, time_point now);
     /// Adds the worker's `foreign_lease_until_` to the next batch, or deletes
     /// it there if there is none.
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -15,9 +15,7 @@
 {
     constexpr calendar_time unknown{};
     auto const start = entry.incarnation_start_;
-    auto const known = worker.incarnation_start_ != unknown
-                           ? worker.incarnation_start_
-                           : worker.entry_.incarnation_start_;
+    auto const known = known_start(worker);
     if (start == unknown || known == unknown)
     {
         return;
@@ -62,7 +60,7 @@
     bool const has_predecessor =
         has_answered || worker.incarnation_start_ != calendar_time{};
     bool const has_foreign_lease =
-        has_predecessor && (!has_answered || now <= last_foreign_order(worker));
+        has_predecessor && (!has_answered || now <= foreign_orders_end(worker));
     if (has_predecessor)
     {
         log_event("worker_restarted", worker.entry_.id_,
@@ -97,7 +95,7 @@
     store_foreign_lease(worker);
 }
 
-time_point cell::last_foreign_order(worker_state const& worker) const
+time_point cell::foreign_orders_end(worker_state const& worker) const
 {
     // An earlier owner may send orders until its confirmation is too old.
     return std::max(worker.lease_requested_at_,
@@ -110,7 +108,7 @@
 {
     std::set<task_id> tasks;
     if (!worker.is_unconfirmed_ ||
-        now > longest_lease_end(last_foreign_order(worker)))
+        now > longest_lease_end(foreign_orders_end(worker)))
     {
         return tasks;
     }
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -212,10 +212,9 @@
 bool cell::may_be_forgotten(worker_state const& worker, time_point now) const
 {
     // Its id may return while orders for this incarnation are under way.
-    bool const may_return = worker.incarnation_start_ != calendar_time{} ||
-                            worker.entry_.incarnation_start_ != calendar_time{};
+    bool const may_return = known_start(worker) != calendar_time{};
     return now > worker.lease_expires_at_ && !worker.renewal_in_flight_ &&
-           (!may_return || now > last_foreign_order(worker));
+           (!may_return || now > foreign_orders_end(worker));
 }
 
 void cell::reserve(vm_id const& vm)
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -223,6 +223,15 @@
     time_point draining_since_{};
 };
 
+/// The start of the incarnation that answered last, or else of the registered
+/// one; unset if neither is known.
+inline calendar_time known_start(worker_state const& worker)
+{
+    return worker.incarnation_start_ != calendar_time{}
+               ? worker.incarnation_start_
+               : worker.entry_.incarnation_start_;
+}
+
 /// Whether the registration is that of the incarnation that answers. A worker
 /// may have another size, pool or address after a restart.
 inline bool has_current_registration(worker_state const& worker)
