tests: Restart workers under their ids and cut them off in the soak

The soak couldn't show two runs at once after leases by the clock before: workers with kept ids were registered at once, none was cut off soon after, and no task ran for longer than a lease.

A series of its own, beside the others, restarts a worker under its id, registers it up to 0.5 s later and cuts it off (silent or reset) 0 to 3 s after the restart for 4 to 10 s.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -33,6 +33,7 @@
     std::size_t nodes_ = 3;
     std::uint32_t workers_ = 6;
     std::chrono::seconds time_{10};
+    bool restarts_ = true;
     std::string program_ = CUMINFOLD_NODE;
 };
 
@@ -43,8 +44,9 @@
     soak_oracle oracle;
     soak_system system(size.program_, folder, size.nodes_, size.workers_,
                        oracle);
-    soak_clients clients(system, oracle, seed);
-    soak_faults faults(system, seed + 1);
+    soak_clients clients(system, oracle, seed, size.restarts_);
+    soak_faults faults(system, seed + 1, fault_series::mixed);
+    soak_faults restarts(system, seed + 2, fault_series::restarts);
     auto const step = [&](bool more)
     {
         system.tick();
@@ -55,6 +57,10 @@
     while (clock_type::now() < end)
     {
         faults.tick();
+        if (size.restarts_)
+        {
+            restarts.tick();
+        }
         step(true);
     }
     system.heal();
@@ -78,7 +84,8 @@
     std::cout << "seed " << seed << ": " << clients.asked() << " jobs, "
               << clients.accepted() << " accepted, " << clients.rejected()
               << " rejected, " << oracle.starts() << " starts, "
-              << faults.history().size() << " faults, " << breaches.size()
+              << faults.history().size() << " faults, "
+              << restarts.history().size() << " restarts, " << breaches.size()
               << " rules broken" << std::endl;
     if (!breaches.empty())
     {
@@ -86,9 +93,12 @@
         {
             std::cout << "  " << line << '\n';
         }
-        for (auto const& line : faults.history())
+        for (auto const* const each : {&faults, &restarts})
         {
-            std::cout << "  at " << line << '\n';
+            for (auto const& line : each->history())
+            {
+                std::cout << "  at " << line << '\n';
+            }
         }
         std::cout << std::flush;
     }
@@ -113,6 +123,8 @@
     add("nodes", options::value(&size.nodes_), "node processes");
     add("program", options::value(&size.program_), "the nodes' program");
     add("workers", options::value(&size.workers_), "workers");
+    add("restarts", options::value(&size.restarts_),
+        "1: long tasks, and workers that restart under their ids; 0: neither");
     try
     {
         options::variables_map given;
--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint32_t jobs_gap_ms = 60;
 constexpr std::uint32_t whole = 100;
 constexpr std::uint32_t lasting_percent = 5;
+constexpr std::uint32_t long_percent = 10;
 constexpr std::uint32_t cancelled_percent = 10;
 constexpr std::uint32_t two_steps_percent = 40;
 constexpr unsigned status_ok = 200;
@@ -35,8 +36,8 @@
 } // namespace
 
 soak_clients::soak_clients(soak_system& system, soak_oracle& oracle,
-                           std::uint32_t seed)
-    : system_(system), oracle_(oracle), random_(seed)
+                           std::uint32_t seed, bool long_tasks)
+    : system_(system), oracle_(oracle), random_(seed), long_tasks_(long_tasks)
 {
 }
 
@@ -51,10 +52,13 @@
     client_job job;
     job.id_ = id_of(next_number_++);
     job.long_running_ = draw(whole) < lasting_percent;
+    bool const is_long =
+        long_tasks_ && !job.long_running_ && draw(whole) < long_percent;
     bool const two_steps =
-        !job.long_running_ && draw(whole) < two_steps_percent;
+        !job.long_running_ && !is_long && draw(whole) < two_steps_percent;
     auto const tasks = 1 + draw(4);
-    auto const time = static_cast<int>(50 + draw(600));
+    auto const time =
+        static_cast<int>(is_long ? 8000 + draw(4000) : 50 + draw(600));
     // A lasting task runs longer than any soak.
     job.body_ = platform_stand_in::write_job(
         static_cast<int>(tasks), job.long_running_ ? 10'000'000 : time,
--- a/tests/soak/soak_clients.hpp
+++ b/tests/soak/soak_clients.hpp
@@ -20,7 +20,9 @@
 class soak_clients
 {
 public:
-    soak_clients(soak_system& system, soak_oracle& oracle, std::uint32_t seed);
+    /// @param long_tasks some tasks run for longer than leases last
+    soak_clients(soak_system& system, soak_oracle& oracle, std::uint32_t seed,
+                 bool long_tasks);
 
     /// Takes answers and sends what is due.
     /// @param more whether further jobs are handed in
@@ -80,6 +82,7 @@
     soak_system& system_;
     soak_oracle& oracle_;
     std::mt19937 random_;
+    bool long_tasks_;
     http_caller caller_;
     std::vector<client_job> jobs_;
     std::size_t next_number_ = 0;
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -12,6 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint32_t longest_gap_ms = 1500;
+constexpr std::uint32_t longest_restart_gap_ms = 4000;
 constexpr std::uint32_t longest_delay_ms = 2500;
 
 struct link_fault_row
@@ -47,9 +48,9 @@
     std::string (soak_faults::*begin_)();
 };
 
-std::vector<soak_faults::fault_kind> const& soak_faults::kinds()
+std::vector<soak_faults::fault_kind> const& soak_faults::kinds() const
 {
-    static std::vector<fault_kind> const rows = {
+    static std::vector<fault_kind> const mixed = {
         {4, &soak_faults::kill},
         {4, &soak_faults::terminate},
         {1, &soak_faults::terminate_in_turn},
@@ -63,11 +64,15 @@
         {2, &soak_faults::crash_worker},
         {2, &soak_faults::drain_worker},
     };
-    return rows;
+    static std::vector<fault_kind> const restarts = {
+        {1, &soak_faults::restart_and_cut},
+    };
+    return series_ == fault_series::mixed ? mixed : restarts;
 }
 
-soak_faults::soak_faults(soak_system& system, std::uint32_t seed)
-    : system_(system), random_(seed), next_(clock::now())
+soak_faults::soak_faults(soak_system& system, std::uint32_t seed,
+                         fault_series series)
+    : system_(system), random_(seed), series_(series), next_(clock::now())
 {
 }
 
@@ -89,9 +94,13 @@
 void soak_faults::end_later(std::uint32_t shortest_ms, std::uint32_t longest_ms,
                             std::function<void()> end)
 {
-    auto const time =
-        milliseconds{shortest_ms + draw(longest_ms - shortest_ms)};
-    open_.push_back({clock::now() + time, std::move(end)});
+    at(milliseconds{shortest_ms + draw(longest_ms - shortest_ms)},
+       std::move(end));
+}
+
+void soak_faults::at(milliseconds time, std::function<void()> what)
+{
+    open_.push_back({clock::now() + time, std::move(what)});
 }
 
 std::string soak_faults::kill()
@@ -113,8 +122,7 @@
     constexpr std::uint32_t step_ms = 700;
     for (std::uint32_t i = 0; i < system_.nodes(); ++i)
     {
-        open_.push_back({clock::now() + milliseconds{i * step_ms},
-                         [this, i] { system_.terminate(i); }});
+        at(milliseconds{i * step_ms}, [this, i] { system_.terminate(i); });
     }
     return "terminate all nodes in turn";
 }
@@ -200,6 +208,27 @@
     return "drain worker " + std::to_string(worker);
 }
 
+std::string soak_faults::restart_and_cut()
+{
+    auto const worker = draw_worker();
+    // Until then orders are computed by the clock of the incarnation before.
+    milliseconds const registered{draw(500)};
+    milliseconds const cut{draw(3000)};
+    milliseconds const healed = cut + milliseconds{4000 + draw(6000)};
+    link_state state;
+    state.fault_ = draw(2) == 0 ? link_fault::silence : link_fault::reset;
+    system_.restart_worker(worker);
+    at(registered, [this, worker] { system_.register_worker(worker); });
+    at(cut, [this, worker, state]
+       { system_.set_link(link_place::nodes_to_worker, worker, state); });
+    at(healed, [this, worker]
+       { system_.set_link(link_place::nodes_to_worker, worker, {}); });
+    return "restart worker " + std::to_string(worker) + ", registered after " +
+           std::to_string(registered.count()) + " ms, cut off from " +
+           std::to_string(cut.count()) + " to " +
+           std::to_string(healed.count()) + " ms";
+}
+
 void soak_faults::begin()
 {
     auto const& rows = kinds();
@@ -239,7 +268,9 @@
     }
     if (now >= next_)
     {
-        next_ = now + milliseconds{draw(longest_gap_ms)};
+        next_ = now + milliseconds{draw(series_ == fault_series::mixed
+                                            ? longest_gap_ms
+                                            : longest_restart_gap_ms)};
         begin();
     }
 }
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -14,11 +14,18 @@
 namespace cuminfold
 {
 
+/// Which faults are drawn.
+enum class fault_series
+{
+    mixed,
+    restarts ///< workers restart under their ids and are cut off soon after
+};
+
 /// Injects faults in series that overlap, all drawn from one seed.
 class soak_faults
 {
 public:
-    soak_faults(soak_system& system, std::uint32_t seed);
+    soak_faults(soak_system& system, std::uint32_t seed, fault_series series);
 
     /// Begins and ends what is due.
     void tick();
@@ -38,7 +45,7 @@
         std::function<void()> end_;
     };
 
-    static std::vector<fault_kind> const& kinds();
+    std::vector<fault_kind> const& kinds() const;
 
     std::uint32_t draw(std::uint32_t limit);
     std::size_t draw_node();
@@ -46,6 +53,7 @@
     /// Ends it after a drawn time.
     void end_later(std::uint32_t shortest_ms, std::uint32_t longest_ms,
                    std::function<void()> end);
+    void at(std::chrono::milliseconds time, std::function<void()> what);
     void begin();
     std::string kill();
     std::string terminate();
@@ -59,9 +67,11 @@
     std::string change_config();
     std::string crash_worker();
     std::string drain_worker();
+    std::string restart_and_cut();
 
     soak_system& system_;
     std::mt19937 random_;
+    fault_series series_;
     clock::time_point began_ = clock::now();
     clock::time_point next_;
     std::vector<open_fault> open_;
--- a/tests/soak/soak_oracle_test.cpp
+++ b/tests/soak/soak_oracle_test.cpp
@@ -12,12 +12,12 @@
 task_id const first{job_id{"a"}, 0, 0, 0};
 task_id const second{job_id{"a"}, 0, 1, 0};
 
-end_report end_of(task_id const& task, run_end how)
+end_report end_of(task_id const& task, run_end how, std::uint32_t run = 1)
 {
     end_report end;
     end.number_ = 1;
     end.task_ = task;
-    end.run_ = 1;
+    end.run_ = run;
     end.outcome_ = how;
     return end;
 }
@@ -48,6 +48,29 @@
          oracle.started("w", first, 1);
          oracle.started("v", first, 2);
      }},
+    {"a run beside one that began after a restart under the id", "TWICE",
+     [](soak_oracle& oracle)
+     {
+         oracle.started("w", first, 1);
+         oracle.crashed("w");
+         oracle.started("w", first, 2);
+         oracle.started("v", first, 3);
+     }},
+    {"a run after a restart under the id and a lease that lapsed", "",
+     [](soak_oracle& oracle)
+     {
+         oracle.started("w", first, 1);
+         oracle.crashed("w");
+         oracle.started("w", first, 2);
+         oracle.ended("w", end_of(first, run_end::lapsed, 2));
+         oracle.started("v", first, 3);
+         oracle.ended("v", end_of(first, run_end::done, 3));
+         oracle.end_acknowledged("v", end_of(first, run_end::done, 3));
+         oracle.started("v", second, 1);
+         oracle.ended("v", end_of(second, run_end::done));
+         oracle.shown("a", "completed", soak_oracle::clock::now());
+         oracle.judge_end();
+     }},
     {"a run after an end that was acknowledged", "TWICE",
      [](soak_oracle& oracle)
      {
--- a/tests/soak/soak_system.cpp
+++ b/tests/soak/soak_system.cpp
@@ -14,6 +14,8 @@
 /// A node that was asked to stop has this long, as on the users' platform.
 constexpr std::chrono::seconds stop_bound{6};
 constexpr std::chrono::milliseconds restart_pause{300};
+/// The platform's bound on leases, longer than those that owners ask for.
+constexpr std::chrono::milliseconds longest_lease{10'000};
 
 } // namespace
 
@@ -45,7 +47,12 @@
     for (std::size_t i = 0; i < workers; ++i)
     {
         std::string address;
-        platform_.run([&] { address = platform_.worker(i).address(); });
+        platform_.run(
+            [&]
+            {
+                platform_.worker(i).set_longest_lease(longest_lease);
+                address = platform_.worker(i).address();
+            });
         on_links([&] { worker_links_[i]->set_target(address); });
         register_worker(i);
     }
@@ -94,15 +101,17 @@
 {
     auto const life = which.name_ + "-" + std::to_string(which.lives_++);
     auto const settings = (folder_ / (which.name_ + ".yaml")).string();
-    std::ofstream(settings) << "name: " << which.name_
-                            << "\nclients_address: 127.0.0.1:0\n"
-                               "health_address: 127.0.0.1:0\n"
-                               "peers_address: 127.0.0.1:0\n"
-                            << "announced_address: " << which.peers_->address()
-                            << "\nstore_address: " << which.store_->address()
-                            << "\nmachines_address: " << which.store_->address()
-                            << "\nadvice_address: " << which.store_->address()
-                            << "\nstop_time: 200ms\n";
+    std::ofstream(settings)
+        << "name: " << which.name_
+        << "\nclients_address: 127.0.0.1:0\n"
+           "health_address: 127.0.0.1:0\n"
+           "peers_address: 127.0.0.1:0\n"
+        << "announced_address: " << which.peers_->address()
+        << "\nstore_address: " << which.store_->address()
+        << "\nmachines_address: " << which.store_->address()
+        << "\nadvice_address: " << which.store_->address()
+        << "\nstop_time: 200ms\nlongest_lease: " << longest_lease.count()
+        << "ms\n";
     which.process_ = std::make_unique<child_process>(
         program_, std::vector<std::string>{"--config", settings},
         (folder_ / (life + ".errors")).string());
@@ -228,6 +237,18 @@
         });
 }
 
+void soak_system::restart_worker(std::size_t worker)
+{
+    platform_.run(
+        [&]
+        {
+            auto& restarted = platform_.worker(worker);
+            restarted.advance();
+            oracle_.crashed(restarted.id());
+            restarted.crash(std::string(restarted.id()));
+        });
+}
+
 void soak_system::drain_worker(std::size_t worker)
 {
     platform_.run(
@@ -290,6 +311,10 @@
     }
     set_store_down(false);
     drop_append_responses(0, 0);
+    for (std::size_t i = 0; i < worker_links_.size(); ++i)
+    {
+        register_worker(i);
+    }
 }
 
 bool soak_system::all_run() const
--- a/tests/soak/soak_system.hpp
+++ b/tests/soak/soak_system.hpp
@@ -65,6 +65,9 @@
     void drop_append_responses(std::uint32_t percent, std::uint32_t seed);
     void change_config();
     void crash_worker(std::size_t worker);
+    /// Starts it again under its id, with the registration of before.
+    void restart_worker(std::size_t worker);
+    void register_worker(std::size_t worker);
     void drain_worker(std::size_t worker);
     /// @}
 
@@ -97,7 +100,6 @@
     };
 
     void start(node& which);
-    void register_worker(std::size_t worker);
     void on_links(std::function<void()> const& what);
     fault_link& link(link_place place, std::size_t number);
 
