cell: Forget a worker at once whose place is taken

A worker whose VM another one serves under another id can't return, and with hundreds of moves there are many: they are forgotten as before.

--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -211,8 +211,10 @@
 
 bool cell::may_be_forgotten(worker_state const& worker, time_point now) const
 {
-    // Its id may return while orders for this incarnation are under way.
-    bool const may_return = known_start(worker) != calendar_time{};
+    // Its id may return while orders for this incarnation are under way, unless
+    // a worker with another id has taken its place.
+    bool const may_return =
+        known_start(worker) != calendar_time{} && !worker.incarnation_ended_;
     return now > worker.lease_expires_at_ && !worker.renewal_in_flight_ &&
            (!may_return || now > foreign_orders_end(worker));
 }
