cell: Add workspaces, access checks and accounts

Cause: nothing knows the workspaces, keys and limits of a configuration. Change: add the policy of a workspace to the configuration, the workspace to a job, the key to a forwarded call, the decision on a call, and the account of what a workspace runs. Optional fields are written only if they have a value, so that records and messages stay the same without workspaces.

--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -26,9 +26,11 @@
     no_such_queue,
     invalid, ///< the job cannot be parsed
     too_large,
-    overloaded,  ///< not accepted for lack of capacity; retry later
-    unavailable, ///< not accepted; the store or the owner is not available
-    unknown      ///< the request may or may not have been stored
+    overloaded,   ///< not accepted for lack of capacity; retry later
+    unavailable,  ///< not accepted; the store or the owner is not available
+    unknown,      ///< the request may or may not have been stored
+    unauthorized, ///< the call has no key that the configuration holds
+    forbidden     ///< the job belongs to another workspace
 };
 
 /// The answer to one client's request.
--- a/source/kernel/cell/client_call.hpp
+++ b/source/kernel/cell/client_call.hpp
@@ -2,9 +2,11 @@
 #define CUMINFOLD_KERNEL_CELL_CLIENT_CALL_HPP
 
 #include "kernel/cell/job_definition.hpp"
+#include "kernel/cell/workspace.hpp"
 #include "kernel/time.hpp"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace cuminfold
@@ -20,6 +22,21 @@
     other
 };
 
+/// What a client's request says of its key.
+enum class credential_kind : std::uint8_t
+{
+    none,
+    malformed, ///< another scheme, or no possible key
+    key
+};
+
+/// The key of a client's request.
+struct credential
+{
+    credential_kind kind_ = credential_kind::none;
+    key_digest digest_; ///< of a `key`
+};
+
 /// A client's request before its path is matched to a queue.
 struct client_call
 {
@@ -32,6 +49,17 @@
     duration time_left_{0};
     /// Minimum version of the configuration that the answer is based on.
     std::uint64_t config_floor_ = 0;
+    /// Left out in a deployment without workspaces.
+    std::optional<credential> credential_;
+};
+
+/// Whom a call comes from, as far as it decides which jobs it may use.
+struct job_caller
+{
+    /// The workspace of the call's key; null if the call needs none.
+    workspace_name const* workspace_ = nullptr;
+    /// The queue that the call names.
+    std::string route_;
 };
 
 /// Parses the job id that follows a route's prefix in a path.
--- a/source/kernel/cell/fleet_config.hpp
+++ b/source/kernel/cell/fleet_config.hpp
@@ -1,12 +1,14 @@
 #ifndef CUMINFOLD_KERNEL_CELL_FLEET_CONFIG_HPP
 #define CUMINFOLD_KERNEL_CELL_FLEET_CONFIG_HPP
 
+#include "kernel/cell/workspace.hpp"
 #include "kernel/identifier.hpp"
 #include "kernel/time.hpp"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -49,6 +51,8 @@
     duration objective_{0};
     /// Empty if any worker may run the queue's jobs.
     std::optional<advice_policy> advice_;
+    /// Calls need no key, also in a deployment with workspaces.
+    bool is_public_ = false;
 };
 
 /// The operators' settings of a pool.
@@ -67,6 +71,8 @@
     std::vector<queue_route> routes_;
     std::map<pool_name, pool_options> pools_;
     std::size_t body_limit_ = 262'144; ///< bytes
+    /// Null in a deployment without workspaces, where no call needs a key.
+    std::shared_ptr<workspace_directory const> workspaces_;
 
     /// Finds the route of that host with the longest path prefix that matches.
     /// @return null if no route matches
--- a/source/kernel/cell/job_definition.hpp
+++ b/source/kernel/cell/job_definition.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -17,6 +18,12 @@
 using calendar_time = std::chrono::time_point<std::chrono::system_clock,
                                               std::chrono::milliseconds>;
 
+/// A group of clients that share keys and limits.
+using workspace_name = identifier<struct workspace_name_tag>;
+/// Null for a job of no workspace. Most deployments have none, so that jobs
+/// hold a pointer instead of an empty name.
+using shared_workspace = std::shared_ptr<workspace_name const>;
+
 /// The resources that one task needs or that a worker has.
 struct resource_amount
 {
@@ -42,6 +49,13 @@
         accelerators_ += other.accelerators_;
         return *this;
     }
+    /// What that many of these amounts need together.
+    friend resource_amount operator*(resource_amount const& each,
+                                     std::int64_t times) noexcept
+    {
+        return {each.cpu_milli_ * times, each.memory_mb_ * times,
+                each.accelerators_ * times};
+    }
     resource_amount& operator-=(resource_amount const& other) noexcept
     {
         cpu_milli_ -= other.cpu_milli_;
@@ -98,12 +112,14 @@
     std::string route_;
     /// The queue's pool at the time when the job was accepted.
     pool_name pool_;
-    /// The queue's limit on failed runs of one task at the time when the job
-    /// was accepted. It applies if the queue is no longer configured.
-    std::uint32_t max_attempts_ = 1;
     /// Passed to each task unchanged.
     std::string text_;
     std::vector<job_step> steps_;
+    /// The workspace whose key the job was submitted with.
+    shared_workspace workspace_;
+    /// The queue's limit on failed runs of one task at the time when the job
+    /// was accepted. It applies if the queue is no longer configured.
+    std::uint32_t max_attempts_ = 1;
     /// Number of times that the steps run; 0: once, without delay.
     std::uint32_t occurrences_ = 0;
     calendar_time first_run_{};
@@ -186,6 +202,9 @@
 {
     /// Whether the job is `queued` or `running` follows from its tasks.
     job_status status_ = job_status::queued;
+    /// Set in the last record of a job of a workspace: its definition is
+    /// deleted with that record.
+    shared_workspace workspace_;
     /// Only tasks whose state differs from that of a new task.
     std::vector<task_record> tasks_;
 };
--- a/source/node/client_frontend.cpp
+++ b/source/node/client_frontend.cpp
@@ -82,6 +82,10 @@
         return "unavailable";
     case answer_kind::unknown:
         return "unknown";
+    case answer_kind::unauthorized:
+        return "unauthorized";
+    case answer_kind::forbidden:
+        return "forbidden";
     }
     return "unknown";
 }
--- a/source/wire/cell_fields.hpp
+++ b/source/wire/cell_fields.hpp
@@ -24,7 +24,7 @@
 template <>
 struct enum_last<answer_kind>
 {
-    static constexpr answer_kind value = answer_kind::unknown;
+    static constexpr answer_kind value = answer_kind::forbidden;
 };
 template <>
 struct enum_last<client_verb>
@@ -32,6 +32,12 @@
     static constexpr client_verb value = client_verb::other;
 };
 
+template <>
+struct enum_last<credential_kind>
+{
+    static constexpr credential_kind value = credential_kind::key;
+};
+
 template <>
 struct codec<calendar_time>
 {
@@ -88,6 +94,7 @@
     v("o", x.occurrences_);
     v("f", x.first_run_);
     v("i", x.interval_);
+    v.optional("ws", x.workspace_);
 }
 
 /// A row of plain values, without names: progress is written often.
@@ -124,6 +131,7 @@
 {
     v("s", x.status_);
     v("t", x.tasks_);
+    v.optional("ws", x.workspace_);
 }
 
 template <class V>
@@ -143,6 +151,13 @@
     v("resigned", x.resigned_);
 }
 
+template <class V>
+void fields(V& v, credential& x)
+{
+    v("k", x.kind_);
+    v("d", x.digest_);
+}
+
 template <class V>
 void fields(V& v, client_call& x)
 {
@@ -152,6 +167,7 @@
     v("job", x.job_);
     v("left", x.time_left_);
     v("floor", x.config_floor_);
+    v.optional("key", x.credential_);
 }
 
 template <class V>
--- a/source/wire/json_codec.hpp
+++ b/source/wire/json_codec.hpp
@@ -11,6 +11,8 @@
 #include <cstddef>
 #include <cstdint>
 #include <limits>
+#include <memory>
+#include <optional>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -18,7 +20,7 @@
 
 /// Structs to JSON values and back, by their field lists. Decoding is strict:
 /// a missing or unknown field, a wrong type and a value out of range are each
-/// a `decode_error` that names the field.
+/// a `decode_error` that names the field. Only an optional field may be absent.
 
 namespace cuminfold
 {
@@ -31,6 +33,11 @@
 template <class T, class = void>
 struct codec;
 
+/// The type of what a pointer or an optional holds.
+template <class P>
+using bare_type = std::remove_cv_t<
+    std::remove_reference_t<decltype(*std::declval<P const&>())>>;
+
 /// Field visitor that builds a map.
 struct encoder
 {
@@ -40,6 +47,16 @@
         result_[name] = codec<T>::encode(member);
     }
 
+    /// A field that is written only if it has a value.
+    template <class P>
+    void optional(char const* name, P& member)
+    {
+        if (member)
+        {
+            result_[name] = codec<bare_type<P>>::encode(*member);
+        }
+    }
+
     json result_ = json::object();
 };
 
@@ -65,6 +82,28 @@
         ++count_;
     }
 
+    template <class T>
+    void optional(char const* name, std::optional<T>& member)
+    {
+        member.reset();
+        if (from_.contains(name))
+        {
+            (*this)(name, member.emplace());
+        }
+    }
+
+    template <class T>
+    void optional(char const* name, std::shared_ptr<T const>& member)
+    {
+        member.reset();
+        if (from_.contains(name))
+        {
+            auto value = std::make_shared<T>();
+            (*this)(name, *value);
+            member = std::move(value);
+        }
+    }
+
     json const& from_;
     std::size_t count_ = 0;
 };
