node: Check keys and workspace limits

Cause: calls ran whose key no configuration held or whose key was revoked, and nothing bounded what a workspace runs. Change: the owner decides each call by the key's digest and by how fresh its configuration is known to be; the workspace is stored with the job; the cell keeps an account of each workspace and starts nothing beyond its limit.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -2,6 +2,7 @@
 #define CUMINFOLD_KERNEL_CELL_CELL_HPP
 
 #include "kernel/cell/cell_action.hpp"
+#include "kernel/cell/client_call.hpp"
 #include "kernel/cell/crash_counts.hpp"
 #include "kernel/cell/demand_estimator.hpp"
 #include "kernel/cell/fleet_config.hpp"
@@ -15,6 +16,7 @@
 #include "kernel/cell/ticket_cache.hpp"
 #include "kernel/cell/unplaced_demands.hpp"
 #include "kernel/cell/worker_state.hpp"
+#include "kernel/cell/workspace_accounts.hpp"
 #include "kernel/time.hpp"
 
 #include <cstddef>
@@ -198,9 +200,11 @@
     void submit(std::uint64_t exchange, queue_route const& route,
                 job_definition request, duration time_left, time_point now);
     /// Answers with a job's stored status.
-    void query(std::uint64_t exchange, job_id const& job);
+    void query(std::uint64_t exchange, job_id const& job,
+               job_caller const& from = {});
     /// Cancels a job. The answer is sent once the cancellation is stored.
-    void cancel(std::uint64_t exchange, job_id const& job, time_point now);
+    void cancel(std::uint64_t exchange, job_id const& job, time_point now,
+                job_caller const& from = {});
     /// Answers with the number of the queue's stored jobs that have not begun.
     void count(std::uint64_t exchange, queue_route const& route);
     /// @}
@@ -269,6 +273,11 @@
     {
         return job_memory_;
     }
+    /// What each workspace has running; empty without workspaces.
+    workspace_accounts const& accounts() const noexcept
+    {
+        return accounts_;
+    }
     std::uint64_t max_job_memory() const noexcept
     {
         return options_.max_job_memory_;
@@ -355,13 +364,23 @@
     /// Whether the pool can meet the job's objective, and those of accepted
     /// jobs with it.
     /// @param objective from now
+    /// @param beyond_share the job gives way to those within their share
     /// @param[out] refusal cause and retry time, if the result is false
     bool admit(queue_route const& route, job_definition const& request,
-               duration objective, time_point now,
+               duration objective, bool beyond_share, time_point now,
                client_answer& refusal) const;
     /// @param worker the size of the workers that the work is counted in
     remaining_work remaining_work_of(job_state const& job,
                                      resource_amount const& worker) const;
+    /// Whether a call may use a job. A job of no workspace is open to all, and
+    /// a call without a key may use the jobs of the public queue that it names.
+    static bool may_access(job_state const& job, job_caller const& from);
+    /// Whether the workspace's limit allows the job, now or ever.
+    /// @param objective from now
+    /// @param[out] refusal the answer, if the result is false
+    bool is_within_limit(workspace_account const& account,
+                         job_definition const& request, duration objective,
+                         time_point now, client_answer& refusal) const;
     /// Size of one of the pool's workers; of any worker if the pool has none.
     resource_amount typical_worker(pool_name const& pool) const;
     /// How long the client has waited so far. It is estimated as the difference
@@ -753,6 +772,14 @@
                     time_point now);
     /// Whether the candidates have room for all tasks of a step at once.
     bool has_slots(job_step const& shape, time_point now) const;
+    /// Whether the workspace's limit keeps tasks of a step from starting now.
+    /// Logs it, and lets a gang reserve room.
+    bool is_held_by_limit(step_id const& step, job_state const& job,
+                          time_point now);
+    /// Whether it keeps a task of each step from starting.
+    static bool is_held_by_limit(job_state const& job);
+    /// Updates the accounts by the orphaned runs of jobs that are known.
+    void account_for_orphans();
     /// Collects the workers of a pool that can take some task into
     /// `candidates_`.
     void find_candidates(pool_name const& pool, time_point now);
@@ -792,6 +819,8 @@
     std::map<std::string, advice_policy> policies_;
     std::map<pool_name, std::uint32_t> incoming_;
     std::unordered_map<std::string, job_state> jobs_;
+    /// Before the jobs, which refer to it.
+    workspace_accounts accounts_;
     /// Sum of `job_state::memory_`, in bytes.
     std::uint64_t job_memory_ = 0;
     /// Jobs that have not ended, and some that ended recently. Loops use it
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -20,6 +20,19 @@
 /// objective includes for such queries.
 constexpr std::size_t expected_advice_size = 30;
 
+/// A worker of a limit's size, for `worker_share()`.
+resource_amount as_worker(resource_amount limit)
+{
+    // Larger than any sum of tasks.
+    constexpr std::int64_t unlimited = std::int64_t{1} << 50U;
+    for (auto* const amount :
+         {&limit.cpu_milli_, &limit.memory_mb_, &limit.accelerators_})
+    {
+        *amount = *amount == 0 ? unlimited : *amount;
+    }
+    return limit;
+}
+
 } // namespace
 
 client_answer cell::make_answer(answer_kind kind, char const* cause) const
@@ -61,7 +74,12 @@
     auto const known = jobs_.find(request.id_.text());
     if (known != jobs_.end())
     {
-        if (known->second.stored_)
+        if (!may_access(known->second, {request.workspace_.get(), route.name_}))
+        {
+            reply(exchange,
+                  make_answer(answer_kind::forbidden, "other_workspace"));
+        }
+        else if (known->second.stored_)
         {
             reply(exchange,
                   make_answer(answer_kind::accepted, "already_stored"));
@@ -90,9 +108,17 @@
         reply(exchange, refusal);
         return;
     }
+    auto* const account = accounts_.ensure(request.workspace_);
+    if (account != nullptr)
+    {
+        request.workspace_ = account->name();
+    }
     auto const already_waited = time_already_waited(route, time_left);
-    demand_.add(route.pool_, request.id_,
-                run_times_.work(request, typical_worker(route.pool_)), now);
+    bool const is_new =
+        demand_.add(route.pool_, request.id_,
+                    run_times_.work(request, typical_worker(route.pool_)), now);
+    bool const beyond_share =
+        account != nullptr && accounts_.is_beyond_share(*account, is_new, now);
     char const* const refusal_cause =
         store_stalled(now)                         ? "store_stalled"
         : time_left < options_.min_client_time_    ? "too_little_time"
@@ -111,13 +137,18 @@
     auto const advice = route.advice_
                             ? route.advice_->answer_time(expected_advice_size)
                             : duration{0};
-    auto const longest_chain = run_times_.longest_chain(request, advice);
+    auto const longest_chain =
+        run_times_.longest_chain(request, advice, account);
     // The objective counts from the client's first attempt.
     auto const objective =
         from_seconds(to_seconds(longest_chain) * route.stretch_) +
         route.objective_ - already_waited;
     client_answer refusal = make_answer(answer_kind::overloaded, "");
-    if (!admit(route, request, objective, now, refusal))
+    bool const is_accepted =
+        (account == nullptr ||
+         is_within_limit(*account, request, objective, now, refusal)) &&
+        admit(route, request, objective, beyond_share, now, refusal);
+    if (!is_accepted)
     {
         reply(exchange, refusal);
         return;
@@ -131,6 +162,8 @@
     job.pool_ = route.pool_;
     job.arrived_ = now;
     job.objective_ = now + objective;
+    job.account_ = account;
+    job.beyond_share_ = beyond_share;
     job.memory_ = memory;
     job_memory_ += memory;
     initialize_job(job, now);
@@ -161,7 +194,7 @@
 }
 
 bool cell::admit(queue_route const& route, job_definition const& request,
-                 duration objective, time_point now,
+                 duration objective, bool beyond_share, time_point now,
                  client_answer& refusal) const
 {
     auto const typical = typical_worker(route.pool_);
@@ -214,8 +247,11 @@
             continue;
         }
         auto const left = remaining_work_of(job, typical);
-        waiting = waiting || left.waiting_ > 0;
-        if (is_late(job, now))
+        // A job beyond its workspace's share gives way to one within it.
+        bool const gives_way =
+            !job.long_running_ && job.beyond_share_ && !beyond_share;
+        waiting = waiting || (left.waiting_ > 0 && !gives_way);
+        if (gives_way || is_late(job, now))
         {
             // New jobs are placed before a late one, so that only its running
             // tasks take capacity from them.
@@ -238,13 +274,88 @@
     {
         return true;
     }
-    refusal.cause_ = "objective_out_of_reach";
+    refusal.cause_ =
+        beyond_share ? "workspace_beyond_share" : "objective_out_of_reach";
     refusal.retry_after_ =
         std::clamp(from_seconds(excess / std::max(1.0, capacity.workers_)),
                    min_retry, max_retry);
     return false;
 }
 
+bool cell::may_access(job_state const& job, job_caller const& from)
+{
+    if (job.account_ == nullptr)
+    {
+        return true;
+    }
+    return from.workspace_ != nullptr
+               ? *from.workspace_ == *job.account_->name()
+               : from.route_ == job.route_;
+}
+
+bool cell::is_within_limit(workspace_account const& account,
+                           job_definition const& request, duration objective,
+                           time_point now, client_answer& refusal) const
+{
+    auto const refuse = [&](answer_kind kind)
+    {
+        refusal.kind_ = kind;
+        refusal.cause_ = "workspace_limit " + account.name()->text();
+        return false;
+    };
+    bool is_long_running = false;
+    for (auto const& step : request.steps_)
+    {
+        if (!account.can_ever_admit(step.each_, step.gang_ ? step.tasks_ : 1))
+        {
+            return refuse(answer_kind::too_large);
+        }
+        is_long_running = is_long_running || step.long_running_;
+    }
+    auto const limit = as_worker(account.limit());
+    bool const is_bounded = !(account.limit() == resource_amount{}) &&
+                            request.occurrences_ == 0 && !is_long_running;
+    if (!is_bounded)
+    {
+        return true;
+    }
+    // The limit counts as one worker of that size, which no other workspace
+    // uses.
+    pool_capacity capacity;
+    capacity.workers_ = 1 / packing_efficiency;
+    std::vector<deadline_work> ahead;
+    for (auto const& item : open_jobs_)
+    {
+        auto const& job = *item.second;
+        if (job.account_ != &account || job.ended() || !job.request_)
+        {
+            continue;
+        }
+        if (job.long_running_)
+        {
+            for (auto const& step : job.request_->steps_)
+            {
+                capacity.long_running_ += worker_share(step.each_, limit) *
+                                          static_cast<double>(step.tasks_) /
+                                          packing_efficiency;
+            }
+            continue;
+        }
+        ahead.push_back({to_seconds(job.objective_ - now),
+                         remaining_work_of(job, limit).all_});
+    }
+    double const excess = excess_work(
+        std::move(ahead),
+        {to_seconds(objective), run_times_.work(request, limit)}, capacity);
+    if (excess <= 0)
+    {
+        return true;
+    }
+    refusal.retry_after_ =
+        std::clamp(from_seconds(excess), min_retry, max_retry);
+    return refuse(answer_kind::overloaded);
+}
+
 bool cell::is_usable(worker_state const& worker, time_point now) const
 {
     return !worker.unlisted_ && !worker.entry_.draining_ && !worker.reserved_ &&
@@ -335,8 +446,11 @@
         auto const load = by_pool.find(job.pool_);
         if (load != by_pool.end() && !job.ended() && job.request_)
         {
-            auto const work =
-                remaining_work_of(job, typical.at(job.pool_)).ready_;
+            auto const left = remaining_work_of(job, typical.at(job.pool_));
+            // More workers would not help tasks that a limit holds back.
+            auto const work = is_held_by_limit(job)
+                                  ? left.ready_ - left.waiting_
+                                  : left.ready_;
             (is_late(job, now) ? load->second.late_backlog_
                                : load->second.backlog_) += work;
         }
@@ -432,7 +546,8 @@
     }
 }
 
-void cell::query(std::uint64_t exchange, job_id const& job)
+void cell::query(std::uint64_t exchange, job_id const& job,
+                 job_caller const& from)
 {
     auto const found = jobs_.find(job.text());
     if (found == jobs_.end() || !found->second.stored_)
@@ -441,6 +556,11 @@
         return;
     }
     auto const& state = found->second;
+    if (!may_access(state, from))
+    {
+        reply(exchange, make_answer(answer_kind::forbidden, "other_workspace"));
+        return;
+    }
     client_answer result = make_answer(answer_kind::status, "known_job");
     result.status_ = state.stored_status_;
     if (result.status_ == job_status::queued && state.begun_)
@@ -450,7 +570,8 @@
     reply(exchange, result);
 }
 
-void cell::cancel(std::uint64_t exchange, job_id const& job, time_point now)
+void cell::cancel(std::uint64_t exchange, job_id const& job, time_point now,
+                  job_caller const& from)
 {
     auto const found = jobs_.find(job.text());
     if (found == jobs_.end())
@@ -459,6 +580,11 @@
         return;
     }
     auto& state = found->second;
+    if (!may_access(state, from))
+    {
+        reply(exchange, make_answer(answer_kind::forbidden, "other_workspace"));
+        return;
+    }
     if (state.stored_status_ != job_status::queued &&
         state.stored_status_ != job_status::running)
     {
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -45,11 +45,21 @@
            required_isolation(task, now) == task_isolation::none;
 }
 
-/// Sort key of a pool's jobs: jobs on time before late ones, long-running
-/// before finite ones, then lower priority values, then the earliest objective.
+/// Whether the limit of the job's workspace has no room for a task of the step,
+/// or for all of a gang.
+bool lacks_limit(job_state const& job, job_step const& shape)
+{
+    return job.account_ != nullptr &&
+           !job.account_->admits(shape.each_, shape.gang_ ? shape.tasks_ : 1);
+}
+
+/// Sort key of a pool's jobs: finite jobs beyond their workspace's share last;
+/// jobs on time before late ones, long-running before finite ones, then lower
+/// priority values, then the earliest objective.
 auto sort_key(job_state const& job, std::uint32_t priority, bool late)
 {
-    return std::make_tuple(late, !job.long_running_, priority, job.objective_);
+    return std::make_tuple(job.beyond_share_ && !job.long_running_, late,
+                           !job.long_running_, priority, job.objective_);
 }
 
 } // namespace
@@ -89,6 +99,7 @@
         return;
     }
     remove_ended_from_open();
+    account_for_orphans();
     std::map<pool_name, std::vector<std::pair<job_id, job_state*>>> by_pool;
     for (auto const& item : open_jobs_)
     {
@@ -104,6 +115,103 @@
     }
 }
 
+void cell::account_for_orphans()
+{
+    std::map<workspace_account*, std::pair<resource_amount, std::uint32_t>>
+        orphaned;
+    for (auto& item : accounts_.all())
+    {
+        orphaned[&item.second] = {};
+    }
+    if (orphaned.empty())
+    {
+        return;
+    }
+    for (auto const& worker : workers_)
+    {
+        for (auto const& orphan : worker.second.orphaned_runs_)
+        {
+            auto const at = find(orphan.first);
+            if (at && at.job_->account_ != nullptr)
+            {
+                auto& sum = orphaned[at.job_->account_];
+                sum.first += at.shape_->each_;
+                ++sum.second;
+            }
+        }
+    }
+    for (auto const& item : orphaned)
+    {
+        item.first->set_orphaned(item.second.first, item.second.second);
+    }
+}
+
+bool cell::is_held_by_limit(step_id const& step, job_state const& job,
+                            time_point now)
+{
+    if (job.account_ == nullptr)
+    {
+        return false;
+    }
+    auto& account = *job.account_;
+    auto const& shape = job.request_->steps_[step.step_];
+    // A long-running task serves callers at all times, so that it does not wait
+    // for a gang.
+    bool const waits_for_gang =
+        !shape.long_running_ && account.is_reserved_from(step, now);
+    if (!waits_for_gang && !lacks_limit(job, shape))
+    {
+        account.end_reservation(step);
+        return false;
+    }
+    bool const can_fit =
+        account.can_ever_admit(shape.each_, shape.gang_ ? shape.tasks_ : 1);
+    if (shape.gang_ && can_fit)
+    {
+        account.reserve_for(step, now);
+    }
+    if (account.must_log_hold(now))
+    {
+        auto const usage = account.usage();
+        auto const& limit = account.limit();
+        auto const part =
+            [](char const* name, std::int64_t used, std::int64_t most)
+        {
+            return std::string(" ") + name + "=" + std::to_string(used) + "/" +
+                   std::to_string(most);
+        };
+        log_event(
+            "workspace_limit", account.name()->text(),
+            "step=" + describe(step) +
+                part("cpu_milli", usage.cpu_milli_, limit.cpu_milli_) +
+                part("memory_mb", usage.memory_mb_, limit.memory_mb_) +
+                part("accelerators", usage.accelerators_, limit.accelerators_) +
+                (waits_for_gang ? " reserved_for_gang" : ""));
+    }
+    return true;
+}
+
+bool cell::is_held_by_limit(job_state const& job)
+{
+    if (job.account_ == nullptr)
+    {
+        return false;
+    }
+    for (auto const& occurrence : job.occurrences_)
+    {
+        for (std::size_t s = 0; s < occurrence.steps_.size(); ++s)
+        {
+            auto const& shape = job.request_->steps_[s];
+            if (occurrence.steps_[s].waiting_ != 0 &&
+                is_ready(shape, occurrence) && !lacks_limit(job, shape))
+            {
+                return false;
+            }
+        }
+    }
+    return true;
+}
+
 void cell::find_candidates(pool_name const& pool, time_point now)
 {
     candidates_.clear();
@@ -171,6 +279,7 @@
     {
         bool const waits = !job.ended() && !shape.long_running_ &&
                            step.waiting_ != 0 && advice_for(job) == nullptr &&
+                           !lacks_limit(job, shape) &&
                            std::any_of(step.tasks_.begin(), step.tasks_.end(),
                                        [&](task_state const& task)
                                        { return waits_for_room(task, now); });
@@ -252,6 +361,10 @@
             continue;
         }
         task_location at{&job, &state, &shape, &task};
+        if (is_held_by_limit({id, occurrence, step}, job, now))
+        {
+            return;
+        }
         if (is_out_of_starts({id, occurrence, step, i}, at, now))
         {
             if (job.ended())
@@ -406,6 +519,10 @@
         }
         run = std::max(run, task.run_);
     }
+    if (is_held_by_limit({id, occurrence, step}, job, now))
+    {
+        return;
+    }
     bool const is_suspected = std::any_of(
         state.tasks_.begin(), state.tasks_.end(),
         [&](task_state const& task)
@@ -533,7 +650,9 @@
                                  : runs ? std::min(100U, task.percent_)
                                         : 0);
             }
-            ends[s] += step.run_time_ * (100 - min_percent) / 100;
+            ends[s] += step.run_time_ * (100 - min_percent) / 100 +
+                       step.run_time_ *
+                           (waves(job.account_, shape, step.waiting_) - 1);
             longest = std::max(longest, ends[s]);
         }
     }
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -153,6 +153,8 @@
     progress.status_ = block == 0 ? job.status_ : job_status::queued;
     if (job.ended())
     {
+        progress.workspace_ =
+            job.account_ != nullptr ? job.account_->name() : nullptr;
         return progress;
     }
     for (auto const& id : job.blocks_.tasks_of(block, job.occurrences_.size()))
@@ -452,6 +454,7 @@
     job.request_ = std::make_shared<job_definition const>(std::move(request));
     job.route_ = job.request_->route_;
     job.pool_ = job.request_->pool_;
+    job.account_ = accounts_.ensure(job.request_->workspace_);
     job.request_written_ = true;
     job.stored_ = true;
     make_room(job);
@@ -501,6 +504,7 @@
     if (job.ended())
     {
         job.ended_ = now;
+        job.account_ = accounts_.ensure(progress.workspace_);
         return;
     }
     if (!job.request_)
@@ -627,7 +631,8 @@
         if (!job.ended())
         {
             auto const* const route = config_.find_by_name(job.route_);
-            auto const longest_chain = run_times_.longest_chain(*job.request_);
+            auto const longest_chain = run_times_.longest_chain(
+                *job.request_, duration{0}, job.account_);
             job.objective_ =
                 now + longest_chain +
                 (route != nullptr ? route->objective_ : duration{0});
@@ -664,6 +669,15 @@
         {
             jobs.insert(task.job_.text());
         }
+        // What they occupy is known from their job's definition.
+        for (auto const& orphan : worker.second.orphaned_runs_)
+        {
+            auto const job = jobs_.find(orphan.first.job_.text());
+            if (job != jobs_.end() && job->second.account_ != nullptr)
+            {
+                jobs.insert(job->first);
+            }
+        }
     }
     return jobs;
 }
--- a/source/kernel/cell/cell_reservations.cpp
+++ b/source/kernel/cell/cell_reservations.cpp
@@ -157,7 +157,7 @@
 {
     auto const& shape = job.request_->steps_[id.step_];
     auto const& step = job.occurrences_[id.occurrence_].steps_[id.step_];
-    if (!has_due_task(step, shape.long_running_, now))
+    if (!has_due_task(step, shape.long_running_, now) || is_held_by_limit(job))
     {
         return;
     }
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -78,6 +78,10 @@
     state.long_running_tasks_ += at.shape_->long_running_ ? 1 : 0;
     state.best_effort_tasks_ += at.shape_->best_effort_ ? 1 : 0;
     state.tail_bounded_tasks_ += at.shape_->tail_target_ > duration{0} ? 1 : 0;
+    if (at.job_->account_ != nullptr)
+    {
+        at.job_->account_->add(at.shape_->each_);
+    }
 }
 
 void cell::release(task_id const& task, task_location const& at, time_point now)
@@ -92,6 +96,10 @@
             at.shape_->tail_target_ > duration{0} ? 1 : 0;
         end_isolation(found->second, *at.task_);
     }
+    if (at.job_->account_ != nullptr && !at.task_->worker_.empty())
+    {
+        at.job_->account_->remove(at.shape_->each_);
+    }
     if (at.task_->phase_ == task_phase::placed)
     {
         update_budget(task, at, &start_budget::on_not_started, at.task_->run_);
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -76,6 +76,7 @@
 void cell::set_config(fleet_config const& config)
 {
     config_ = config;
+    accounts_.configure(config_.workspaces_.get());
     for (auto const& item : open_jobs_)
     {
         auto& job = *item.second;
--- a/source/kernel/cell/client_call.hpp
+++ b/source/kernel/cell/client_call.hpp
@@ -49,7 +49,7 @@
     duration time_left_{0};
     /// Minimum version of the configuration that the answer is based on.
     std::uint64_t config_floor_ = 0;
-    /// Left out in a deployment without workspaces.
+    /// Not forwarded in a deployment without workspaces.
     std::optional<credential> credential_;
 };
 
--- a/source/kernel/cell/demand_estimator.cpp
+++ b/source/kernel/cell/demand_estimator.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-void demand_estimator::add(pool_name const& pool, job_id const& job,
+bool demand_estimator::add(pool_name const& pool, job_id const& job,
                            double work, time_point now)
 {
     evict_seen_jobs(now);
@@ -38,7 +38,7 @@
     if (!seen.second)
     {
         seen.first->second = now;
-        return;
+        return false;
     }
     auto& entry = rates_[pool];
     entry.rate_ = decayed_rate(entry, now) + work / smoothing_seconds;
@@ -72,6 +72,7 @@
             entry.surge_rate_at_ = now;
         }
     }
+    return true;
 }
 
 double demand_estimator::decayed_rate(pool_rate const& entry, time_point now)
--- a/source/kernel/cell/demand_estimator.hpp
+++ b/source/kernel/cell/demand_estimator.hpp
@@ -21,7 +21,8 @@
     /// Records a submitted job. A job that its client submits again within
     /// six seconds of the last attempt counts once.
     /// @param work of the job in worker-seconds
-    void add(pool_name const& pool, job_id const& job, double work,
+    /// @return whether the job counts, since it was not submitted before
+    bool add(pool_name const& pool, job_id const& job, double work,
              time_point now);
 
     /// The current demand in worker-seconds per second; 0 for a pool without
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -134,6 +134,8 @@
     time_point wait_logged_at_{};
 };
 
+class workspace_account;
+
 /// One execution of a job's steps.
 struct occurrence_state
 {
@@ -168,6 +170,13 @@
     /// may not have.
     bool begun_ = false;
     bool long_running_ = false;
+    /// It was accepted by an earlier owner and does not fit into this one's
+    /// memory.
+    bool exceeds_memory_ = false;
+    /// It was beyond its workspace's share when it arrived. Not stored.
+    bool beyond_share_ = false;
+    /// Of its workspace; null if it has none.
+    workspace_account* account_ = nullptr;
     task_blocks blocks_;
     /// Blocks with changes that no batch for the store includes yet. The
     /// record of block 0 also holds the job's status.
@@ -182,9 +191,6 @@
     block_records loss_records_;
     /// Its `memory_bound()` while the owner holds its tasks.
     std::uint64_t memory_ = 0;
-    /// It was accepted by an earlier owner and does not fit into this one's
-    /// memory.
-    bool exceeds_memory_ = false;
     time_point arrived_{};
     time_point ended_{};
     /// Time by which the job should end.
--- a/source/kernel/cell/run_time_model.cpp
+++ b/source/kernel/cell/run_time_model.cpp
@@ -91,7 +91,8 @@
 }
 
 duration run_time_model::longest_chain(job_definition const& job,
-                                       duration before_each) const
+                                       duration before_each,
+                                       workspace_account const* account) const
 {
     std::vector<duration> ends(job.steps_.size(), duration{0});
     duration longest{0};
@@ -104,8 +105,10 @@
         }
         ends[i] =
             begin + before_each +
-            (job.steps_[i].long_running_ ? duration{0}
-                                         : predict(job.route_, job.steps_[i]));
+            (job.steps_[i].long_running_
+                 ? duration{0}
+                 : predict(job.route_, job.steps_[i]) *
+                       waves(account, job.steps_[i], job.steps_[i].tasks_));
         longest = std::max(longest, ends[i]);
     }
     return longest;
--- a/source/kernel/cell/run_time_model.hpp
+++ b/source/kernel/cell/run_time_model.hpp
@@ -2,6 +2,7 @@
 #define CUMINFOLD_KERNEL_CELL_RUN_TIME_MODEL_HPP
 
 #include "kernel/cell/job_definition.hpp"
+#include "kernel/cell/workspace_accounts.hpp"
 #include "kernel/time.hpp"
 
 #include <map>
@@ -30,8 +31,10 @@
     /// The predicted time of the job's longest chain of dependent steps;
     /// long-running steps count as 0.
     /// @param before_each delay before each step can begin
+    /// @param account by whose limit wide steps run in waves; may be null
     duration longest_chain(job_definition const& job,
-                           duration before_each = duration{0}) const;
+                           duration before_each = duration{0},
+                           workspace_account const* account = nullptr) const;
 
     /// The predicted work of one task in worker-seconds.
     double task_work(std::string const& route, job_step const& step,
--- a/source/kernel/cell/workspace_accounts.cpp
+++ b/source/kernel/cell/workspace_accounts.cpp
@@ -119,6 +119,14 @@
     reserved_until_ = now + reservation_time;
 }
 
+void workspace_account::end_reservation(step_id const& gang)
+{
+    if (reserved_for_ && !(*reserved_for_ < gang) && !(gang < *reserved_for_))
+    {
+        reserved_for_.reset();
+    }
+}
+
 bool workspace_account::is_reserved_from(step_id const& step,
                                          time_point now) const
 {
@@ -137,6 +145,17 @@
     return true;
 }
 
+std::uint32_t waves(workspace_account const* account, job_step const& shape,
+                    std::uint32_t tasks)
+{
+    if (account == nullptr || shape.gang_ || tasks == 0)
+    {
+        return 1;
+    }
+    auto const parallel = account->max_parallel(shape.each_);
+    return 1 + (tasks - 1) / parallel;
+}
+
 void workspace_accounts::configure(workspace_directory const* directory)
 {
     if (directory == nullptr)
--- a/source/kernel/cell/workspace_accounts.hpp
+++ b/source/kernel/cell/workspace_accounts.hpp
@@ -56,6 +56,8 @@
     /// A gang lacks room within the limit. For a while no other step of the
     /// workspace starts, so that running tasks make room for it.
     void reserve_for(step_id const& gang, time_point now);
+    /// That gang has room.
+    void end_reservation(step_id const& gang);
     /// Whether that step has to wait for a gang.
     bool is_reserved_from(step_id const& step, time_point now) const;
 
@@ -88,6 +90,12 @@
     time_point updated_at_{};
 };
 
+/// How many times longer than one task so many tasks of a step take, since the
+/// workspace's limit allows only some of them at a time; at least 1.
+/// @param account null if the job has no workspace
+std::uint32_t waves(workspace_account const* account, job_step const& shape,
+                    std::uint32_t tasks);
+
 /// The accounts of all workspaces that the configuration or a job names. An
 /// account is never removed, so that jobs can refer to it.
 class workspace_accounts
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -281,9 +281,20 @@
     return answer;
 }
 
-client_answer cell_owner::refuse_as_stale(time_point now) const
+client_answer cell_owner::refuse_access(access_decision const& access,
+                                        time_point now) const
 {
-    auto answer = make_refusal(answer_kind::unavailable, "config_stale");
+    environment_.metrics_.add("cuminfold_key_refusals_total", 1, "cause",
+                              access.cause_);
+    return access.outcome_ == access_outcome::unproven
+               ? refuse_as_stale(access.cause_, now)
+               : make_refusal(answer_kind::unauthorized, access.cause_);
+}
+
+client_answer cell_owner::refuse_as_stale(char const* cause,
+                                          time_point now) const
+{
+    auto answer = make_refusal(answer_kind::unavailable, cause);
     auto const outage = environment_.config_.store_outage(now);
     if (outage > duration{0})
     {
@@ -332,7 +343,7 @@
     {
         done(config_fresh
                  ? make_refusal(answer_kind::no_such_queue, "unknown_queue")
-                 : refuse_as_stale(now));
+                 : refuse_as_stale("config_stale", now));
         return;
     }
     bool valid = false;
@@ -342,9 +353,19 @@
         done(make_refusal(answer_kind::no_such_queue, "not_a_job"));
         return;
     }
+    access_limits limits;
+    limits.revocation_limit_ = environment_.settings_.key_revocation_limit_;
+    auto const access =
+        check_access(config, *route, call.credential_,
+                     now - environment_.config_.proven_as_of(), limits);
+    if (access.outcome_ != access_outcome::granted)
+    {
+        done(refuse_access(access, now));
+        return;
+    }
     if (!config_fresh && (job.empty() || call.verb_ == client_verb::submit))
     {
-        done(refuse_as_stale(now));
+        done(refuse_as_stale("config_stale", now));
         return;
     }
     auto const exchange = next_exchange_++;
@@ -361,6 +382,10 @@
         call.job_.id_ = job;
         call.job_.route_ = route->name_;
         call.job_.pool_ = route->pool_;
+        call.job_.workspace_ =
+            access.workspace_ != nullptr
+                ? std::make_shared<workspace_name const>(*access.workspace_)
+                : nullptr;
         cell_.submit(exchange, *route, std::move(call.job_), call.time_left_,
                      now);
         return;
@@ -371,11 +396,11 @@
         }
         else
         {
-            cell_.query(exchange, job);
+            cell_.query(exchange, job, {access.workspace_, route->name_});
         }
         return;
     case client_verb::cancel:
-        cell_.cancel(exchange, job, now);
+        cell_.cancel(exchange, job, now, {access.workspace_, route->name_});
         return;
     case client_verb::other:
         run({exchange, make_refusal(answer_kind::invalid, "method_unknown")});
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -6,6 +6,7 @@
 #include "kernel/cell/client_call.hpp"
 #include "kernel/cell/fleet_plan.hpp"
 #include "kernel/cell/owner_record.hpp"
+#include "kernel/cell/workspace_access.hpp"
 #include "node/config_follower.hpp"
 #include "node/decision_log.hpp"
 #include "node/node_settings.hpp"
@@ -169,7 +170,10 @@
     client_answer make_refusal(answer_kind kind, char const* cause) const;
     /// Refuses a call that a configuration of unknown age can't answer. During
     /// an outage of the store the client is told when to come back.
-    client_answer refuse_as_stale(time_point now) const;
+    client_answer refuse_as_stale(char const* cause, time_point now) const;
+    /// Refuses a call that may not use its queue.
+    client_answer refuse_access(access_decision const& access,
+                                time_point now) const;
 
     environment environment_;
     owner_record record_;
--- a/source/node/client_frontend.cpp
+++ b/source/node/client_frontend.cpp
@@ -135,6 +135,7 @@
     try
     {
         open.call_ = platform::read_client_call(request);
+        open.credential_ = std::exchange(open.call_.credential_, std::nullopt);
     }
     catch (platform::format_error const& error)
     {
@@ -168,6 +169,10 @@
         std::max<duration>(open.deadline_ - now, std::chrono::milliseconds{1});
     open.call_.config_floor_ =
         std::max(config_floor_, handler_.config_version_());
+    if (handler_.has_workspaces_())
+    {
+        open.call_.credential_ = open.credential_;
+    }
     if (owner.local_)
     {
         // Passes a copy: the call may have to be sent to another owner.
--- a/source/node/client_frontend.hpp
+++ b/source/node/client_frontend.hpp
@@ -39,6 +39,8 @@
         call_local_;
     /// The newest version of the configuration that this node knows of.
     std::function<std::uint64_t()> config_version_;
+    /// Whether calls need keys by that configuration.
+    std::function<bool()> has_workspaces_;
     /// How long this node has not reached the store; 0 while it does.
     std::function<duration()> store_outage_;
 };
@@ -77,6 +79,7 @@
     struct open_request
     {
         client_call call_;
+        std::optional<credential> credential_;
         http_responder respond_;
         time_point received_at_{};
         time_point deadline_{};
--- a/source/node/config_follower.cpp
+++ b/source/node/config_follower.cpp
@@ -80,6 +80,7 @@
         std::size_t skipped = 0;
         auto config = platform::read_config(bytes, skipped);
         bool const newer = config.version_ > config_.version_;
+        newest_unreadable_ = false;
         log_.write("config_read",
                    {{"version", std::to_string(config.version_)},
                     {"routes", std::to_string(config.routes_.size())},
@@ -93,6 +94,7 @@
     }
     catch (platform::format_error const& error)
     {
+        newest_unreadable_ = true;
         log_.write("config_unreadable", {{"error", error.what()}}, node_now());
     }
 }
--- a/source/node/config_follower.hpp
+++ b/source/node/config_follower.hpp
@@ -52,6 +52,12 @@
     {
         return follower_->current_as_of();
     }
+    /// As `topic_follower::proven_as_of()`, for `config()` being the newest. No
+    /// time at all while the newest configuration can't be decoded.
+    time_point proven_as_of() const noexcept
+    {
+        return newest_unreadable_ ? time_point{} : follower_->proven_as_of();
+    }
     /// The store answered the last read.
     bool reachable() const noexcept
     {
@@ -69,6 +75,7 @@
     std::map<wave_number, wave_order> waves_;
     /// When the store stopped answering reads; empty while it answers.
     std::optional<time_point> store_lost_at_;
+    bool newest_unreadable_ = false;
     std::shared_ptr<topic_follower> follower_;
 };
 
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -179,6 +179,8 @@
             [this](client_call call, std::function<void(client_answer)> done)
         { call_owner(std::move(call), std::move(done)); };
         handler.config_version_ = [this] { return config_.config().version_; };
+        handler.has_workspaces_ = [this]
+        { return config_.config().workspaces_ != nullptr; };
         handler.store_outage_ = [this]
         { return config_.store_outage(node_now()); };
         return handler;
--- a/source/node/node_settings.hpp
+++ b/source/node/node_settings.hpp
@@ -59,6 +59,9 @@
     /// the platform.
     std::uint32_t max_record_bytes_ = 262'144;
     std::uint32_t max_append_bytes_ = 2'097'152;
+    /// How long after a key was revoked a request with it may still succeed;
+    /// given by the platform. 0: no such limit.
+    duration key_revocation_limit_{0};
     /// Memory that the process may use, in MB; given by the platform. Jobs that
     /// need more than half of it are refused.
     std::uint32_t memory_mb_ = 256;
--- a/source/node/node_settings_file.cpp
+++ b/source/node/node_settings_file.cpp
@@ -42,6 +42,8 @@
     in.read("stop_grace", settings.stop_grace_, duration{0}, max_time);
     in.read("drain_notice", settings.drain_notice_, min_time, max_time);
     in.read("order_pause", settings.order_pause_, duration{0}, max_time);
+    in.read("key_revocation_limit", settings.key_revocation_limit_, duration{0},
+            max_time);
     in.read("max_record_bytes", settings.max_record_bytes_, min_limit,
             max_limit);
     in.read("max_append_bytes", settings.max_append_bytes_, min_limit,
--- a/source/node/topic_follower.cpp
+++ b/source/node/topic_follower.cpp
@@ -85,6 +85,7 @@
             self->next_offset_ = content->next_offset_;
             self->snapshot_read_ = true;
             self->current_as_of_ = sent;
+            self->proven_as_of_ = sent;
             self->set_reachable(true);
             self->handler_.on_snapshot_(content->records_);
             if (!self->stopped_)
@@ -117,6 +118,7 @@
             }
             self->set_reachable(true);
             self->current_as_of_ = sent;
+            self->proven_as_of_ = sent;
             if (result.range_.count_ == 0)
             {
                 // No record was written before the read's wait ended.
--- a/source/node/topic_follower.hpp
+++ b/source/node/topic_follower.hpp
@@ -51,6 +51,12 @@
     {
         return current_as_of_;
     }
+    /// When the last successful read was sent. The records read so far include
+    /// all that were stored before, also if the store answered late.
+    time_point proven_as_of() const noexcept
+    {
+        return proven_as_of_;
+    }
     /// The store answered the last read.
     bool reachable() const noexcept
     {
@@ -74,6 +80,7 @@
     bool reachable_ = false;
     bool reachability_reported_ = false;
     time_point current_as_of_{};
+    time_point proven_as_of_{};
 };
 
 } // namespace cuminfold
--- a/source/transport/http_head_check.cpp
+++ b/source/transport/http_head_check.cpp
@@ -29,9 +29,9 @@
 
 bool must_stand_once(std::string const& name)
 {
-    static std::set<std::string> const names = {"content-length",
-                                                "transfer-encoding", "host",
-                                                "expect", "idempotency-key"};
+    static std::set<std::string> const names = {
+        "content-length", "transfer-encoding", "host",
+        "expect",         "idempotency-key",   "authorization"};
     return names.count(name) != 0 || name.rfind("cuminfold-", 0) == 0;
 }
 
