tests: Show limits and access of workspaces under faults

Cause: a start whose record was being stored when its limit was lowered was still sent. Change: check the limit again before a start is sent; add tests of the decision on keys, of the accounts, and of a cell's starts while answers are lost, owners change and limits change, judged by what the workers run.

--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -324,6 +324,7 @@
     pool_capacity capacity;
     capacity.workers_ = 1 / packing_efficiency;
     std::vector<deadline_work> ahead;
+    bool is_used_up = false;
     for (auto const& item : open_jobs_)
     {
         auto const& job = *item.second;
@@ -331,6 +332,7 @@
         {
             continue;
         }
+        is_used_up = is_used_up || is_held_by_limit(job);
         if (job.long_running_)
         {
             for (auto const& step : job.request_->steps_)
@@ -344,9 +346,18 @@
         ahead.push_back({to_seconds(job.objective_ - now),
                          remaining_work_of(job, limit).all_});
     }
-    double const excess = excess_work(
-        std::move(ahead),
-        {to_seconds(objective), run_times_.work(request, limit)}, capacity);
+    auto const& first = request.steps_[0];
+    auto const together =
+        std::min(first.tasks_, account.max_parallel(first.each_));
+    if (!is_used_up && account.admits(first.each_, together))
+    {
+        return true;
+    }
+    auto const chain = run_times_.longest_chain(request, duration{0}, &account);
+    double const excess = excess_work(std::move(ahead),
+                                      {to_seconds(std::max(objective, chain)),
+                                       run_times_.work(request, limit)},
+                                      capacity);
     if (excess <= 0)
     {
         return true;
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -417,6 +417,17 @@
         release(task, at, now);
         return;
     }
+    // The limit may have been lowered since. A gang starts whole or not at all,
+    // and its members are sent one by one.
+    bool const exceeds_limit = at.job_->account_ != nullptr &&
+                               !at.shape_->gang_ &&
+                               at.job_->account_->exceeds_limit();
+    if (exceeds_limit)
+    {
+        log_event("start_withheld", describe(task), "workspace_limit");
+        release(task, at, now);
+        return;
+    }
     bool const checked = advice_for(*at.job_) != nullptr;
     step_id const step{task.job_, task.occurrence_, task.step_};
     auto ticket =
--- a/source/kernel/cell/workspace_accounts.cpp
+++ b/source/kernel/cell/workspace_accounts.cpp
@@ -71,6 +71,11 @@
     return is_within(sum, limit_);
 }
 
+bool workspace_account::exceeds_limit() const
+{
+    return tasks_ + orphaned_runs_ > 1 && !is_within(usage(), limit_);
+}
+
 bool workspace_account::can_ever_admit(resource_amount const& each,
                                        std::uint32_t tasks) const
 {
--- a/source/kernel/cell/workspace_accounts.hpp
+++ b/source/kernel/cell/workspace_accounts.hpp
@@ -41,6 +41,8 @@
     /// runs nothing may start one task of any size, since a limit that was
     /// lowered would hold a larger one for good.
     bool admits(resource_amount const& each, std::uint32_t tasks = 1) const;
+    /// Whether more is running than the limit allows, except a single task.
+    bool exceeds_limit() const;
     /// Whether so many tasks could start if nothing else ran.
     bool can_ever_admit(resource_amount const& each, std::uint32_t tasks) const;
     /// How many tasks of that size the limit allows at the same time; at least
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -154,6 +154,9 @@
     job.text_ = "text of " + id;
     job.steps_ = std::move(steps);
     job.occurrences_ = occurrences;
+    job.workspace_ = workspace_.empty()
+                         ? nullptr
+                         : std::make_shared<workspace_name const>(workspace_);
     has_gangs_ = has_gangs_ ||
                  std::any_of(job.steps_.begin(), job.steps_.end(),
                              [](job_step const& step) { return step.gang_; });
@@ -166,6 +169,16 @@
     process();
 }
 
+answer_kind cell_world::query(std::string const& id, job_caller const& from)
+{
+    auto const exchange = next_exchange_++;
+    auto const name = "query " + std::to_string(exchange);
+    exchanges_[exchange] = name;
+    cell_->query(exchange, job_id{id}, from);
+    process();
+    return answers_.at(name).back();
+}
+
 void cell_world::cancel(std::string const& id)
 {
     auto const exchange = next_exchange_++;
@@ -912,6 +925,60 @@
     cell_->set_config(config_);
 }
 
+void cell_world::set_limit(workspace_name const& workspace,
+                           resource_amount const& limit)
+{
+    auto directory =
+        config_.workspaces_ ? *config_.workspaces_ : workspace_directory{};
+    directory.workspaces_[workspace] = {workspace, limit, 0};
+    config_.workspaces_ =
+        std::make_shared<workspace_directory const>(std::move(directory));
+    limits_[workspace][now_] = limit;
+    cell_->set_config(config_);
+}
+
+bool cell_world::exceeds_limit(job_definition const& job, job_step const& shape,
+                               time_point sent) const
+{
+    auto const limits =
+        job.workspace_ ? limits_.find(*job.workspace_) : limits_.end();
+    if (limits == limits_.end())
+    {
+        return false;
+    }
+    resource_amount used;
+    for (auto const& worker : workers_)
+    {
+        for (auto const& run : worker->running_)
+        {
+            auto const other = submitted_.find(run.first.job_.text());
+            bool const counts = other != submitted_.end() &&
+                                other->second.workspace_ &&
+                                *other->second.workspace_ == *job.workspace_;
+            if (counts)
+            {
+                used += other->second.steps_[run.first.step_].each_;
+            }
+        }
+    }
+    auto first = limits->second.upper_bound(sent);
+    first = first == limits->second.begin() ? first : std::prev(first);
+    resource_amount most;
+    for (; first != limits->second.end(); ++first)
+    {
+        most.cpu_milli_ = std::max(most.cpu_milli_, first->second.cpu_milli_);
+        most.memory_mb_ = std::max(most.memory_mb_, first->second.memory_mb_);
+    }
+    constexpr std::int64_t tolerated_percent = 110;
+    auto const exceeds = [](std::int64_t amount, std::int64_t each,
+                            std::int64_t limit) {
+        return limit != 0 &&
+               100 * amount > tolerated_percent * limit + 100 * each;
+    };
+    return exceeds(used.cpu_milli_, shape.each_.cpu_milli_, most.cpu_milli_) ||
+           exceeds(used.memory_mb_, shape.each_.memory_mb_, most.memory_mb_);
+}
+
 void cell_world::remove_queue()
 {
     config_.routes_.clear();
@@ -1054,6 +1121,10 @@
         violations_.push_back("LIMIT " + name);
     }
     auto const& shape = job->second.steps_[order.task_.step_];
+    if (exceeds_limit(job->second, shape, sent))
+    {
+        violations_.push_back("QUOTA " + name);
+    }
     for (auto const before : shape.after_)
     {
         step_id const earlier{order.task_.job_, order.task_.occurrence_,
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -58,6 +58,8 @@
     void submit(std::string const& id, std::vector<job_step> steps,
                 std::uint32_t occurrences = 0);
     void cancel(std::string const& id);
+    /// Reads a job's status as that caller, and returns the answer.
+    answer_kind query(std::string const& id, job_caller const& from);
     void run_for(duration time);
     void run_for(std::chrono::milliseconds time)
     {
@@ -196,6 +198,11 @@
     std::size_t advice_queries_ = 0;
     /// Adds a pool without workers to the configuration.
     void add_pool(pool_name const& name);
+    /// The workspace of the jobs that are submitted from now on; empty: none.
+    workspace_name workspace_;
+    /// Adds a workspace to the configuration, or changes its limit.
+    void set_limit(workspace_name const& workspace,
+                   resource_amount const& limit);
     /// Removes the queue from the configuration.
     void remove_queue();
     /// Gives the queue a policy.
@@ -271,6 +278,11 @@
     /// @param sent when the owner sent it
     void check_start(start_run const& order, fake_worker const& on,
                      time_point sent);
+    /// Whether a start has exceeded the limits that its workspace had when the
+    /// owner sent it and later, by more than the platform tolerates.
+    /// @param shape of the task that was started
+    bool exceeds_limit(job_definition const& job, job_step const& shape,
+                       time_point sent) const;
     /// Whether the worker's runs exceed each size that an owner may have
     /// counted with at that time.
     bool exceeds_size(fake_worker const& on, time_point sent) const;
@@ -319,6 +331,8 @@
         gang_members_;
     bool has_gangs_ = false;
 
+    /// The limits of each workspace, and from when on each holds.
+    std::map<workspace_name, std::map<time_point, resource_amount>> limits_;
     std::map<std::string, job_definition> stored_jobs_;
     std::map<std::string, job_progress> stored_progress_;
     std::map<record_kind, std::map<std::string, std::string>> stored_texts_;
