--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -148,6 +148,7 @@
             metrics_.set("cuminfold_open_requests",
                          static_cast<double>(client_frontend_.open_requests()));
             set_memory_metrics();
+            set_workspace_metrics();
             return metrics_.write();
         };
         handler.on_rejected_ = [this](char const* cause)
@@ -171,6 +172,45 @@
             owner_ ? static_cast<double>(owner_->jobs().max_job_memory()) : 0);
     }
 
+    /// What each workspace has running. Beyond a number of workspaces, the
+    /// others count together, so that a configuration can't add any number of
+    /// time series.
+    void set_workspace_metrics()
+    {
+        if (!owner_)
+        {
+            return;
+        }
+        constexpr std::size_t max_names = 32;
+        struct totals
+        {
+            double cpu_milli_ = 0;
+            double cpu_limit_ = 0;
+            double tasks_ = 0;
+            double holds_ = 0;
+        };
+        std::map<std::string, totals> rows;
+        for (auto const& item : owner_->jobs().accounts().all())
+        {
+            auto const& account = item.second;
+            auto& row =
+                rows[rows.size() < max_names ? item.first.text() : "other"];
+            row.cpu_milli_ += static_cast<double>(account.usage().cpu_milli_);
+            row.cpu_limit_ += static_cast<double>(account.limit().cpu_milli_);
+            row.tasks_ += account.tasks();
+            row.holds_ += static_cast<double>(account.holds());
+        }
+        for (auto const& row : rows)
+        {
+            auto const set = [&](char const* name, double value)
+            { metrics_.set(name, value, "workspace", row.first); };
+            set("cuminfold_workspace_cpu_milli", row.second.cpu_milli_);
+            set("cuminfold_workspace_cpu_limit_milli", row.second.cpu_limit_);
+            set("cuminfold_workspace_tasks", row.second.tasks_);
+            set("cuminfold_workspace_holds", row.second.holds_);
+        }
+    }
+
     client_frontend_handler make_client_frontend_handler()
     {
         client_frontend_handler handler;
--- a/source/transport/metrics.cpp
+++ b/source/transport/metrics.cpp
@@ -90,19 +90,18 @@
         std::lock_guard<std::mutex> const lock(mutex_);
         auto& family =
             prometheus::BuildCounter().Name(name).Register(registry_);
-        prometheus::Labels labels;
-        if (!label.empty())
-        {
-            labels[label] = value_of;
-        }
-        family.Add(labels).Increment(value);
+        family.Add(labels_of(label, value_of)).Increment(value);
     }
 
-    void set(std::string const& name, double value)
+    void set(std::string const& name, double value, std::string const& label,
+             std::string const& value_of)
     {
         std::lock_guard<std::mutex> const lock(mutex_);
-        prometheus::BuildGauge().Name(name).Register(registry_).Add({}).Set(
-            value);
+        prometheus::BuildGauge()
+            .Name(name)
+            .Register(registry_)
+            .Add(labels_of(label, value_of))
+            .Set(value);
     }
 
     void observe(std::string const& name, duration value)
@@ -122,6 +121,13 @@
     }
 
 private:
+    static prometheus::Labels labels_of(std::string const& label,
+                                        std::string const& value_of)
+    {
+        return label.empty() ? prometheus::Labels{}
+                             : prometheus::Labels{{label, value_of}};
+    }
+
     void publish(std::string const& name, distribution const& values)
     {
         auto& family = prometheus::BuildGauge()
@@ -160,9 +166,10 @@
     impl_->add(name, value, label, value_of);
 }
 
-void metrics::set(std::string const& name, double value)
+void metrics::set(std::string const& name, double value,
+                  std::string const& label, std::string const& value_of)
 {
-    impl_->set(name, value);
+    impl_->set(name, value, label, value_of);
 }
 
 void metrics::observe(std::string const& name, duration value)
--- a/source/transport/metrics.hpp
+++ b/source/transport/metrics.hpp
@@ -26,8 +26,9 @@
     void add(std::string const& name, double value,
              std::string const& label = "", std::string const& value_of = "");
 
-    /// Sets a gauge.
-    void set(std::string const& name, double value);
+    /// Sets a gauge, with one label or none.
+    void set(std::string const& name, double value,
+             std::string const& label = "", std::string const& value_of = "");
 
     /// Adds a time to a distribution; shown as the gauges
     /// `NAME_seconds{quantile="0.5|0.9|0.99"}` and a counter `NAME_count`.
--- a/tests/node/node_process_test.cpp
+++ b/tests/node/node_process_test.cpp
@@ -64,8 +64,9 @@
 class small_system
 {
 public:
-    small_system()
-        : folder_(std::filesystem::temp_directory_path() /
+    explicit small_system(std::string extra_settings = "")
+        : extra_settings_(std::move(extra_settings)),
+          folder_(std::filesystem::temp_directory_path() /
                   ("cuminfold-node." + std::to_string(getpid()))),
           platform_(4)
     {
@@ -88,8 +89,8 @@
 
     void add(std::string const& name)
     {
-        vms_.push_back(
-            std::make_unique<entry_vm>(folder_, name, platform_.address()));
+        vms_.push_back(std::make_unique<entry_vm>(
+            folder_, name, platform_.address(), extra_settings_));
     }
 
     std::future<http_result> start_call(std::string const& address,
@@ -102,6 +103,10 @@
         call.method_ = method;
         call.target_ = target;
         call.fields_["host"] = platform_stand_in::host_;
+        if (!authorization_.empty())
+        {
+            call.fields_["authorization"] = authorization_;
+        }
         call.body_ = body;
         call.timeout_ = 5s;
         return client_.start(std::move(call));
@@ -167,6 +172,9 @@
         }
     }
 
+    /// Of the calls from now on; empty: none.
+    std::string authorization_;
+    std::string extra_settings_;
     std::filesystem::path folder_;
     platform_stand_in platform_;
     http_caller client_;
@@ -580,3 +588,100 @@
     system.wait_until([&]
                       { return system.job_status(id_of(90)) == "completed"; });
 }
+
+// Guards against calls that run without a key, by the key of another workspace
+// or by one that was revoked, also while the store is out of reach.
+TEST_CASE("calls need a key that is known not to be revoked")
+{
+    small_system system("key_revocation_limit: 1s\n");
+    std::string const prefix = platform_stand_in::prefix_;
+    std::string const open_prefix = platform_stand_in::checked_prefix_;
+    auto const configure = [&](std::vector<std::string> const& first_keys)
+    {
+        system.platform_.run(
+            [&]
+            {
+                system.platform_.set_workspaces(
+                    {{{"name", "first"}, {"api_keys", first_keys}},
+                     {{"name", "second"}, {"api_keys", {"key-2"}}},
+                     {{"name", 7}, {"api_keys", {"key-3"}}}});
+            });
+    };
+    configure({"key-1", "key-1b"});
+    system.authorization_ = "Bearer key-1";
+    system.submit_until_accepted(id_of(1), 2, 20);
+    system.wait_until([&]
+                      { return system.job_status(id_of(1)) == "completed"; });
+    system.authorization_ = "";
+    system.wait_until(
+        [&]
+        {
+            return system.status(system.vms_[0]->clients_, "GET",
+                                 prefix + id_of(1)) == 401;
+        });
+    struct row
+    {
+        char const* authorization_;
+        std::string target_;
+        unsigned status_;
+    };
+    row const rows[] = {
+        {"Bearer key-1", prefix + id_of(1), 200},
+        {"bearer key-1b", prefix + id_of(1), 200},
+        {"Bearer key-2", prefix + id_of(1), 403},
+        {"Bearer key-3", prefix + id_of(1), 401},
+        {"Bearer key-1x", prefix + id_of(1), 401},
+        {"Basic key-1", prefix + id_of(1), 401},
+        {"Bearer", prefix + id_of(1), 401},
+        {"Bearer key-1 ", prefix + id_of(1), 200},
+        {"Bearer key 1", prefix + id_of(1), 401},
+        {"", prefix + id_of(1), 401},
+        {"", prefix, 401},
+        {"", open_prefix, 200},
+        {"Bearer key-1x", open_prefix, 200},
+        {"", open_prefix + id_of(1), 403},
+        {"", "/unknown/", 404},
+    };
+    for (auto const& vm : system.vms_)
+    {
+        for (auto const& each : rows)
+        {
+            CAPTURE(std::string(each.authorization_));
+            CAPTURE(each.target_);
+            system.authorization_ = each.authorization_;
+            CHECK(system.status(vm->clients_, "GET", each.target_) ==
+                  each.status_);
+        }
+        system.authorization_ = "Bearer " + std::string(300, 'k');
+        CHECK(system.status(vm->clients_, "GET", prefix + id_of(1)) == 401);
+    }
+    auto const metrics =
+        system.call(system.vms_[0]->peers_, "GET", "/metrics").response_.body_;
+    CHECK(metrics.find("key-1") == std::string::npos);
+
+    configure({"key-1b"});
+    system.authorization_ = "Bearer key-1";
+    system.wait_until(
+        [&]
+        {
+            return system.status(system.vms_[0]->clients_, "GET",
+                                 prefix + id_of(1)) == 401;
+        });
+    system.authorization_ = "Bearer key-1b";
+    CHECK(system.status(system.vms_[0]->clients_, "GET", prefix + id_of(1)) ==
+          200);
+    system.platform_.set_down(true);
+    system.wait_until(
+        [&]
+        {
+            return system.status(system.vms_[0]->clients_, "GET",
+                                 prefix + id_of(1)) == 503;
+        });
+    system.platform_.set_down(false);
+    system.wait_until(
+        [&]
+        {
+            return system.status(system.vms_[0]->clients_, "GET",
+                                 prefix + id_of(1)) == 200;
+        });
+}
