--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,6 @@
 #include "soak/soak_clients.hpp"
 #include "soak/soak_faults.hpp"
+#include "soak/soak_keys.hpp"
 #include "soak/soak_oracle.hpp"
 #include "soak/soak_system.hpp"
 
@@ -34,6 +35,7 @@
     std::uint32_t workers_ = 6;
     std::chrono::seconds time_{10};
     bool restarts_ = true;
+    bool workspaces_ = false;
     std::string program_ = CUMINFOLD_NODE;
 };
 
@@ -42,15 +44,23 @@
                               std::filesystem::path const& folder)
 {
     soak_oracle oracle;
+    std::string const settings =
+        size.workspaces_
+            ? "key_revocation_limit: " +
+                  std::to_string(soak_system::revocation_limit_.count()) +
+                  "ms\n"
+            : "";
     soak_system system(size.program_, folder, size.nodes_, size.workers_,
-                       oracle);
+                       oracle, settings);
+    soak_keys keys(system, oracle, seed + 3, size.workspaces_);
     soak_clients clients(system, oracle, seed, size.restarts_);
     soak_faults faults(system, seed + 1, fault_series::mixed);
     soak_faults restarts(system, seed + 2, fault_series::restarts);
     auto const step = [&](bool more)
     {
         system.tick();
-        clients.tick(more);
+        keys.tick();
+        clients.tick(more, keys.authorization());
         std::this_thread::sleep_for(tick);
     };
     auto const end = clock_type::now() + size.time_;
@@ -125,6 +135,8 @@
     add("workers", options::value(&size.workers_), "workers");
     add("restarts", options::value(&size.restarts_),
         "1: long tasks, and workers that restart under their ids; 0: neither");
+    add("workspaces", options::value(&size.workspaces_),
+        "1: calls need keys, which change all the time; 0: no keys");
     try
     {
         options::variables_map given;
--- a/tests/soak/soak_clients.cpp
+++ b/tests/soak/soak_clients.cpp
@@ -72,7 +72,7 @@
     jobs_.push_back(std::move(job));
 }
 
-void soak_clients::send(client_job& job)
+void soak_clients::send(client_job& job, std::string const& authorization)
 {
     if (job.phase_ == job_phase::waiting && clock::now() >= job.cancel_at_)
     {
@@ -88,6 +88,10 @@
     call.target_ = platform_stand_in::prefix_ + job.id_;
     call.fields_["host"] = platform_stand_in::host_;
     call.fields_["deadline-ms"] = std::to_string(call_time.count());
+    if (!authorization.empty())
+    {
+        call.fields_["authorization"] = authorization;
+    }
     call.body_ = job.phase_ == job_phase::handing_in ? job.body_ : "";
     call.timeout_ = call_time;
     job.sent_ = clock::now();
@@ -106,8 +110,8 @@
         oracle_.accepted(job.id_);
         return;
     }
-    bool const not_taken =
-        status == 429 || status == 503 || result.end_ == http_end::not_sent;
+    bool const not_taken = status == 429 || status == 503 || status == 401 ||
+                           result.end_ == http_end::not_sent;
     job.open_outcome_ = job.open_outcome_ || !not_taken;
     if (job.attempts_ >= most_attempts && !job.open_outcome_)
     {
@@ -154,7 +158,7 @@
     }
 }
 
-void soak_clients::tick(bool more)
+void soak_clients::tick(bool more, std::string const& authorization)
 {
     auto const now = clock::now();
     if (more && now >= next_job_)
@@ -177,7 +181,7 @@
         }
         else if (now >= job.next_)
         {
-            send(job);
+            send(job, authorization);
         }
     }
     jobs_.erase(std::remove_if(jobs_.begin(), jobs_.end(),
--- a/tests/soak/soak_clients.hpp
+++ b/tests/soak/soak_clients.hpp
@@ -26,7 +26,8 @@
 
     /// Takes answers and sends what is due.
     /// @param more whether further jobs are handed in
-    void tick(bool more);
+    /// @param authorization header of each call; empty: none
+    void tick(bool more, std::string const& authorization);
 
     /// Jobs whose client still waits for something.
     std::size_t open() const
@@ -74,7 +75,7 @@
     };
 
     void add();
-    void send(client_job& job);
+    void send(client_job& job, std::string const& authorization);
     void take(client_job& job, http_result const& result);
     void take_submission(client_job& job, http_result const& result);
     std::uint32_t draw(std::uint32_t limit);
--- a/tests/soak/soak_oracle.cpp
+++ b/tests/soak/soak_oracle.cpp
@@ -232,6 +232,12 @@
     }
 }
 
+void soak_oracle::key_accepted(std::string const& key)
+{
+    std::lock_guard<std::mutex> const lock(mutex_);
+    breach("REVOKED", key);
+}
+
 void soak_oracle::judge_end()
 {
     std::lock_guard<std::mutex> const lock(mutex_);
--- a/tests/soak/soak_oracle.hpp
+++ b/tests/soak/soak_oracle.hpp
@@ -48,6 +48,9 @@
     /// @param sent when the client asked
     void shown(std::string const& job, std::string const& standing,
                clock::time_point sent);
+    /// A call succeeded by a key that never existed or was revoked longer ago
+    /// than the limit.
+    void key_accepted(std::string const& key);
     /// @}
 
     /// Judges what must hold once all faults are over and time has passed.
--- a/tests/soak/soak_system.cpp
+++ b/tests/soak/soak_system.cpp
@@ -21,9 +21,10 @@
 
 soak_system::soak_system(std::string program, std::filesystem::path folder,
                          std::size_t nodes, std::uint32_t workers,
-                         soak_oracle& oracle)
-    : program_(std::move(program)), folder_(std::move(folder)), oracle_(oracle),
-      links_(ring_capacity), platform_(workers, &oracle), nodes_(nodes)
+                         soak_oracle& oracle, std::string extra_settings)
+    : program_(std::move(program)), extra_settings_(std::move(extra_settings)),
+      folder_(std::move(folder)), oracle_(oracle), links_(ring_capacity),
+      platform_(workers, &oracle), nodes_(nodes)
 {
     links_.start();
     on_links(
@@ -111,7 +112,8 @@
         << "\nmachines_address: " << which.store_->address()
         << "\nadvice_address: " << which.store_->address()
         << "\nstop_time: 200ms\nlongest_lease: " << longest_lease.count()
-        << "ms\n";
+        << "ms\n"
+        << extra_settings_;
     which.process_ = std::make_unique<child_process>(
         program_, std::vector<std::string>{"--config", settings},
         (folder_ / (life + ".errors")).string());
@@ -217,6 +219,18 @@
     platform_.run([&] { platform_.change_config(); });
 }
 
+void soak_system::set_keys(std::vector<std::string> const& keys)
+{
+    platform_.run(
+        [&]
+        {
+            platform_.set_workspaces({{{"name", "callers"},
+                                       {"api_keys", keys},
+                                       {"weight", 1000},
+                                       {"max_count", {{"cpu", 8000}}}}});
+        });
+}
+
 void soak_system::crash_worker(std::size_t worker)
 {
     platform_.run(
--- a/tests/soak/soak_system.hpp
+++ b/tests/soak/soak_system.hpp
@@ -33,9 +33,14 @@
 class soak_system
 {
 public:
+    /// How long a revoked key may still succeed.
+    static constexpr std::chrono::milliseconds revocation_limit_{2000};
+
     /// @param program the nodes' program
+    /// @param extra_settings of each node
     soak_system(std::string program, std::filesystem::path folder,
-                std::size_t nodes, std::uint32_t workers, soak_oracle& oracle);
+                std::size_t nodes, std::uint32_t workers, soak_oracle& oracle,
+                std::string extra_settings = "");
     ~soak_system();
 
     std::size_t nodes() const
@@ -64,6 +69,8 @@
     void set_store_down(bool down);
     void drop_append_responses(std::uint32_t percent, std::uint32_t seed);
     void change_config();
+    /// Publishes the keys of the only workspace.
+    void set_keys(std::vector<std::string> const& keys);
     void crash_worker(std::size_t worker);
     /// Starts it again under its id, with the registration of before.
     void restart_worker(std::size_t worker);
@@ -104,6 +111,7 @@
     fault_link& link(link_place place, std::size_t number);
 
     std::string program_;
+    std::string extra_settings_;
     std::filesystem::path folder_;
     soak_oracle& oracle_;
     io_thread links_;
