cell: Keep an owner whose store is slow for everyone

Cause: a node replaced an owner after 1.1 s without a confirmed epoch, also when the store answered the node itself as slowly. The successor then was as late, and was replaced in turn. Change: each node keeps the longest response time L of its own calls to the store in the last 3 s, and suspects an owner for a late confirmation only after max(1.1 s, 0.6 s + 4 L). The read of the owner's record that precedes a takeover counts too. Nothing changes while L is at most 125 ms, nor for an owner that does not answer, no longer owns the cell or has resigned. Log lines owner_condition and takeover_begun give the reason and the figures. No message or record changed. Not measured on a deployment.

--- a/source/kernel/cell/ownership.cpp
+++ b/source/kernel/cell/ownership.cpp
@@ -17,12 +17,53 @@
 constexpr std::uint64_t unique_mask = (1ULL << unique_bits) - 1;
 /// Nodes of higher ranks wait as long as one of this rank.
 constexpr std::int64_t last_rank = 8;
+/// Response times of the store that a confirmation takes at most, counted from
+/// the sending of the previous one: the previous answer, attempts that timed
+/// out before the timeout had adapted (each twice as long as the one before, in
+/// total less than two), and the answer. A takeover takes at least as many:
+/// read the record, claim the cell, read its content and its workers.
+constexpr std::int64_t latencies_per_confirmation = 4;
 
 } // namespace
 
+char const* condition_name(owner_condition condition)
+{
+    switch (condition)
+    {
+    case owner_condition::unknown:
+        return "unknown";
+    case owner_condition::works:
+        return "works";
+    case owner_condition::slow_store:
+        return "slow_store";
+    case owner_condition::no_answer:
+        return "no_answer";
+    case owner_condition::not_owning:
+        return "not_owning";
+    case owner_condition::store_lost:
+        return "store_lost";
+    case owner_condition::resigned:
+        return "resigned";
+    }
+    return "unknown";
+}
+
 ownership::ownership(ownership_options options, time_point now)
-    : options_(std::move(options)), unchanged_since_(now)
+    : options_(std::move(options)), latency_(options_.latency_window_),
+      unchanged_since_(now)
+{
+}
+
+void ownership::store_answered(duration response_time, time_point now)
+{
+    latency_.answered(response_time, now);
+}
+
+duration ownership::confirmation_limit(time_point now) const
 {
+    return std::max(options_.store_timeout_,
+                    options_.confirmation_time_ +
+                        store_latency(now) * latencies_per_confirmation);
 }
 
 owner_epoch ownership::next_epoch() const
@@ -73,6 +114,8 @@
     has_contact_ = true;
     suspecting_ = false;
     owner_lost_store_ = false;
+    unconfirmed_ = duration{0};
+    condition_ = owner_condition::works;
     taking_over_ = false;
     ping_ = {false, now};
 }
@@ -102,21 +145,30 @@
     if (!answer.owning_ || answer.epoch_ != known_owner_.epoch_)
     {
         // The node was restarted or has released the cell.
+        condition_ = owner_condition::not_owning;
         suspect(now);
         return;
     }
     last_contact_ = now;
     has_contact_ = true;
-    owner_lost_store_ = answer.unconfirmed_ > options_.store_timeout_;
+    unconfirmed_ = answer.unconfirmed_;
+    check_confirmation(now);
+}
+
+void ownership::check_confirmation(time_point now)
+{
+    owner_lost_store_ = unconfirmed_ > confirmation_limit(now);
     if (owner_lost_store_)
     {
+        condition_ = owner_condition::store_lost;
         suspect(now);
+        return;
     }
-    else
-    {
-        suspecting_ = false;
-        taking_over_ = false;
-    }
+    condition_ = unconfirmed_ > options_.store_timeout_
+                     ? owner_condition::slow_store
+                     : owner_condition::works;
+    suspecting_ = false;
+    taking_over_ = false;
 }
 
 void ownership::ping_failed(time_point now)
@@ -124,6 +176,7 @@
     ping_ = {false, now + options_.ping_interval_ / 2};
     if (now - last_contact_ >= options_.suspect_timeout_)
     {
+        condition_ = owner_condition::no_answer;
         suspect(now);
     }
 }
@@ -180,6 +233,16 @@
         follow(*record, now);
         return;
     }
+    if (condition_ == owner_condition::store_lost)
+    {
+        // The read that has just ended may be the first one to show that the
+        // store is slow for this node too.
+        check_confirmation(now);
+        if (!suspecting_)
+        {
+            return;
+        }
+    }
     if (record->epoch_ >= known_owner_.epoch_)
     {
         bool const changed = !record_seen_ ||
@@ -189,6 +252,10 @@
         record_seen_ = true;
         unchanged_since_ = changed ? now : unchanged_since_;
     }
+    if (known_owner_.resigned_)
+    {
+        condition_ = owner_condition::resigned;
+    }
     bool const can_skip_timeout =
         known_owner_.resigned_ || previous_incarnation || owner_lost_store_;
     auto const timeout =
@@ -209,6 +276,7 @@
     takeover_.in_flight_ = false;
     taking_over_ = false;
     suspecting_ = false;
+    condition_ = owner_condition::works;
     owning_ = true;
     highest_ = std::max(highest_, epoch_);
     known_owner_ = {};
@@ -238,6 +306,7 @@
     // The next owner's record has a higher epoch than the one that ended.
     known_owner_.address_.clear();
     known_owner_.resigned_ = true;
+    condition_ = owner_condition::unknown;
     suspecting_ = false;
     suspect(now);
 }
--- a/source/kernel/cell/ownership.hpp
+++ b/source/kernel/cell/ownership.hpp
@@ -2,6 +2,7 @@
 #define CUMINFOLD_KERNEL_CELL_OWNERSHIP_HPP
 
 #include "kernel/cell/owner_record.hpp"
+#include "kernel/cell/recent_latency.hpp"
 #include "kernel/time.hpp"
 
 #include <cstdint>
@@ -25,8 +26,17 @@
     duration ping_interval_ = std::chrono::milliseconds{250};
     /// An owner that answers no ping for this long is suspected.
     duration suspect_timeout_ = std::chrono::milliseconds{450};
-    /// An owner that has not reached the store for this long is suspected too.
+    /// An owner that has not reached the store for this long is suspected too,
+    /// unless the store answers this node slowly as well; see
+    /// `ownership::confirmation_limit()`.
     duration store_timeout_ = std::chrono::milliseconds{1100};
+    /// Time without confirmation of an owner whose store answers at once: the
+    /// interval of its confirmations (500 ms) and a margin for its event loop.
+    duration confirmation_time_ = std::chrono::milliseconds{600};
+    /// How long a response time of the store counts. Reads that follow a topic
+    /// end at most every 2.2 s when the store is slow (a wait of 0.7 s and a
+    /// timeout of 1.5 s).
+    duration latency_window_ = std::chrono::seconds{3};
     /// How often the owner's record is read while it is suspected.
     duration read_interval_ = std::chrono::milliseconds{200};
     /// A suspected owner whose record does not change for this long counts as
@@ -42,6 +52,21 @@
     duration contact_limit_ = std::chrono::milliseconds{1300};
 };
 
+/// What a node last learned about the owner of the cell.
+enum class owner_condition : std::uint8_t
+{
+    unknown,    ///< no owner is known
+    works,      ///< it answers and confirms its epoch in time
+    slow_store, ///< its confirmation is late, as is explained by the store
+    no_answer,  ///< it has not answered pings for `suspect_timeout_`
+    not_owning, ///< it answers, but owns the cell no more
+    store_lost, ///< its confirmation is later than the store explains
+    resigned    ///< its record says that it has released the cell
+};
+
+/// Name of a condition in log lines.
+char const* condition_name(owner_condition condition);
+
 /// The next step of a node's ownership protocol.
 enum class ownership_step : std::uint8_t
 {
@@ -56,6 +81,8 @@
 /// Only the store decides who the owner is: a takeover is an append under a
 /// higher epoch. This class only avoids needless attempts. An owner that still
 /// renews its record in the store is alive, even if this node cannot reach it.
+/// An owner whose epoch is not confirmed in time is replaced only if this node
+/// reaches the store faster: otherwise its successor would be as late.
 class ownership
 {
 public:
@@ -76,6 +103,10 @@
                      std::map<std::string, std::int64_t> const& nodes,
                      time_point now);
     void record_unreadable(time_point now);
+    /// The store answered any call of this node.
+    /// @param response_time without the time for which the call asked the
+    /// store to wait
+    void store_answered(duration response_time, time_point now);
     void took_over(time_point now);
     /// @param fenced the store holds a higher epoch than this node's
     void takeover_failed(bool fenced, time_point now);
@@ -103,6 +134,26 @@
     {
         return known_owner_;
     }
+    /// @name For log lines
+    /// @{
+    owner_condition condition() const noexcept
+    {
+        return condition_;
+    }
+    /// The time without confirmation that the owner reported last.
+    duration unconfirmed() const noexcept
+    {
+        return unconfirmed_;
+    }
+    /// @}
+    /// The longest response time of the store in this node's recent calls.
+    duration store_latency(time_point now) const
+    {
+        return latency_.longest(now);
+    }
+    /// How long an owner's epoch may stay without confirmation until the owner
+    /// is suspected: `store_timeout_`, or more if the store is slow.
+    duration confirmation_limit(time_point now) const;
 
 private:
     /// Schedule of a kind of call that has one call in flight at most.
@@ -114,6 +165,9 @@
 
     void follow(owner_record const& record, time_point now);
     void suspect(time_point now);
+    /// Compares the owner's last reported time without confirmation with the
+    /// limit.
+    void check_confirmation(time_point now);
     /// How long this node waits for nodes that rank before it. Nodes with more
     /// processor time rank first, since an owner needs the most of it.
     duration
@@ -136,8 +190,12 @@
     bool has_contact_ = false;
     /// The owner's record was read since the owner became suspected.
     bool record_seen_ = false;
-    /// The owner reported that it does not reach the store.
+    /// The owner's epoch is not confirmed in time, and the store's latency does
+    /// not explain it.
     bool owner_lost_store_ = false;
+    duration unconfirmed_{0};
+    owner_condition condition_ = owner_condition::unknown;
+    recent_latency latency_;
     /// Since when the owner's record is unchanged.
     time_point unchanged_since_{};
 };
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -49,6 +49,12 @@
 /// limit on file descriptors.
 constexpr std::size_t max_connections_per_address = 10;
 
+std::string in_milliseconds(duration time)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 http_client_limits platform_limits()
 {
     http_client_limits limits;
@@ -80,6 +86,9 @@
           health_(context_, {}, make_health_handler()), timer_(context_),
           stop_timer_(context_), signals_(context_, SIGTERM, SIGINT, SIGHUP)
     {
+        store_.set_latency_observer(
+            [this](duration response_time)
+            { ownership_.store_answered(response_time, node_now()); });
     }
 
     int run()
@@ -323,6 +332,7 @@
                           answer ? ownership_.ping_answered(*answer, node_now())
                                  : ownership_.ping_failed(node_now());
                           check_owner_change();
+                          log_owner_condition();
                       }
                   });
     }
@@ -362,6 +372,7 @@
                 }
                 ownership_.record_read(record, nodes, node_now());
                 check_owner_change();
+                log_owner_condition();
             });
     }
 
@@ -370,6 +381,7 @@
     /// the owner's partition only keeps out writers of older epochs.
     void take_over()
     {
+        log_owner("takeover_begun");
         platform::append_call call;
         call.topic_ = platform::store_topic::cell;
         call.epoch_ = ownership_.epoch();
@@ -440,6 +452,31 @@
         }
     }
 
+    /// Writes why the owner is replaced or kept.
+    void log_owner(char const* event)
+    {
+        auto const now = node_now();
+        log_.write(
+            event,
+            {{"epoch", std::to_string(ownership_.owner().epoch_)},
+             {"condition", condition_name(ownership_.condition())},
+             {"unconfirmed_ms", in_milliseconds(ownership_.unconfirmed())},
+             {"limit_ms", in_milliseconds(ownership_.confirmation_limit(now))},
+             {"store_latency_ms",
+              in_milliseconds(ownership_.store_latency(now))}},
+            now);
+    }
+
+    void log_owner_condition()
+    {
+        auto const condition = ownership_.condition();
+        if (condition != reported_condition_)
+        {
+            reported_condition_ = condition;
+            log_owner("owner_condition");
+        }
+    }
+
     void await_signal()
     {
         signals_.async_wait(
@@ -546,6 +583,7 @@
     time_point started_at_ = node_now();
     time_point next_periodic_check_{};
     std::uint64_t reported_epoch_ = 0;
+    owner_condition reported_condition_ = owner_condition::unknown;
     bool registered_ = false;
     bool stopping_ = false;
     bool reported_ready_ = false;
--- a/tests/kernel/cell/ownership_test.cpp
+++ b/tests/kernel/cell/ownership_test.cpp
@@ -225,3 +225,144 @@
         }
     }
 }
+
+namespace
+{
+
+/// An owner that answers pings and whose confirmation is late, as seen by a
+/// node that measures the store's latency itself.
+struct slow_store_scenario
+{
+    char const* name_;
+    std::chrono::milliseconds unconfirmed_;
+    /// Response time of the node's calls that follow the configuration.
+    std::chrono::milliseconds followed_latency_;
+    /// When these calls end; at 0 there are none.
+    std::chrono::milliseconds followed_until_;
+    /// Response time of the reads of the owner's record.
+    std::chrono::milliseconds read_latency_;
+    bool may_suspect_;
+    /// The node must take over within this time; 0: never.
+    std::chrono::milliseconds takeover_within_;
+};
+
+slow_store_scenario const slow_store_scenarios[] = {
+    {"the store is slow for both", 1500ms, 300ms, 9000ms, 300ms, false, 0ms},
+    {"the store is very slow for both", 4500ms, 1000ms, 9000ms, 1000ms, false,
+     0ms},
+    {"only the read of the record shows that the store is slow", 1500ms, 10ms,
+     9000ms, 300ms, true, 0ms},
+    {"the node follows nothing, and its read is slow", 1500ms, 0ms, 0ms, 300ms,
+     true, 0ms},
+    {"the store is fast for the node", 1500ms, 10ms, 9000ms, 10ms, true, 800ms},
+    {"the store is a little slower than usual for the node", 1200ms, 100ms,
+     9000ms, 100ms, true, 800ms},
+    {"the owner is later than the store explains", 3000ms, 300ms, 9000ms, 300ms,
+     true, 1500ms},
+    {"the store has recovered for the node", 1500ms, 300ms, 1000ms, 10ms, true,
+     4900ms},
+};
+
+struct slow_store_outcome
+{
+    bool suspected_ = false;
+    std::optional<duration> taken_over_;
+};
+
+slow_store_outcome run_slow_store(slow_store_scenario const& scenario)
+{
+    auto node = make_ownership("b");
+    owner_epoch const epoch = (7ULL << 32U) | 5U;
+    std::map<std::string, std::int64_t> const nodes{{"a", 250}, {"b", 250}};
+    auto now = start;
+    node.store_answered(scenario.followed_latency_, now);
+    node.record_read(record_of(epoch, "a", 1), nodes, now);
+    slow_store_outcome outcome;
+    bool reading = false;
+    time_point read_ends;
+    for (; now < start + 9s; now += 10ms)
+    {
+        if (now < start + scenario.followed_until_ &&
+            (now - start) % 1000ms == 0ms)
+        {
+            node.store_answered(scenario.followed_latency_, now);
+        }
+        if (reading && now >= read_ends)
+        {
+            reading = false;
+            node.store_answered(scenario.read_latency_, now);
+            node.record_read(record_of(epoch, "a", 1), nodes, now);
+        }
+        auto const step = node.next(now);
+        if (step == ownership_step::ping_owner)
+        {
+            peer_ping ping;
+            ping.epoch_ = epoch;
+            ping.owning_ = true;
+            ping.unconfirmed_ = scenario.unconfirmed_;
+            node.ping_answered(ping, now);
+        }
+        else if (step == ownership_step::read_record)
+        {
+            outcome.suspected_ = true;
+            reading = true;
+            read_ends = now + scenario.read_latency_;
+        }
+        else if (step == ownership_step::take_over)
+        {
+            outcome.taken_over_ = now - start;
+            return outcome;
+        }
+    }
+    return outcome;
+}
+
+} // namespace
+
+TEST_CASE("an owner is not deposed for a latency of the store that the "
+          "observing node sees too")
+{
+    for (auto const& each : slow_store_scenarios)
+    {
+        CAPTURE(each.name_);
+        auto const outcome = run_slow_store(each);
+        CHECK(outcome.suspected_ == each.may_suspect_);
+        CHECK(outcome.taken_over_.has_value() ==
+              (each.takeover_within_ != 0ms));
+        if (outcome.taken_over_ && each.takeover_within_ != 0ms)
+        {
+            CHECK(*outcome.taken_over_ <= each.takeover_within_);
+        }
+    }
+}
+
+TEST_CASE("a slow store does not delay the replacement of an owner that is "
+          "gone")
+{
+    std::map<std::string, std::int64_t> const nodes{{"a", 250}, {"b", 250}};
+    auto const takeover = [&](duration latency)
+    {
+        auto node = make_ownership("b");
+        node.record_read(record_of(7ULL << 32U, "a", 1), nodes, start);
+        auto now = start;
+        for (; now < start + 9s; now += 10ms)
+        {
+            node.store_answered(latency, now);
+            auto const step = node.next(now);
+            if (step == ownership_step::take_over)
+            {
+                break;
+            }
+            if (step == ownership_step::read_record)
+            {
+                node.record_read(record_of(7ULL << 32U, "a", 1), nodes, now);
+            }
+            else if (step == ownership_step::ping_owner)
+            {
+                node.ping_failed(now);
+            }
+        }
+        return now;
+    };
+    CHECK(takeover(1000ms) == takeover(10ms));
+}
