node: Start a new owner's append timeout from the measured latency

Cause: a new owner gave its first appends 150 ms. With a store that takes 0.3 s they were repeated once or twice, and its epoch stayed unconfirmed. Change: the timeout starts from the longest response time that the node has measured in the last 3 s, the append that claimed the cell included: three times that, within the same bounds. Up to 50 ms it stays at 150 ms. Not measured on a deployment.

--- a/source/kernel/cell/adaptive_timeout.hpp
+++ b/source/kernel/cell/adaptive_timeout.hpp
@@ -18,9 +18,12 @@
 {
 public:
     /// @param min_timeout, max_timeout bounds of `timeout()`
-    adaptive_timeout(duration min_timeout, duration max_timeout)
+    /// @param response_time of the dependency, known from other calls to it
+    adaptive_timeout(duration min_timeout, duration max_timeout,
+                     duration response_time = duration{0})
         : min_timeout_(min_timeout), max_timeout_(max_timeout)
     {
+        answered(response_time);
     }
 
     /// Records a call that was answered after `response_time`.
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -72,13 +72,15 @@
 } // namespace
 
 cell_owner::cell_owner(environment environment, owner_record record,
+                       duration store_latency,
                        std::function<void(char const*)> on_lost)
     : environment_(environment), record_(std::move(record)),
       on_lost_(std::move(on_lost)),
       cell_(make_options(environment.settings_), node_now()),
       fleet_(make_fleet_options(environment.settings_), cell_),
       timer_(environment.context_),
-      append_timeout_(min_append_timeout, environment.settings_.store_timeout_)
+      append_timeout_(min_append_timeout, environment.settings_.store_timeout_,
+                      store_latency)
 {
     environment_.workers_.set_token(record_.epoch_);
     environment_.vm_client_.set_token(record_.epoch_);
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -56,9 +56,12 @@
     };
 
     /// @param record the claimed epoch, and this node's name and address
+    /// @param store_latency the store's response time as this node has measured
+    /// it; the timeout of appends starts from it
     /// @param on_lost called at most once, when ownership is lost; not called
     /// after `stop()` or `resign()`
     cell_owner(environment environment, owner_record record,
+               duration store_latency,
                std::function<void(char const* cause)> on_lost);
 
     /// Starts to load the cell; it is served once its content, the workers'
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -399,7 +399,9 @@
             {{"epoch", std::to_string(epoch)},
              {"outcome", result.outcome_ == platform::append_outcome::stored
                              ? "stored"
-                             : result.detail_}},
+                             : result.detail_},
+             {"store_latency_ms",
+              in_milliseconds(ownership_.store_latency(now))}},
             now);
         if (result.outcome_ == platform::append_outcome::fenced)
         {
@@ -424,7 +426,8 @@
             cell_owner::environment{context_, settings_, store_, workers_,
                                     vm_client_, advice_, config_, log_,
                                     metrics_},
-            record, [this](char const*) { on_owner_lost(); });
+            record, ownership_.store_latency(now),
+            [this](char const*) { on_owner_lost(); });
         owner_->start();
         client_frontend_.on_owner_changed();
     }
--- a/tests/kernel/cell/adaptive_timeout_test.cpp
+++ b/tests/kernel/cell/adaptive_timeout_test.cpp
@@ -39,3 +39,41 @@
     }
     CHECK(before == 1500ms);
 }
+
+namespace
+{
+
+/// What other calls to a dependency have measured, and the first timeout.
+struct first_timeout_case
+{
+    char const* name_;
+    std::chrono::milliseconds measured_;
+    std::chrono::milliseconds timeout_;
+};
+
+first_timeout_case const first_timeout_cases[] = {
+    {"nothing was measured", 0ms, 150ms},
+    {"a fast store", 7ms, 150ms},
+    {"a store as slow as the least timeout allows", 50ms, 150ms},
+    {"a slow store", 300ms, 900ms},
+    {"a store that hardly answers", 1400ms, 1500ms},
+};
+
+} // namespace
+
+TEST_CASE("the first append to a store that is known to be slow is not "
+          "repeated before it can be answered")
+{
+    for (auto const& each : first_timeout_cases)
+    {
+        CAPTURE(each.name_);
+        adaptive_timeout adaptive(150ms, 1500ms, each.measured_);
+        CHECK(adaptive.timeout() == each.timeout_);
+        // Responses of a fast store lead back to the lower bound.
+        for (int i = 0; i < 60; ++i)
+        {
+            adaptive.answered(7ms);
+        }
+        CHECK(adaptive.timeout() == 150ms);
+    }
+}
