node: Bound the calls that a node forwards to the owner at a time

Cause: each call that waits for a new owner holds a connection to its peer server, up to 64 of each node. 12 nodes with 64 waiting calls each exceed its limit of 512 connections. Pings shared these connections and waited behind the calls. Change: the peer server accepts 1024 connections. All nodes together use 768 of them: each forwards 768 / nodes calls at a time (64 at most, 2 at least), by the number of nodes registered when the owner's record was read last. Further calls wait in order at the node that took them, until their deadline or a change of the owner; they have not been sent, so that their refusal is "has not run". Pings have an HTTP client of their own. Result: with the limits as they were, node_forward_limit_test fails for 12, 36 and 100 nodes (780, 2340 and 6500 connections of 512); now it passes. Not measured on a deployment.

--- a/source/node/client_frontend.cpp
+++ b/source/node/client_frontend.cpp
@@ -158,9 +158,21 @@
     auto const owner = handler_.locate_owner_();
     if (!owner.reachable_)
     {
+        open.waits_for_turn_ = false;
         open.next_attempt_ = now + retry_pause;
         return;
     }
+    if (!owner.local_ && !forwards_.try_begin(owner.epoch_))
+    {
+        if (!open.waits_for_turn_)
+        {
+            open.waits_for_turn_ = true;
+            forwards_.wait(exchange);
+            metrics_.add("cuminfold_forwards_delayed_total", 1);
+        }
+        return;
+    }
+    open.waits_for_turn_ = false;
     open.in_flight_ = true;
     open.sent_to_epoch_ = owner.epoch_;
     auto const number = ++open.attempt_;
@@ -178,14 +190,35 @@
     }
     open.peer_call_ = call_peer(
         peers_, owner.address_, open.call_,
-        [this, exchange, number](std::optional<client_answer> const& answer,
-                                 peer_failure failure)
+        [this, exchange, number, epoch = owner.epoch_](
+            std::optional<client_answer> const& answer, peer_failure failure)
         {
+            forwards_.ended(epoch);
             on_attempt_ended(exchange, number, answer,
                              failure != peer_failure::not_sent);
+            start_waiting();
         });
 }
 
+void client_frontend::start_waiting()
+{
+    while (auto const exchange = forwards_.next())
+    {
+        auto const found = open_.find(*exchange);
+        if (found != open_.end() && found->second.waits_for_turn_)
+        {
+            found->second.waits_for_turn_ = false;
+            start_attempt(*exchange);
+        }
+    }
+}
+
+void client_frontend::set_forward_limit(std::size_t calls)
+{
+    forwards_.set_limit(calls);
+    start_waiting();
+}
+
 void client_frontend::on_attempt_ended(
     std::uint64_t exchange, std::uint64_t attempt,
     std::optional<client_answer> const& answer, bool maybe_stored)
@@ -263,6 +296,7 @@
     if (open.peer_call_ != 0)
     {
         peers_.cancel(open.peer_call_);
+        forwards_.ended(open.sent_to_epoch_);
     }
     ++open.attempt_;
     client_answer answer;
@@ -295,6 +329,7 @@
             if (open.peer_call_ != 0)
             {
                 peers_.cancel(open.peer_call_);
+                forwards_.ended(open.sent_to_epoch_);
                 open.peer_call_ = 0;
             }
             open.in_flight_ = false;
@@ -351,6 +386,7 @@
             due.push_back(item.first);
         }
     }
+    bool const reachable = handler_.locate_owner_().reachable_;
     for (auto const exchange : due)
     {
         auto const found = open_.find(exchange);
@@ -367,6 +403,11 @@
         {
             abort_request(exchange, "no_owner_store_lost");
         }
+        else if (open.waits_for_turn_ && reachable)
+        {
+            // The owner is in reach; the request waits until its deadline.
+            continue;
+        }
         else if (!open.in_flight_ && now >= open.owner_deadline_)
         {
             abort_request(exchange, "no_owner");
@@ -376,6 +417,7 @@
             start_attempt(exchange);
         }
     }
+    start_waiting();
     if (!open_.empty())
     {
         arm_timer();
--- a/source/node/client_frontend.hpp
+++ b/source/node/client_frontend.hpp
@@ -5,6 +5,7 @@
 #include "kernel/cell/client_call.hpp"
 #include "kernel/cell/owner_record.hpp"
 #include "node/decision_log.hpp"
+#include "node/forward_limit.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
 
@@ -59,6 +60,8 @@
     /// Sends the requests that the earlier owner has not answered to the new
     /// one.
     void on_owner_changed();
+    /// Sets how many calls are forwarded to the owner at a time.
+    void set_forward_limit(std::size_t calls);
     /// From now on each answer closes its connection.
     void begin_shutdown();
     /// Answers every open request at once: `unknown` if an owner may have
@@ -87,6 +90,8 @@
         /// Number of the newest attempt; results of earlier ones are ignored.
         std::uint64_t attempt_ = 0;
         bool in_flight_ = false;
+        /// Waits for its turn to be forwarded; see `forward_limit`.
+        bool waits_for_turn_ = false;
         /// An owner may have stored the job.
         bool maybe_stored_ = false;
         time_point next_attempt_{};
@@ -97,6 +102,8 @@
     /// Sends a request to the present owner, or schedules another attempt if
     /// none is reachable.
     void start_attempt(std::uint64_t exchange);
+    /// Forwards the requests whose turn it is.
+    void start_waiting();
     void on_attempt_ended(std::uint64_t exchange, std::uint64_t attempt,
                           std::optional<client_answer> const& answer,
                           bool maybe_stored);
@@ -113,6 +120,7 @@
     metrics& metrics_;
     boost::asio::steady_timer timer_;
     std::map<std::uint64_t, open_request> open_;
+    forward_limit forwards_;
     /// The newest configuration version that an answer was based on; later
     /// requests must be answered from this version or a newer one.
     std::uint64_t config_floor_ = 0;
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -6,6 +6,7 @@
 #include "node/client_frontend.hpp"
 #include "node/config_follower.hpp"
 #include "node/file_watch.hpp"
+#include "node/forward_limit.hpp"
 #include "node/node_clock.hpp"
 #include "node/node_records.hpp"
 #include "node/node_settings_file.hpp"
@@ -63,6 +64,16 @@
     return limits;
 }
 
+/// One ping is in flight at a time; the other connection may be closing.
+constexpr std::size_t ping_connections = 2;
+
+http_client_limits ping_limits()
+{
+    http_client_limits limits;
+    limits.connections_ = ping_connections;
+    return limits;
+}
+
 /// All components of one node process, on a single thread.
 class node_server
 {
@@ -72,6 +83,7 @@
           settings_path_(std::move(settings_path)),
           settings_file_(settings_path_), log_(metrics_),
           http_(context_, platform_limits()), peer_http_(context_, {}),
+          ping_http_(context_, ping_limits()),
           store_(http_, settings_.store_address_, settings_.store_timeout_),
           workers_(http_, settings_.worker_timeout_),
           advice_(http_, settings_.advice_address_),
@@ -323,7 +335,7 @@
     void ping()
     {
         auto const epoch = ownership_.owner().epoch_;
-        ping_peer(peer_http_, ownership_.owner().address_,
+        ping_peer(ping_http_, ownership_.owner().address_,
                   settings_.peer_timeout_,
                   [this, epoch](std::optional<peer_ping> const& answer)
                   {
@@ -370,6 +382,7 @@
                                             unreadable_record);
                     }
                 }
+                update_forward_limit(nodes.size());
                 ownership_.record_read(record, nodes, node_now());
                 check_owner_change();
                 log_owner_condition();
@@ -455,6 +468,20 @@
         }
     }
 
+    void update_forward_limit(std::size_t nodes)
+    {
+        if (nodes != known_nodes_)
+        {
+            known_nodes_ = nodes;
+            auto const calls = max_forwarded_calls(nodes);
+            client_frontend_.set_forward_limit(calls);
+            log_.write("forward_limit",
+                       {{"nodes", std::to_string(nodes)},
+                        {"calls", std::to_string(calls)}},
+                       node_now());
+        }
+    }
+
     /// Writes why the owner is replaced or kept.
     void log_owner(char const* event)
     {
@@ -567,6 +594,8 @@
     /// Separate from `http_`: calls to other nodes last up to a client's whole
     /// wait.
     http_client peer_http_;
+    /// Separate from `peer_http_`: pings must not wait behind forwarded calls.
+    http_client ping_http_;
     platform::store_client store_;
     platform::worker_client workers_;
     platform::advice_client advice_;
@@ -587,6 +616,8 @@
     time_point next_periodic_check_{};
     std::uint64_t reported_epoch_ = 0;
     owner_condition reported_condition_ = owner_condition::unknown;
+    /// Nodes that were registered when the owner's record was read last.
+    std::size_t known_nodes_ = 0;
     bool registered_ = false;
     bool stopping_ = false;
     bool reported_ready_ = false;
--- a/source/node/peer_api.cpp
+++ b/source/node/peer_api.cpp
@@ -1,5 +1,6 @@
 #include "node/peer_api.hpp"
 
+#include "node/forward_limit.hpp"
 #include "node/node_records.hpp"
 #include "transport/logger.hpp"
 #include "wire/cell_codec.hpp"
@@ -24,7 +25,7 @@
 {
     http_server_limits limits;
     limits.idle_time_ = peer_idle_timeout;
-    limits.connections_ = 512;
+    limits.connections_ = max_peer_connections;
     return limits;
 }
 
