cell: Let an append timeout grow from any earlier response time

Cause: the timeout doubled the value computed from earlier response times. For a store that had answered in 0.3 ms all six doublings stayed below the lower bound of 150 ms: once the store took 0.3 s, no append was answered in time. Change: doublings start from a third of the lower bound at least: 150, 150, 200, 400, 800, 1500 ms. A store that answered in 8.3 ms or more has the same timeouts as before.

--- a/source/kernel/cell/adaptive_timeout.hpp
+++ b/source/kernel/cell/adaptive_timeout.hpp
@@ -47,7 +47,9 @@
     duration timeout() const
     {
         auto const time = std::chrono::duration_cast<duration>(
-            smoothed_response_time_ * timeout_factor * (1LL << doublings_));
+            std::max(smoothed_response_time_ * timeout_factor,
+                     min_timeout_ / min_timeout_divisor) *
+            (1LL << doublings_));
         return std::clamp(time, min_timeout_, max_timeout_);
     }
 
@@ -56,6 +58,10 @@
     /// Responses take up to this many times the smoothed response time.
     static constexpr std::int64_t timeout_factor = 6;
     static constexpr int max_doublings = 6;
+    /// The doublings start from this part of the lower bound at least.
+    /// Otherwise response times far below it would need most of them to reach
+    /// it.
+    static constexpr std::int64_t min_timeout_divisor = 3;
 
     duration min_timeout_;
     duration max_timeout_;
--- a/tests/kernel/cell/adaptive_timeout_test.cpp
+++ b/tests/kernel/cell/adaptive_timeout_test.cpp
@@ -77,3 +77,28 @@
         CHECK(adaptive.timeout() == 150ms);
     }
 }
+
+// Doubling a timeout that was computed from response times of 0.3 ms did not
+// reach the lower bound, so that each append to a store that had become slow
+// timed out.
+TEST_CASE("appends to a store that was fast and becomes slow are answered "
+          "after a few timeouts")
+{
+    for (auto const response_time : {100us, 300us, 7000us, 20'000us})
+    {
+        CAPTURE(response_time.count());
+        adaptive_timeout adaptive(150ms, 1500ms);
+        for (int i = 0; i < 20; ++i)
+        {
+            adaptive.answered(response_time);
+        }
+        CHECK(adaptive.timeout() == 150ms);
+        duration wasted{0};
+        while (adaptive.timeout() <= 300ms && wasted < 5s)
+        {
+            wasted += adaptive.timeout();
+            adaptive.unanswered();
+        }
+        CHECK(wasted <= 600ms);
+    }
+}
