cell: Space takeovers by the store's latency

Cause: nodes claim the cell 150 ms after one another. A claim is known to the others only after its append and the first renewal of the record, so that with a store of 0.3 s several nodes claimed the cell in turn and fenced each other. Change: a rank waits four response times of the store, as measured by the node itself, from 150 ms up to 1.5 s. The first rank waits for nobody, as before; up to 37 ms nothing changes. If the first ranks are gone too while the store is slow, the cell is without an owner for up to 1.5 s longer for each. Result: the new case of kernel_ownership_test fails without the change at 0.3 and 0.6 s and passes with it.

--- a/source/kernel/cell/ownership.cpp
+++ b/source/kernel/cell/ownership.cpp
@@ -23,6 +23,10 @@
 /// total less than two), and the answer. A takeover takes at least as many:
 /// read the record, claim the cell, read its content and its workers.
 constexpr std::int64_t latencies_per_confirmation = 4;
+/// Response times of the store until a takeover is known to other nodes: claim
+/// the cell, renew the owner's record, read it; one more, since nodes start to
+/// read at different times.
+constexpr std::int64_t latencies_per_rank = 4;
 
 } // namespace
 
@@ -181,8 +185,9 @@
     }
 }
 
-duration ownership::takeover_delay(
-    std::map<std::string, std::int64_t> const& nodes) const
+duration
+ownership::takeover_delay(std::map<std::string, std::int64_t> const& nodes,
+                          time_point now) const
 {
     auto const round = std::to_string(highest_);
     auto const own = rendezvous_weight(options_.node_, round);
@@ -203,7 +208,10 @@
     // Nodes read the record at different times, so nodes of adjacent ranks may
     // try at the same time. The extra delay keeps a node with less processor
     // time from trying together with a larger one.
-    return options_.rank_delay_ * std::min(rank, last_rank) +
+    auto const rank_delay =
+        std::clamp(store_latency(now) * latencies_per_rank,
+                   options_.rank_delay_, options_.max_rank_delay_);
+    return rank_delay * std::min(rank, last_rank) +
            (has_larger_node ? options_.read_interval_ : duration{0});
 }
 
@@ -216,7 +224,7 @@
     {
         return;
     }
-    auto const delay = takeover_delay(nodes);
+    auto const delay = takeover_delay(nodes, now);
     if (!record)
     {
         // The cell never had an owner.
--- a/source/kernel/cell/ownership.hpp
+++ b/source/kernel/cell/ownership.hpp
@@ -42,9 +42,12 @@
     /// A suspected owner whose record does not change for this long counts as
     /// dead; several times the interval at which owners renew the record.
     duration record_timeout_ = std::chrono::milliseconds{900};
-    /// A node of rank r delays its takeover by r times this, so that one node
-    /// tries at a time.
+    /// A node of rank r delays its takeover by r times this, or more if the
+    /// store is slow, so that one node tries at a time.
     duration rank_delay_ = std::chrono::milliseconds{150};
+    /// Bound on that delay, so that nodes which are registered but gone do not
+    /// leave the cell without an owner for long.
+    duration max_rank_delay_ = std::chrono::milliseconds{1500};
     /// Delay of the first takeover of a cell that never had an owner, so that
     /// nodes that start together can register first.
     duration registration_wait_ = std::chrono::milliseconds{600};
@@ -170,8 +173,8 @@
     void check_confirmation(time_point now);
     /// How long this node waits for nodes that rank before it. Nodes with more
     /// processor time rank first, since an owner needs the most of it.
-    duration
-    takeover_delay(std::map<std::string, std::int64_t> const& nodes) const;
+    duration takeover_delay(std::map<std::string, std::int64_t> const& nodes,
+                            time_point now) const;
     owner_epoch next_epoch() const;
 
     ownership_options options_;
--- a/tests/kernel/cell/ownership_test.cpp
+++ b/tests/kernel/cell/ownership_test.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace cuminfold;
 using namespace std::chrono_literals;
@@ -366,3 +367,57 @@
     };
     CHECK(takeover(1000ms) == takeover(10ms));
 }
+
+// A takeover becomes known to other nodes once its append and the first renewal
+// of the record are stored. Nodes that did not wait for that claimed the cell
+// in turn while the store was slow.
+TEST_CASE("while the store is slow, a node gives the one before it time to "
+          "claim the cell and to become known")
+{
+    struct row
+    {
+        duration latency_;
+        duration least_wait_;
+    };
+    row const rows[] = {{1ms, 0ms}, {300ms, 900ms}, {600ms, 1500ms}};
+    std::map<std::string, std::int64_t> const nodes{{"b", 250}, {"c", 250}};
+    auto const gone = record_of(7ULL << 32U, "a", 1);
+    for (auto const& each : rows)
+    {
+        CAPTURE(each.latency_.count());
+        std::vector<duration> times;
+        for (auto const* const name : {"b", "c"})
+        {
+            auto node = make_ownership(name);
+            auto now = start;
+            node.record_read(gone, nodes, now);
+            auto record = gone;
+            record.resigned_ = true;
+            for (; now < start + 20s; now += 10ms)
+            {
+                node.store_answered(each.latency_, now);
+                auto const step = node.next(now);
+                if (step == ownership_step::read_record)
+                {
+                    node.record_read(record, nodes, now);
+                }
+                else if (step == ownership_step::ping_owner)
+                {
+                    peer_ping ping;
+                    ping.epoch_ = gone.epoch_;
+                    node.ping_answered(ping, now);
+                }
+                else if (step == ownership_step::take_over)
+                {
+                    break;
+                }
+            }
+            times.push_back(now - start);
+        }
+        std::sort(times.begin(), times.end());
+        // The first node waits for nobody.
+        CHECK(times[0] <= 50ms);
+        CHECK(times[1] - times[0] >= each.least_wait_);
+        CHECK(times[1] - times[0] <= 400ms + 5 * each.latency_);
+    }
+}
