node: Resign with an append that the store does not drop

Cause: a resignation had the sequence number of the next heartbeat. While the store is slow a heartbeat is in flight or has timed out after it was stored; the store then drops the resignation as a repetition, and the successor waits for 0.9 s until the record counts as unchanged. Change: the resignation has no sequence number; its epoch fences it, as that of the appends that confirm the epoch.

--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -133,8 +133,13 @@
     serving_ = false;
     record_.resigned_ = true;
     stop();
+    auto call = next_heartbeat_call();
+    // A heartbeat with the next sequence number may be in flight or have timed
+    // out: under the same number the store would drop this append as a
+    // repetition. The epoch alone fences it.
+    call.sequence_ = 0;
     environment_.store_.append(
-        next_heartbeat_call(), duration{0},
+        call, duration{0},
         [done = std::move(done)](platform::append_result const&) { done(); });
 }
 
--- a/tests/node/node_process_test.cpp
+++ b/tests/node/node_process_test.cpp
@@ -2,6 +2,7 @@
 #include "http_caller.hpp"
 #include "platform/body_codec.hpp"
 #include "platform/stand_in/platform_stand_in.hpp"
+#include "wire/cell_codec.hpp"
 
 #include <doctest/doctest.h>
 
@@ -396,6 +397,44 @@
     CHECK(system.platform_.max_starts() == 1);
 }
 
+// Guards against a resignation with the sequence number of a renewal of the
+// record that is still under way: the store drops it as a repetition, and the
+// successor waits until the record counts as unchanged.
+TEST_CASE("an owner that stops while the store is slow is seen to resign")
+{
+    small_system system;
+    system.submit_until_accepted(id_of(1), 1, 10);
+    auto const read_record = [&]
+    {
+        auto const bytes =
+            system.platform_.newest_record("keyed.owner-0", "owner");
+        return bytes ? decode_owner(*bytes) : owner_record{};
+    };
+    system.wait_until([&] { return read_record().epoch_ != 0; });
+    auto const owner = read_record();
+    system.platform_.set_store_latency(1s);
+    std::this_thread::sleep_for(500ms);
+    auto const& names = std::vector<std::string>{"a", "b", "c"};
+    for (std::size_t i = 0; i < names.size(); ++i)
+    {
+        if (names[i] == owner.node_)
+        {
+            system.vms_[i]->process_->terminate();
+            CHECK(system.vms_[i]->process_->wait() == 0);
+        }
+    }
+    auto seen = owner;
+    system.wait_until(
+        [&]
+        {
+            seen = read_record();
+            return seen.resigned_ || seen.epoch_ != owner.epoch_;
+        });
+    CHECK(seen.epoch_ == owner.epoch_);
+    CHECK(seen.resigned_);
+    system.platform_.set_store_latency(0s);
+}
+
 TEST_CASE("a request that is open when a node's time to stop is up is answered")
 {
     small_system system;
