--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -6,6 +6,7 @@
 #include "node/client_frontend.hpp"
 #include "node/config_follower.hpp"
 #include "node/file_watch.hpp"
+#include "node/forward_limit.hpp"
 #include "node/node_clock.hpp"
 #include "node/node_records.hpp"
 #include "node/node_settings_file.hpp"
@@ -49,6 +50,12 @@
 /// limit on file descriptors.
 constexpr std::size_t max_connections_per_address = 10;
 
+std::string in_milliseconds(duration time)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 http_client_limits platform_limits()
 {
     http_client_limits limits;
@@ -57,6 +64,16 @@
     return limits;
 }
 
+/// One ping is in flight at a time; the other connection may be closing.
+constexpr std::size_t ping_connections = 2;
+
+http_client_limits ping_limits()
+{
+    http_client_limits limits;
+    limits.connections_ = ping_connections;
+    return limits;
+}
+
 /// All components of one node process, on a single thread.
 class node_server
 {
@@ -66,6 +83,7 @@
           settings_path_(std::move(settings_path)),
           settings_file_(settings_path_), log_(metrics_),
           http_(context_, platform_limits()), peer_http_(context_, {}),
+          ping_http_(context_, ping_limits()),
           store_(http_, settings_.store_address_, settings_.store_timeout_),
           workers_(http_, settings_.worker_timeout_),
           advice_(http_, settings_.advice_address_),
@@ -80,6 +98,9 @@
           health_(context_, {}, make_health_handler()), timer_(context_),
           stop_timer_(context_), signals_(context_, SIGTERM, SIGINT, SIGHUP)
     {
+        store_.set_latency_observer(
+            [this](duration response_time)
+            { ownership_.store_answered(response_time, node_now()); });
     }
 
     int run()
@@ -356,7 +377,7 @@
     void ping()
     {
         auto const epoch = ownership_.owner().epoch_;
-        ping_peer(peer_http_, ownership_.owner().address_,
+        ping_peer(ping_http_, ownership_.owner().address_,
                   settings_.peer_timeout_,
                   [this, epoch](std::optional<peer_ping> const& answer)
                   {
@@ -365,6 +386,7 @@
                           answer ? ownership_.ping_answered(*answer, node_now())
                                  : ownership_.ping_failed(node_now());
                           check_owner_change();
+                          log_owner_condition();
                       }
                   });
     }
@@ -402,8 +424,10 @@
                                             unreadable_record);
                     }
                 }
+                update_forward_limit(nodes.size());
                 ownership_.record_read(record, nodes, node_now());
                 check_owner_change();
+                log_owner_condition();
             });
     }
 
@@ -412,6 +436,7 @@
     /// the owner's partition only keeps out writers of older epochs.
     void take_over()
     {
+        log_owner("takeover_begun");
         platform::append_call call;
         call.topic_ = platform::store_topic::cell;
         call.epoch_ = ownership_.epoch();
@@ -429,7 +454,9 @@
             {{"epoch", std::to_string(epoch)},
              {"outcome", result.outcome_ == platform::append_outcome::stored
                              ? "stored"
-                             : result.detail_}},
+                             : result.detail_},
+             {"store_latency_ms",
+              in_milliseconds(ownership_.store_latency(now))}},
             now);
         if (result.outcome_ == platform::append_outcome::fenced)
         {
@@ -454,7 +481,8 @@
             cell_owner::environment{context_, settings_, store_, workers_,
                                     vm_client_, advice_, config_, log_,
                                     metrics_},
-            record, [this](char const*) { on_owner_lost(); });
+            record, ownership_.store_latency(now),
+            [this](char const*) { on_owner_lost(); });
         owner_->start();
         client_frontend_.on_owner_changed();
     }
@@ -482,6 +510,45 @@
         }
     }
 
+    void update_forward_limit(std::size_t nodes)
+    {
+        if (nodes != known_nodes_)
+        {
+            known_nodes_ = nodes;
+            auto const calls = max_forwarded_calls(nodes);
+            client_frontend_.set_forward_limit(calls);
+            log_.write("forward_limit",
+                       {{"nodes", std::to_string(nodes)},
+                        {"calls", std::to_string(calls)}},
+                       node_now());
+        }
+    }
+
+    /// Writes why the owner is replaced or kept.
+    void log_owner(char const* event)
+    {
+        auto const now = node_now();
+        log_.write(
+            event,
+            {{"epoch", std::to_string(ownership_.owner().epoch_)},
+             {"condition", condition_name(ownership_.condition())},
+             {"unconfirmed_ms", in_milliseconds(ownership_.unconfirmed())},
+             {"limit_ms", in_milliseconds(ownership_.confirmation_limit(now))},
+             {"store_latency_ms",
+              in_milliseconds(ownership_.store_latency(now))}},
+            now);
+    }
+
+    void log_owner_condition()
+    {
+        auto const condition = ownership_.condition();
+        if (condition != reported_condition_)
+        {
+            reported_condition_ = condition;
+            log_owner("owner_condition");
+        }
+    }
+
     void await_signal()
     {
         signals_.async_wait(
@@ -569,6 +636,8 @@
     /// Separate from `http_`: calls to other nodes last up to a client's whole
     /// wait.
     http_client peer_http_;
+    /// Separate from `peer_http_`: pings must not wait behind forwarded calls.
+    http_client ping_http_;
     platform::store_client store_;
     platform::worker_client workers_;
     platform::advice_client advice_;
@@ -588,6 +657,9 @@
     time_point started_at_ = node_now();
     time_point next_periodic_check_{};
     std::uint64_t reported_epoch_ = 0;
+    owner_condition reported_condition_ = owner_condition::unknown;
+    /// Nodes that were registered when the owner's record was read last.
+    std::size_t known_nodes_ = 0;
     bool registered_ = false;
     bool stopping_ = false;
     bool reported_ready_ = false;
