cell: Select the jobs that fit before their deadlines

Placement by earliest deadline lets nearly all large jobs of a burst end just too late: their deadlines hide how early their tasks have to begin, and admission counts on VMs that arrive later than expected.

While finite jobs wait after a placement, the owner ranks the open jobs of the pool at most every 100 ms: by latest start, dropping jobs beyond their workspace's share, of low priority and with much work left where the work does not fit (Moore-Hodgson), but keeping a share of the large ones. The selected jobs are placed first, the others by the least work left. While jobs are deferred, a new job is accepted only if it would be selected and displaces only jobs that have not begun and are cheaper to delay.

--- a/source/kernel/cell/admission_check.cpp
+++ b/source/kernel/cell/admission_check.cpp
@@ -21,6 +21,11 @@
 
 } // namespace
 
+double available_work(pool_capacity const& pool, duration time)
+{
+    return available_work(pool, to_seconds(time));
+}
+
 double excess_work(std::vector<deadline_work> ahead, deadline_work next,
                    pool_capacity const& pool)
 {
--- a/source/kernel/cell/admission_check.hpp
+++ b/source/kernel/cell/admission_check.hpp
@@ -1,6 +1,8 @@
 #ifndef CUMINFOLD_KERNEL_CELL_ADMISSION_CHECK_HPP
 #define CUMINFOLD_KERNEL_CELL_ADMISSION_CHECK_HPP
 
+#include "kernel/time.hpp"
+
 #include <vector>
 
 namespace cuminfold
@@ -22,6 +24,9 @@
     double free_ = 0;
 };
 
+/// Work in worker-seconds that the pool can do within that time.
+double available_work(pool_capacity const& pool, duration time);
+
 /// An amount of work and its deadline, counted from now.
 struct deadline_work
 {
--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -6,6 +6,7 @@
 #include "kernel/cell/demand_estimator.hpp"
 #include "kernel/cell/fleet_config.hpp"
 #include "kernel/cell/job_definition.hpp"
+#include "kernel/cell/job_ranking.hpp"
 #include "kernel/cell/job_state.hpp"
 #include "kernel/cell/lost_runs.hpp"
 #include "kernel/cell/placement_rule.hpp"
@@ -313,6 +314,18 @@
         double waiting_ = 0;
     };
 
+    /// The latest ranking of a pool.
+    struct pool_ranking
+    {
+        time_point ranked_at_{};
+        /// Whether some job is not selected.
+        bool overloaded_ = false;
+        /// Whether some job is deferred.
+        bool has_deferred_ = false;
+        /// If overloaded, the pool's jobs by id; times count from `ranked_at_`.
+        std::unordered_map<std::string, std::pair<job_rank, ranked_job>> jobs_;
+    };
+
     /// The workers of a pool: those that take tasks, the same without their
     /// finite tasks, and those of reserved VMs.
     struct pool_room
@@ -730,6 +743,43 @@
     /// The task may run beside others from now on.
     static void end_isolation(worker_state& worker, task_state& task);
 
+    // cell_ranking.cpp
+    /// The pool's usable workers and those that move to it, without what
+    /// long-running tasks occupy.
+    pool_capacity capacity_of(pool_name const& pool, time_point now) const;
+    /// @param typical the size of the workers that the work is counted in
+    ranked_job ranked(job_state const& job, resource_amount const& typical,
+                      time_point now) const;
+    /// The open jobs of a pool. Adds what long-running ones occupy to
+    /// `capacity`.
+    std::vector<std::pair<job_state const*, ranked_job>>
+    ranked_jobs(pool_name const& pool, pool_capacity& capacity,
+                time_point now) const;
+    /// Selects the jobs that fit before their deadlines, if jobs have waited
+    /// since the last placement and the last ranking is old enough.
+    void rank_pool(pool_name const& pool, time_point now);
+    /// Removes the rankings of pools without waiting jobs.
+    void forget_rankings(
+        std::map<pool_name, std::vector<std::pair<job_id, job_state*>>> const&
+            waiting);
+    /// Remembers whether finite jobs of the pool wait after a placement.
+    void note_unplaced(pool_name const& pool,
+                       std::vector<std::pair<job_id, job_state*>> const& jobs);
+    placement_key placement_key_of(job_state const& job, bool late,
+                                   time_point now) const;
+    /// Whether the latest ranking of the pool deferred some job.
+    bool has_deferred_jobs(pool_name const& pool) const
+    {
+        auto const found = rankings_.find(pool);
+        return found != rankings_.end() && found->second.has_deferred_;
+    }
+    /// Whether a job that has to wait may be accepted: see `may_displace()`.
+    /// @param path run time of its longest chain of steps
+    bool may_wait(queue_route const& route, deadline_work const& next,
+                  duration path, time_point now) const;
+    /// Records the work of a job that the queue was asked for.
+    void add_size(queue_route const& route, double work);
+
     // cell_placement.cpp
     /// Places a task that may crash its worker, if there is a worker where that
     /// harms no other task; else prepares one.
@@ -791,6 +841,10 @@
     /// As stored, by the queue's name.
     std::map<std::string, advice_policy> policies_;
     std::map<pool_name, std::uint32_t> incoming_;
+    /// Of pools whose finite jobs wait for workers.
+    std::map<pool_name, pool_ranking> rankings_;
+    /// By the queue's name.
+    std::map<std::string, job_sizes> job_sizes_;
     std::unordered_map<std::string, job_state> jobs_;
     /// Sum of `job_state::memory_`, in bytes.
     std::uint64_t job_memory_ = 0;
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -91,8 +91,8 @@
         return;
     }
     auto const already_waited = time_already_waited(route, time_left);
-    demand_.add(route.pool_, request.id_,
-                run_times_.work(request, typical_worker(route.pool_)), now);
+    double const work = run_times_.work(request, typical_worker(route.pool_));
+    demand_.add(route.pool_, request.id_, work, now);
     char const* const refusal_cause =
         store_stalled(now)                         ? "store_stalled"
         : time_left < options_.min_client_time_    ? "too_little_time"
@@ -117,6 +117,7 @@
         from_seconds(to_seconds(longest_chain) * route.stretch_) +
         route.objective_ - already_waited;
     client_answer refusal = make_answer(answer_kind::overloaded, "");
+    add_size(route, work);
     if (!admit(route, request, objective, now, refusal))
     {
         reply(exchange, refusal);
@@ -165,23 +166,7 @@
                  client_answer& refusal) const
 {
     auto const typical = typical_worker(route.pool_);
-    pool_capacity capacity;
-    auto const pool = pool_workers_.find(route.pool_);
-    if (pool != pool_workers_.end())
-    {
-        for (auto const& name : pool->second)
-        {
-            auto const found = workers_.find(name);
-            if (found != workers_.end() && is_usable(found->second, now))
-            {
-                ++capacity.workers_;
-                capacity.free_ += 1 - worker_share(found->second.used_,
-                                                   found->second.entry_.size_);
-            }
-        }
-    }
-    auto const incoming = incoming_.find(route.pool_);
-    capacity.incoming_ = incoming == incoming_.end() ? 0 : incoming->second;
+    auto capacity = capacity_of(route.pool_, now);
     if (capacity.workers_ + capacity.incoming_ <= 0)
     {
         refusal.cause_ = "no_worker";
@@ -234,7 +219,8 @@
     auto const longest_chain = run_times_.longest_chain(request);
     double const time = to_seconds(std::max(objective, longest_chain));
     double const excess = excess_work(std::move(ahead), {time, work}, capacity);
-    if (begins_now || excess <= 0)
+    bool const fits = excess <= 0 && !has_deferred_jobs(route.pool_);
+    if (begins_now || fits || may_wait(route, {time, work}, longest_chain, now))
     {
         return true;
     }
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -45,13 +45,6 @@
            required_isolation(task, now) == task_isolation::none;
 }
 
-/// Sort key of a pool's jobs: jobs on time before late ones, long-running
-/// before finite ones, then lower priority values, then the earliest objective.
-auto sort_key(job_state const& job, std::uint32_t priority, bool late)
-{
-    return std::make_tuple(late, !job.long_running_, priority, job.objective_);
-}
-
 } // namespace
 
 bool cell::is_ready(job_step const& shape, occurrence_state const& occurrence)
@@ -98,9 +91,12 @@
             by_pool[job.pool_].emplace_back(job_id{item.first}, &job);
         }
     }
+    forget_rankings(by_pool);
     for (auto& pool : by_pool)
     {
+        rank_pool(pool.first, now);
         place_pool(pool.first, pool.second, now);
+        note_unplaced(pool.first, pool.second);
     }
 }
 
@@ -128,7 +124,7 @@
     }
     struct ordered_job
     {
-        decltype(sort_key({}, 0, false)) sort_key_;
+        placement_key sort_key_;
         job_id id_;
         job_state* job_;
     };
@@ -136,10 +132,8 @@
     ordered.reserve(jobs.size());
     for (auto& item : jobs)
     {
-        auto const* const route = config_.find_by_name(item.second->route_);
         ordered.push_back(
-            {sort_key(*item.second, route == nullptr ? 0 : route->priority_,
-                      is_late(*item.second, now)),
+            {placement_key_of(*item.second, is_late(*item.second, now), now),
              item.first, item.second});
     }
     std::sort(ordered.begin(), ordered.end(),
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -912,6 +912,13 @@
     cell_->set_config(config_);
 }
 
+void cell_world::set_objective(double stretch, milliseconds objective)
+{
+    config_.routes_[0].stretch_ = stretch;
+    config_.routes_[0].objective_ = objective;
+    cell_->set_config(config_);
+}
+
 void cell_world::remove_queue()
 {
     config_.routes_.clear();
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -196,6 +196,8 @@
     std::size_t advice_queries_ = 0;
     /// Adds a pool without workers to the configuration.
     void add_pool(pool_name const& name);
+    /// Sets by when the queue's jobs should end, as in `queue_route`.
+    void set_objective(double stretch, std::chrono::milliseconds objective);
     /// Removes the queue from the configuration.
     void remove_queue();
     /// Gives the queue a policy.
