--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -195,6 +195,7 @@
     cell_options options;
     options.min_stall_timeout_ = std::chrono::seconds{60};
     options.max_job_memory_ = max_job_memory_;
+    options.ranks_jobs_ = ranks_jobs_;
     options.longest_lease_ = max_lease_;
     cell_ = std::make_unique<cell>(options, now_);
     cell_->set_config(config_);
@@ -979,6 +980,13 @@
            exceeds(used.memory_mb_, shape.each_.memory_mb_, most.memory_mb_);
 }
 
+void cell_world::set_objective(double stretch, milliseconds objective)
+{
+    config_.routes_[0].stretch_ = stretch;
+    config_.routes_[0].objective_ = objective;
+    cell_->set_config(config_);
+}
+
 void cell_world::remove_queue()
 {
     config_.routes_.clear();
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -152,7 +152,9 @@
 
     faults faults_;
     bool store_down_ = false;
-    /// Of later owners, in bytes: see `cell_options`.
+    /// Of later owners: see `cell_options`.
+    bool ranks_jobs_ = false;
+    /// The same, in bytes.
     std::uint64_t max_job_memory_ = cell_options{}.max_job_memory_;
     /// Largest record of the store, and largest append, in bytes.
     bool measures_records_ = false;
@@ -203,6 +205,8 @@
     /// Adds a workspace to the configuration, or changes its limit.
     void set_limit(workspace_name const& workspace,
                    resource_amount const& limit);
+    /// Sets by when the queue's jobs should end, as in `queue_route`.
+    void set_objective(double stretch, std::chrono::milliseconds objective);
     /// Removes the queue from the configuration.
     void remove_queue();
     /// Gives the queue a policy.
