cell: Let the ranking decide on placement alone by default

Change: where the configuration has workspaces the ranking orders placement alone; admission by rank needs the setting.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -35,6 +35,16 @@
 namespace cuminfold
 {
 
+/// What the ranking of jobs under overload decides.
+enum class job_ranking_use : std::uint8_t
+{
+    /// The order of placement, if the configuration has workspaces. Without the
+    /// ranking jobs are placed by deadline.
+    with_workspaces,
+    placement, ///< the order of placement
+    admission  ///< also which jobs are accepted
+};
+
 /// Timeouts, intervals and limits of a cell.
 struct cell_options
 {
@@ -82,9 +92,7 @@
     /// A job whose client waits for less than this is refused, since it cannot
     /// be stored in less time.
     duration min_client_time_ = std::chrono::milliseconds{50};
-    /// Under overload, selects the jobs that fit before their deadlines; always
-    /// active if the configuration has workspaces.
-    bool ranks_jobs_ = false;
+    job_ranking_use job_ranking_ = job_ranking_use::with_workspaces;
     /// How long an ended job can still be queried.
     duration ended_job_retention_ = std::chrono::seconds{130};
     /// A run that makes no progress for this share of its expected run time,
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -254,9 +254,13 @@
     auto const longest_chain = run_times_.longest_chain(request);
     double const time = to_seconds(std::max(objective, longest_chain));
     double const excess = excess_work(std::move(ahead), {time, work}, capacity);
-    bool const fits = excess <= 0 && !has_deferred_jobs(route.pool_);
+    bool const admits_by_rank =
+        options_.job_ranking_ == job_ranking_use::admission;
+    bool const fits = excess <= 0 && !(admits_by_rank &&
+                                       has_deferred_jobs(route.pool_));
     if (begins_now || fits ||
-        may_wait(route, {time, work}, longest_chain, beyond_share, now))
+        (admits_by_rank &&
+         may_wait(route, {time, work}, longest_chain, beyond_share, now)))
     {
         return true;
     }
--- a/source/kernel/cell/cell_ranking.cpp
+++ b/source/kernel/cell/cell_ranking.cpp
@@ -192,16 +192,13 @@
 
 bool cell::ranks_jobs() const
 {
-    return options_.ranks_jobs_ || config_.workspaces_ != nullptr;
+    return options_.job_ranking_ != job_ranking_use::with_workspaces ||
+           config_.workspaces_ != nullptr;
 }
 
 bool cell::may_wait(queue_route const& route, deadline_work const& next,
                     duration path, bool beyond_share, time_point now) const
 {
-    if (!ranks_jobs())
-    {
-        return false;
-    }
     auto capacity = capacity_of(route.pool_, now);
     std::vector<ranked_job> open;
     for (auto const& item : ranked_jobs(route.pool_, capacity, now))
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -51,7 +51,7 @@
     options.lease_ = std::min(options.lease_, settings.longest_lease_);
     options.longest_lease_ = settings.longest_lease_;
     options.stop_grace_ = settings.stop_grace_ + order_latency_margin;
-    options.ranks_jobs_ = settings.overload_ranking_;
+    options.job_ranking_ = settings.overload_ranking_;
     options.max_record_bytes_ = settings.max_record_bytes_ - max_key_bytes;
     options.max_job_memory_ =
         settings.memory_mb_ * bytes_per_mb / job_memory_divisor;
--- a/source/node/node_settings.hpp
+++ b/source/node/node_settings.hpp
@@ -59,8 +59,7 @@
     /// the platform.
     std::uint32_t max_record_bytes_ = 262'144;
     std::uint32_t max_append_bytes_ = 2'097'152;
-    /// As `cell_options::ranks_jobs_`.
-    bool overload_ranking_ = false;
+    job_ranking_use overload_ranking_ = job_ranking_use::with_workspaces;
     /// How long after a key was revoked a request with it may still succeed;
     /// given by the platform. 0: no such limit.
     duration key_revocation_limit_{0};
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -195,7 +195,7 @@
     cell_options options;
     options.min_stall_timeout_ = std::chrono::seconds{60};
     options.max_job_memory_ = max_job_memory_;
-    options.ranks_jobs_ = ranks_jobs_;
+    options.job_ranking_ = job_ranking_;
     options.longest_lease_ = max_lease_;
     cell_ = std::make_unique<cell>(options, now_);
     cell_->set_config(config_);
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -153,7 +153,7 @@
     faults faults_;
     bool store_down_ = false;
     /// Of later owners: see `cell_options`.
-    bool ranks_jobs_ = false;
+    job_ranking_use job_ranking_ = job_ranking_use::with_workspaces;
     /// The same, in bytes.
     std::uint64_t max_job_memory_ = cell_options{}.max_job_memory_;
     /// Largest record of the store, and largest append, in bytes.
--- a/tests/kernel/cell/job_ranking_test.cpp
+++ b/tests/kernel/cell/job_ranking_test.cpp
@@ -223,7 +223,7 @@
     constexpr double mean_work = 0.7 * 0.1 + 0.2 * 0.6 + 0.1 * 2;
 
     cell_world world(seed, workers);
-    world.ranks_jobs_ = true;
+    world.job_ranking_ = job_ranking_use::admission;
     world.take_over();
     world.set_objective(stretch, objective);
     world.run_for(milliseconds{1500});
