--- a/tests/processes/child_process.hpp
+++ b/tests/processes/child_process.hpp
@@ -38,6 +38,11 @@
     /// Waits for the end; returns the exit status, or 128 and the signal.
     int wait();
 
+    pid_t pid() const noexcept
+    {
+        return pid_;
+    }
+
     /// What it has written on stderr.
     std::string errors() const;
 
