transport: Limit the memory that connections hold

Cause: a session reads a body through an unbounded buffer. The parser keeps a chunk's head and all trailers there until their end has come, and its limit on heads covers neither. Nothing limits the sum over all connections. Change: add a budget that servers may share. Each connection draws on it before it reads further; if it is exhausted, the connections with the most bytes for the longest time are closed, never one whose request is being executed. Add bounds for a chunk's head or the trailers, and for a body as it is sent. A request is parsed where it is read. A server without a budget and bounds counts nothing. A connection that is closed while a read of it is queued no longer parses what was read, and a read timeout between two reads is no longer lost.

--- a/source/transport/http_server.cpp
+++ b/source/transport/http_server.cpp
@@ -32,12 +32,13 @@
 {
 public:
     impl(asio::io_context& context, http_server_limits limits,
-         http_handler handler)
+         http_handler handler, std::shared_ptr<connection_budget> budget)
         : acceptor_(context), timer_(context),
           shared_(std::make_shared<detail::http_shared_state>())
     {
         shared_->limits_ = limits;
         shared_->handler_ = std::move(handler);
+        shared_->budget_ = std::move(budget);
     }
 
     std::string listen(std::string const& address)
@@ -187,8 +188,10 @@
 };
 
 http_server::http_server(asio::io_context& context, http_server_limits limits,
-                         http_handler handler)
-    : impl_(std::make_shared<impl>(context, limits, std::move(handler)))
+                         http_handler handler,
+                         std::shared_ptr<connection_budget> budget)
+    : impl_(std::make_shared<impl>(context, limits, std::move(handler),
+                                   std::move(budget)))
 {
 }
 
--- a/source/transport/http_server.hpp
+++ b/source/transport/http_server.hpp
@@ -16,11 +16,18 @@
 namespace cuminfold
 {
 
+class connection_budget;
+
 /// Bounds of an HTTP server.
 struct http_server_limits
 {
     std::size_t head_bytes_ = 16 * 1024;
     std::size_t body_bytes_ = 1024 * 1024;
+    /// Bytes of one chunk's head with its extensions, and of all trailers; 0:
+    /// no bound.
+    std::size_t chunk_head_bytes_ = 0;
+    /// Bytes of a body as it is sent, with its chunks' heads; 0: no bound.
+    std::size_t encoded_body_bytes_ = 0;
     std::size_t connections_ = 4096;
     /// Time for the whole head and body, from the first byte on.
     duration read_time_ = std::chrono::seconds{10};
@@ -61,8 +68,11 @@
 class http_server
 {
 public:
+    /// @param budget limits the connections' memory, also together with those
+    /// of other servers; none: no limit
     http_server(boost::asio::io_context& context, http_server_limits limits,
-                http_handler handler);
+                http_handler handler,
+                std::shared_ptr<connection_budget> budget = nullptr);
     ~http_server();
 
     /// Listens on `IP:PORT` (port 0: any) and returns the address bound.
--- a/source/transport/http_session.cpp
+++ b/source/transport/http_session.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <cctype>
 #include <string>
 #include <string_view>
@@ -26,6 +27,13 @@
 /// refusal before the connection ends.
 constexpr std::size_t discard_limit = 1024 * 1024;
 constexpr std::chrono::milliseconds discard_time{500};
+/// What an open connection takes apart from the bytes of its buffers: its own
+/// objects, timers and the parts of a head.
+constexpr std::size_t connection_bytes = 4096;
+/// Copies of a request in execution besides the one that was read: the call,
+/// and the message to another node.
+constexpr std::size_t request_copies = 2;
+constexpr unsigned unavailable_status = 503;
 
 std::string to_lower(std::string text)
 {
@@ -55,9 +63,26 @@
         R"({"reason":")" + reason + R"(","outcome":"not-run"})" + "\n");
     response.fields_["cuminfold-outcome"] = "not-run";
     response.fields_["cuminfold-reason"] = reason;
+    if (status == unavailable_status)
+    {
+        response.fields_["retry-after"] = "1";
+    }
     return response;
 }
 
+std::string rejection_reason(unsigned status)
+{
+    switch (status)
+    {
+    case 413:
+        return "body_too_large";
+    case unavailable_status:
+        return "connection_memory";
+    default:
+        return "bad_request";
+    }
+}
+
 } // namespace
 
 void http_shared_state::check_done()
@@ -80,7 +105,8 @@
                            std::shared_ptr<http_shared_state> shared,
                            bool overflow)
     : stream_(std::move(socket)), read_timer_(stream_.get_executor()),
-      shared_(std::move(shared)), overflow_(overflow)
+      shared_(std::move(shared)), overflow_(overflow),
+      account_(shared_->budget_, [this] { on_evicted(); })
 {
 }
 
@@ -89,6 +115,71 @@
     await_request();
 }
 
+/// What the connection holds if it reads on.
+std::size_t http_session::held_bytes() const
+{
+    return connection_bytes +
+           std::max(buffer_.capacity(), buffer_.size() + read_size) +
+           std::max(declared_bytes_,
+                    parser_ ? parser_->get().body().capacity() : 0);
+}
+
+/// Draws on the budget for what the connection holds and the next read. If
+/// that is not permitted, rejects the request; if there is none, closes.
+bool http_session::draw()
+{
+    if (account_.hold(held_bytes(), std::chrono::steady_clock::now()))
+    {
+        return true;
+    }
+    if (idle_)
+    {
+        shared_->count_rejected("memory_idle_connection");
+        close();
+    }
+    else
+    {
+        reject("memory_request", unavailable_status);
+    }
+    return false;
+}
+
+/// The budget takes the connection's bytes back.
+void http_session::on_evicted()
+{
+    // The connection's only owner may be the server's list.
+    auto const self = shared_from_this();
+    switch (account_.use())
+    {
+    case connection_use::idle:
+        shared_->count_rejected("memory_idle_connection");
+        break;
+    case connection_use::unread_response:
+        shared_->count_rejected("memory_unread_response");
+        break;
+    default:
+        shared_->count_rejected("memory_incomplete_request");
+        send_rejection();
+        break;
+    }
+    close();
+}
+
+/// Sends a rejection if the socket takes it at once. Nothing of the request
+/// has run.
+void http_session::send_rejection()
+{
+    static constexpr std::string_view text =
+        "HTTP/1.1 503 Service Unavailable\r\n"
+        "cuminfold-outcome: not-run\r\n"
+        "cuminfold-reason: connection_memory\r\n"
+        "retry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    error_code ignored;
+    stream_.socket().non_blocking(true, ignored);
+    stream_.socket().write_some(asio::buffer(text.data(), text.size()),
+                                ignored);
+}
+
 void http_session::close_if_idle()
 {
     if (idle_)
@@ -109,15 +200,22 @@
     parser_->header_limit(
         static_cast<std::uint32_t>(shared_->limits_.head_bytes_));
     parser_->body_limit(shared_->limits_.body_bytes_);
+    declared_bytes_ = 0;
+    body_read_ = 0;
+    slow_ = false;
     idle_ = true;
     idle_since_ = std::chrono::steady_clock::now();
+    account_.set_use(connection_use::idle, idle_since_);
     if (buffer_.size() != 0)
     {
-        idle_ = false;
-        limit_read();
+        begin_request();
         look_at_head();
         return;
     }
+    if (buffer_.capacity() > 2 * read_size)
+    {
+        buffer_.shrink_to_fit();
+    }
     if (shared_->stopping_)
     {
         close();
@@ -127,6 +225,14 @@
     read_more();
 }
 
+void http_session::begin_request()
+{
+    idle_ = false;
+    account_.set_use(connection_use::incomplete_request,
+                     std::chrono::steady_clock::now());
+    limit_read();
+}
+
 /// Starts the time for the whole head and body.
 void http_session::limit_read()
 {
@@ -161,6 +267,16 @@
 
 void http_session::read_more()
 {
+    if (slow_)
+    {
+        // The time was up between two reads, with nothing to cancel.
+        reject("slow_request", 408);
+        return;
+    }
+    if (!draw())
+    {
+        return;
+    }
     stream_.async_read_some(
         buffer_.prepare(read_size),
         [self = shared_from_this()](error_code error, std::size_t bytes)
@@ -169,6 +285,10 @@
 
 void http_session::on_bytes(error_code error, std::size_t bytes)
 {
+    if (closed_)
+    {
+        return;
+    }
     if (out_of_time(error))
     {
         reject("slow_request", 408);
@@ -182,10 +302,17 @@
     buffer_.commit(bytes);
     if (idle_)
     {
-        idle_ = false;
-        limit_read();
+        begin_request();
+    }
+    if (parser_->got_some())
+    {
+        body_read_ += bytes;
+        parse();
+    }
+    else
+    {
+        look_at_head();
     }
-    look_at_head();
 }
 
 void http_session::look_at_head()
@@ -206,33 +333,83 @@
     }
     else
     {
-        parse_head();
+        parse();
     }
 }
 
-void http_session::parse_head()
+/// Parses what has been read, and reads on if the request is incomplete. What
+/// the parser leaves in the buffer is a part of a head, of a chunk's head or
+/// of the trailers.
+void http_session::parse()
 {
-    http::async_read_header(
-        stream_, buffer_, *parser_,
-        [self = shared_from_this()](error_code error, std::size_t)
-        { self->on_head(error); });
+    while (!parser_->is_done())
+    {
+        bool const had_head = parser_->is_header_done();
+        error_code error = http::error::need_more;
+        if (buffer_.size() != 0)
+        {
+            buffer_.consume(parser_->put(buffer_.data(), error));
+        }
+        if (error == http::error::need_more)
+        {
+            read_rest();
+            return;
+        }
+        if (error)
+        {
+            on_parse_error(error);
+            return;
+        }
+        if (!had_head && parser_->is_header_done() && !on_head())
+        {
+            return;
+        }
+    }
+    hand_over();
 }
 
-void http_session::on_head(error_code error)
+void http_session::read_rest()
 {
-    if (error)
+    auto const& limits = shared_->limits_;
+    if (limits.chunk_head_bytes_ != 0 && parser_->is_header_done() &&
+        buffer_.size() > limits.chunk_head_bytes_)
     {
-        on_read(error);
-        return;
+        reject("chunk_head_too_large", 431);
+    }
+    else if (limits.encoded_body_bytes_ != 0 &&
+             body_read_ > limits.encoded_body_bytes_)
+    {
+        reject("encoded_body_too_large", 413);
+    }
+    else
+    {
+        read_more();
     }
+}
+
+/// False if the parser has to wait or the request has ended.
+bool http_session::on_head()
+{
+    parser_->eager(true);
+    body_read_ = buffer_.size();
     head_only_ = parser_->get().method() == http::verb::head;
+    // The parser reserves the whole length before the first byte.
+    auto const length = parser_->content_length();
+    if (length && *length <= shared_->limits_.body_bytes_)
+    {
+        declared_bytes_ = static_cast<std::size_t>(*length);
+        if (!draw())
+        {
+            return false;
+        }
+    }
     if (beast::iequals(parser_->get()[http::field::expect], "100-continue") &&
         !parser_->is_done())
     {
         invite_body();
-        return;
+        return false;
     }
-    read_body();
+    return true;
 }
 
 void http_session::invite_body()
@@ -244,30 +421,17 @@
                           if (error)
                           {
                               self->close();
-                              return;
                           }
-                          self->read_body();
+                          else if (!self->closed_)
+                          {
+                              self->parse();
+                          }
                       });
 }
 
-void http_session::read_body()
-{
-    http::async_read(stream_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code error, std::size_t)
-                     { self->on_read(error); });
-}
-
-void http_session::on_read(error_code error)
+void http_session::on_parse_error(error_code error)
 {
-    if (!error)
-    {
-        hand_over();
-    }
-    else if (out_of_time(error))
-    {
-        reject("slow_request", 408);
-    }
-    else if (error == http::error::body_limit)
+    if (error == http::error::body_limit)
     {
         reject("body_too_large", 413);
     }
@@ -275,8 +439,7 @@
     {
         reject("head_too_large", 431);
     }
-    else if (error == http::error::end_of_stream ||
-             error == http::error::partial_message || !is_http_error(error))
+    else if (!is_http_error(error))
     {
         close();
     }
@@ -291,15 +454,27 @@
     shared_->count_rejected(what);
     keep_alive_ = false;
     rejected_ = true;
-    write(make_rejection(status,
-                         status == 413 ? "body_too_large" : "bad_request"));
+    parser_.reset();
+    buffer_ = beast::flat_buffer();
+    declared_bytes_ = 0;
+    write(make_rejection(status, rejection_reason(status)));
 }
 
 void http_session::hand_over()
 {
+    auto const now = std::chrono::steady_clock::now();
+    std::size_t const body = request_copies * parser_->get().body().capacity();
+    if (!account_.hold(held_bytes() + body, now))
+    {
+        reject("memory_request", unavailable_status);
+        return;
+    }
+    account_.set_use(connection_use::request, now);
     reading_ = false;
     read_timer_.cancel();
     http_request request = take_request();
+    request_bytes_ = body;
+    declared_bytes_ = 0;
     exchange_ = shared_->next_exchange_++;
     answered_ = false;
     if (overflow_)
@@ -359,7 +534,7 @@
 
 void http_session::on_readable(std::uint64_t exchange)
 {
-    if (exchange != exchange_ || answered_)
+    if (closed_ || exchange != exchange_ || answered_)
     {
         return;
     }
@@ -371,7 +546,10 @@
     {
         // The caller's next request; it has to wait.
         buffer_.commit(bytes);
-        if (buffer_.size() < shared_->limits_.head_bytes_)
+        // Read no further without room for it.
+        if (buffer_.size() < shared_->limits_.head_bytes_ &&
+            account_.hold(held_bytes() + request_bytes_,
+                          std::chrono::steady_clock::now()))
         {
             watch();
         }
@@ -407,6 +585,11 @@
 {
     reading_ = false;
     read_timer_.cancel();
+    auto const now = std::chrono::steady_clock::now();
+    request_bytes_ = 0;
+    account_.set_use(connection_use::unread_response, now);
+    account_.hold_regardless(
+        held_bytes() + response.body_.size() + response.raw_.size(), now);
     error_code ignored;
     stream_.socket().cancel(ignored);
     stream_.expires_after(shared_->limits_.write_time_);
@@ -436,6 +619,12 @@
 
 void http_session::on_written(error_code error)
 {
+    response_ = {};
+    raw_ = {};
+    if (closed_)
+    {
+        return;
+    }
     if (error)
     {
         if (error == beast::error::timeout)
@@ -473,6 +662,10 @@
         buffer_.prepare(read_size),
         [self = shared_from_this()](error_code error, std::size_t bytes)
         {
+            if (self->closed_)
+            {
+                return;
+            }
             self->discarded_ += bytes;
             if (error || self->discarded_ > discard_limit)
             {
@@ -485,6 +678,8 @@
 
 void http_session::close()
 {
+    closed_ = true;
+    account_.close();
     error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_.close();
--- a/source/transport/http_session.hpp
+++ b/source/transport/http_session.hpp
@@ -1,6 +1,7 @@
 #ifndef CUMINFOLD_TRANSPORT_HTTP_SESSION_HPP
 #define CUMINFOLD_TRANSPORT_HTTP_SESSION_HPP
 
+#include "transport/connection_budget.hpp"
 #include "transport/http_server.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -29,6 +30,8 @@
 {
     http_server_limits limits_;
     http_handler handler_;
+    /// None: the connections' memory is not limited.
+    std::shared_ptr<connection_budget> budget_;
     std::set<std::shared_ptr<http_session>> sessions_;
     std::uint64_t next_exchange_ = 1;
     /// Answers close their connections.
@@ -58,18 +61,23 @@
 private:
     using error_code = boost::beast::error_code;
 
+    std::size_t held_bytes() const;
+    bool draw();
+    void on_evicted();
+    void send_rejection();
     void await_request();
+    void begin_request();
     void limit_read();
     void on_read_limit();
     bool out_of_time(error_code error) const;
     void read_more();
     void on_bytes(error_code error, std::size_t bytes);
     void look_at_head();
-    void parse_head();
-    void on_head(error_code error);
+    void parse();
+    void read_rest();
+    bool on_head();
     void invite_body();
-    void read_body();
-    void on_read(error_code error);
+    void on_parse_error(error_code error);
     void reject(char const* what, unsigned status);
     void hand_over();
     http_request take_request();
@@ -104,6 +112,14 @@
     bool reading_ = false;
     bool slow_ = false;
     bool head_only_ = false;
+    bool closed_ = false;
+    /// The length that the request's head gives.
+    std::size_t declared_bytes_ = 0;
+    /// Bytes of the body as it is sent, with its chunks' heads and trailers.
+    std::size_t body_read_ = 0;
+    /// What the request in execution holds.
+    std::size_t request_bytes_ = 0;
+    connection_account account_;
 };
 
 } // namespace cuminfold::detail
--- a/tests/transport/http_server_test.cpp
+++ b/tests/transport/http_server_test.cpp
@@ -1,6 +1,7 @@
 #include "transport/http_server.hpp"
 
 #include "raw_socket.hpp"
+#include "transport/connection_budget.hpp"
 #include "transport/io_thread.hpp"
 
 #include <doctest/doctest.h>
@@ -22,8 +23,10 @@
 class echo_server
 {
 public:
-    explicit echo_server(http_server_limits limits = {})
-        : io_(64), server_(io_.context(), limits, make_handler())
+    explicit echo_server(http_server_limits limits = {},
+                         std::shared_ptr<connection_budget> budget = nullptr)
+        : io_(64),
+          server_(io_.context(), limits, make_handler(), std::move(budget))
     {
         address_ = server_.listen("127.0.0.1:0");
         io_.start();
@@ -384,3 +387,94 @@
     CHECK(stopped.wait_for(std::chrono::seconds{30}) ==
           std::future_status::ready);
 }
+
+// Guards against memory that grows with what a chunked body carries besides
+// its bytes.
+TEST_CASE("heads of chunks, trailers and encoded bodies are bounded")
+{
+    struct row
+    {
+        char const* name_;
+        std::string body_;
+        std::string status_;
+        std::string cause_;
+    };
+    std::string const letters(6000, 'a');
+    std::string ones;
+    for (int i = 0; i < 2000; ++i)
+    {
+        ones += "1\r\nx\r\n";
+    }
+    std::string const large = "chunk_head_too_large";
+    std::vector<row> const rows = {
+        {"a short extension and trailer",
+         "1;a=b\r\nx\r\n0\r\nx-trailer: 1\r\n\r\n", "200", ""},
+        {"some one-byte chunks", ones.substr(0, 6000) + "0\r\n\r\n", "200", ""},
+        {"a long extension", "1;a=" + letters, "431", large},
+        {"a long extension of the last chunk", "0;a=" + letters, "431", large},
+        {"a long trailer", "0\r\nx-trailer: " + letters, "431", large},
+        {"many one-byte chunks", ones, "413", "encoded_body_too_large"},
+    };
+    for (auto const& each : rows)
+    {
+        CAPTURE(std::string(each.name_));
+        http_server_limits limits;
+        limits.chunk_head_bytes_ = 1024;
+        limits.encoded_body_bytes_ = 10'000;
+        auto const budget = std::make_shared<connection_budget>(1U << 20U);
+        echo_server server(limits, budget);
+        raw_socket caller(server.address());
+        caller.send("POST /a HTTP/1.1\r\nhost: h\r\n"
+                    "transfer-encoding: chunked\r\n\r\n" +
+                    each.body_);
+        CHECK(caller.read_until("\r\n").substr(9, 3) == each.status_);
+        if (!each.cause_.empty())
+        {
+            CHECK(server.wait_for(each.cause_));
+            caller.read_all();
+            CHECK(caller.closed());
+        }
+    }
+}
+
+TEST_CASE("a request that exceeds the memory for connections is rejected")
+{
+    auto const budget = std::make_shared<connection_budget>(100'000);
+    echo_server server({}, budget);
+    raw_socket caller(server.address());
+    caller.send("POST /a HTTP/1.1\r\nhost: h\r\n"
+                "content-length: 200000\r\n\r\n");
+    auto const head = caller.read_until("\r\n\r\n");
+    CHECK(head.find(" 503 ") != std::string::npos);
+    CHECK(head.find("cuminfold-outcome: not-run") != std::string::npos);
+    CHECK(server.wait_for("memory_request"));
+    CHECK(server.count("request") == 0);
+    raw_socket next(server.address());
+    next.send("GET /b HTTP/1.1\r\nhost: h\r\n\r\n");
+    CHECK(next.read_until("\r\n").find(" 200 ") != std::string::npos);
+}
+
+// Guards against stalled requests that keep new ones out.
+TEST_CASE("a new request takes the memory of a stalled one")
+{
+    auto const budget = std::make_shared<connection_budget>(100'000);
+    echo_server server({}, budget);
+    std::string const head = "POST /a HTTP/1.1\r\nhost: h\r\n"
+                             "content-length: 20000\r\n\r\n";
+    std::string const body(20'000, 'x');
+    raw_socket stalled(server.address());
+    stalled.send("POST /a HTTP/1.1\r\nhost: h\r\n"
+                 "content-length: 60000\r\n\r\n" +
+                 body);
+    raw_socket held(server.address());
+    held.send("GET /hold HTTP/1.1\r\nhost: h\r\n\r\n");
+    REQUIRE(server.wait_for("request"));
+    raw_socket next(server.address());
+    next.send(head + body);
+    CHECK(next.read_until("\r\n").find(" 200 ") != std::string::npos);
+    CHECK(server.wait_for("memory_incomplete_request"));
+    stalled.read_all();
+    server.release_held();
+    CHECK(held.read_until("released").find(" 200 ") != std::string::npos);
+    CHECK(budget->used() <= budget->limit());
+}
