node: Send a call again that the owner's server rejected

Cause: a forwarded call that the owner's server rejects before it is executed counts as one that may have been stored, so that the caller gets 504 instead of another attempt or 503. Change: take a response with status 503 and the outcome not-run as not sent. Only the server writes that outcome between nodes, before it hands a request over.

--- a/source/node/peer_api.cpp
+++ b/source/node/peer_api.cpp
@@ -41,6 +41,16 @@
                  : std::nullopt;
 }
 
+/// Whether the peer's server has rejected a call before it was executed, such
+/// as for want of memory.
+bool is_not_run(http_result const& result)
+{
+    auto const& fields = result.response_.fields_;
+    auto const outcome = fields.find("cuminfold-outcome");
+    return result.end_ == http_end::whole && result.response_.status_ == 503 &&
+           outcome != fields.end() && outcome->second == "not-run";
+}
+
 } // namespace
 
 peer_api::peer_api(boost::asio::io_context& context, peer_handler handler,
@@ -127,7 +137,8 @@
                       [done = std::move(done)](http_result const& result)
                       {
                           done(read_answer(result, decode_answer),
-                               result.end_ == http_end::not_sent
+                               result.end_ == http_end::not_sent ||
+                                       is_not_run(result)
                                    ? peer_failure::not_sent
                                    : peer_failure::no_answer);
                       });
--- a/source/node/peer_api.hpp
+++ b/source/node/peer_api.hpp
@@ -59,7 +59,7 @@
 /// How a call to a peer failed.
 enum class peer_failure : std::uint8_t
 {
-    not_sent, ///< the peer has received nothing of it
+    not_sent, ///< the peer has executed nothing of it
     no_answer ///< the peer may have executed it
 };
 
