--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -256,8 +256,8 @@
     double const excess = excess_work(std::move(ahead), {time, work}, capacity);
     bool const admits_by_rank =
         options_.job_ranking_ == job_ranking_use::admission;
-    bool const fits = excess <= 0 && !(admits_by_rank &&
-                                       has_deferred_jobs(route.pool_));
+    bool const fits =
+        excess <= 0 && !(admits_by_rank && has_deferred_jobs(route.pool_));
     if (begins_now || fits ||
         (admits_by_rank &&
          may_wait(route, {time, work}, longest_chain, beyond_share, now)))
--- a/source/node/forward_limit.hpp
+++ b/source/node/forward_limit.hpp
@@ -12,10 +12,10 @@
 namespace cuminfold
 {
 
-/// Connections that a node accepts from its peers. Idle ones were measured at
-/// 7 KB, ones with 2000 bytes of a body at 11 KB: 11 MB of the 160 MB of the
-/// smallest entry VM. With 2000 connections of clients there are 1000 of its
-/// 4,100 descriptors left for workers and the store.
+/// Connections that a node accepts from its peers by default. Idle ones were
+/// measured at 7 KB, ones with 2000 bytes of a body at 11 KB: 11 MB of the 160
+/// MB of the smallest entry VM. With 2000 connections of clients there are 1000
+/// of its 4,100 descriptors left for workers and the store.
 constexpr std::size_t max_peer_connections = 1024;
 /// Connections of all nodes together that forward calls, at most. The rest is
 /// for pings, metrics, idle connections and nodes that have registered since.
--- a/source/node/peer_api.cpp
+++ b/source/node/peer_api.cpp
@@ -1,6 +1,5 @@
 #include "node/peer_api.hpp"
 
-#include "node/forward_limit.hpp"
 #include "node/node_records.hpp"
 #include "transport/logger.hpp"
 #include "wire/cell_codec.hpp"
@@ -21,11 +20,12 @@
 /// Peers keep idle connections open between requests.
 constexpr duration peer_idle_timeout = std::chrono::minutes{5};
 
-http_server_limits peer_limits()
+http_server_limits peer_limits(node_settings const& settings)
 {
     http_server_limits limits;
+    settings.limit_requests(limits);
     limits.idle_time_ = peer_idle_timeout;
-    limits.connections_ = max_peer_connections;
+    limits.connections_ = settings.max_peer_connections_;
     return limits;
 }
 
@@ -41,16 +41,29 @@
                  : std::nullopt;
 }
 
+/// Whether the peer's server has rejected a call before it was executed, such
+/// as for want of memory.
+bool is_not_run(http_result const& result)
+{
+    auto const& fields = result.response_.fields_;
+    auto const outcome = fields.find("cuminfold-outcome");
+    return result.end_ == http_end::whole && result.response_.status_ == 503 &&
+           outcome != fields.end() && outcome->second == "not-run";
+}
+
 } // namespace
 
-peer_api::peer_api(boost::asio::io_context& context, peer_handler handler)
+peer_api::peer_api(boost::asio::io_context& context, peer_handler handler,
+                   node_settings const& settings,
+                   std::shared_ptr<connection_budget> budget)
     : handler_(std::move(handler)),
       server_(
-          context, peer_limits(),
+          context, peer_limits(settings),
           {[this](std::uint64_t, http_request request, http_responder respond)
            { serve(std::move(request), respond); },
            [](std::uint64_t) {}, nullptr,
-           [this](char const* cause) { handler_.on_rejected_(cause); }})
+           [this](char const* cause) { handler_.on_rejected_(cause); }},
+          std::move(budget))
 {
 }
 
@@ -124,7 +137,8 @@
                       [done = std::move(done)](http_result const& result)
                       {
                           done(read_answer(result, decode_answer),
-                               result.end_ == http_end::not_sent
+                               result.end_ == http_end::not_sent ||
+                                       is_not_run(result)
                                    ? peer_failure::not_sent
                                    : peer_failure::no_answer);
                       });
