--- a/source/cli/command.hpp
+++ b/source/cli/command.hpp
@@ -26,6 +26,10 @@
     bool overwrite_ = false;
     /// `get --into FOLDER`: folder to write to; empty: print to stdout.
     std::string into_;
+    /// `check-fleet --in-force FILE`: the configuration in force; empty: none.
+    std::string in_force_;
+    /// `check-fleet --largest-task CPU,MEM`; empty: not given.
+    std::string largest_task_;
     /// Author recorded with a change.
     std::string author_;
     /// Time limit of each request, and of the wait of `apply --wait`.
--- a/source/cli/command_line.cpp
+++ b/source/cli/command_line.cpp
@@ -27,7 +27,7 @@
 constexpr char const* version_text = "0.1.0";
 
 /// Width to which each command's usage is padded in the help text.
-constexpr std::size_t usage_width = 32;
+constexpr std::size_t usage_width = 34;
 
 po::options_description describe_options()
 {
@@ -46,7 +46,13 @@
         "wait,w", "apply: wait until all nodes have the change")(
         "overwrite", "apply: also change what others have changed")(
         "into", po::value<std::string>()->default_value(""),
-        "get: write the files in force into this new folder");
+        "get: write the files in force into this new folder")(
+        "in-force", po::value<std::string>()->default_value(""),
+        "check-fleet: list the differences from the configuration in this "
+        "file")(
+        "largest-task", po::value<std::string>()->default_value(""),
+        "check-fleet: CPU,MEM of the largest task, in thousandths of a core "
+        "and MB");
     return options;
 }
 
@@ -108,6 +114,8 @@
     arguments.wait_ = given.count("wait") != 0;
     arguments.overwrite_ = given.count("overwrite") != 0;
     arguments.into_ = given["into"].as<std::string>();
+    arguments.in_force_ = given["in-force"].as<std::string>();
+    arguments.largest_task_ = given["largest-task"].as<std::string>();
     arguments.positional_ = given["words"].as<std::vector<std::string>>();
     return arguments;
 }
--- a/source/cli/command_table.cpp
+++ b/source/cli/command_table.cpp
@@ -8,9 +8,11 @@
 std::vector<command> const& command_table()
 {
     static std::vector<command> const table = {
-        make_check_command(),  make_apply_command(), make_get_command(),
-        make_status_command(), make_pools_command(), make_vms_command(),
-        make_waves_command(),  make_jobs_command(),  make_explain_command(),
+        make_check_command(),  make_check_fleet_command(),
+        make_apply_command(),  make_get_command(),
+        make_status_command(), make_pools_command(),
+        make_vms_command(),    make_waves_command(),
+        make_jobs_command(),   make_explain_command(),
         make_help_command()};
     return table;
 }
--- a/source/cli/command_table.hpp
+++ b/source/cli/command_table.hpp
@@ -12,6 +12,7 @@
 /// Each function returns one command; it is defined, with the command's help
 /// text, in the file `NAME_command.cpp`.
 command make_check_command();
+command make_check_fleet_command();
 command make_apply_command();
 command make_get_command();
 command make_status_command();
