--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -47,8 +47,7 @@
     std::string const settings =
         size.workspaces_
             ? "key_revocation_limit: " +
-                  std::to_string(soak_system::revocation_limit_.count()) +
-                  "ms\n"
+                  std::to_string(soak_system::revocation_limit.count()) + "ms\n"
             : "";
     soak_system system(size.program_, folder, size.nodes_, size.workers_,
                        oracle, settings);
--- a/tests/soak/soak_keys.cpp
+++ b/tests/soak/soak_keys.cpp
@@ -63,7 +63,7 @@
     call.timeout_ = probe_time;
     probe_is_invalid_ =
         is_unknown ||
-        clock::now() > revoked_at_ + soak_system::revocation_limit_;
+        clock::now() > revoked_at_ + soak_system::revocation_limit;
     probe_ = caller_.start(std::move(call));
 }
 
--- a/tests/soak/soak_system.hpp
+++ b/tests/soak/soak_system.hpp
@@ -34,7 +34,7 @@
 {
 public:
     /// How long a revoked key may still succeed.
-    static constexpr std::chrono::milliseconds revocation_limit_{2000};
+    static constexpr std::chrono::milliseconds revocation_limit{2000};
 
     /// @param program the nodes' program
     /// @param extra_settings of each node
