kernel: Take less of the owner's time where there are no workspaces

Cause: placement built the identity of each step, with a copy of the job's name, before it looked whether the job has a workspace. The estimates of a job's remaining work and path looked at each task, also of steps whose tasks all wait.

Change: jobs without a workspace skip the check before anything is built. Steps without running tasks are estimated from their counters alone; the results are the same. Orphaned runs are counted in the accounts, without a map.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -382,6 +382,7 @@
 
     // cell_clients.cpp
     client_answer make_answer(answer_kind kind, char const* cause) const;
+    client_answer refuse_other_workspace() const;
     void reply(std::uint64_t exchange, client_answer answer);
     /// Adds a `log_decision` action.
     void log_event(char const* event, std::string subject, std::string cause);
--- a/source/kernel/cell/cell_clients.cpp
+++ b/source/kernel/cell/cell_clients.cpp
@@ -44,6 +44,11 @@
     return result;
 }
 
+client_answer cell::refuse_other_workspace() const
+{
+    return make_answer(answer_kind::forbidden, "other_workspace");
+}
+
 void cell::reply(std::uint64_t exchange, client_answer answer)
 {
     actions_.emplace_back(answer_client{exchange, std::move(answer)});
@@ -76,8 +81,7 @@
     {
         if (!may_access(known->second, {request.workspace_.get(), route.name_}))
         {
-            reply(exchange,
-                  make_answer(answer_kind::forbidden, "other_workspace"));
+            reply(exchange, refuse_other_workspace());
         }
         else if (known->second.stored_)
         {
@@ -383,12 +387,16 @@
                 worker_share(shape.each_, worker) * to_seconds(step.run_time_);
             double const waiting = each * step.waiting_;
             double running = 0;
-            for (auto const& task : step.tasks_)
+            // Most steps of the jobs ahead have not begun.
+            bool const any_held =
+                step.waiting_ + step.done_ != step.tasks_.size();
+            for (auto task = step.tasks_.begin();
+                 any_held && task != step.tasks_.end(); ++task)
             {
-                bool const held = task.phase_ != task_phase::waiting &&
-                                  task.phase_ != task_phase::done;
+                bool const held = task->phase_ != task_phase::waiting &&
+                                  task->phase_ != task_phase::done;
                 running +=
-                    held ? each * (100 - std::min(100U, task.percent_)) / 100
+                    held ? each * (100 - std::min(100U, task->percent_)) / 100
                          : 0;
             }
             left.all_ += waiting + running;
@@ -559,7 +567,7 @@
     auto const& state = found->second;
     if (!may_access(state, from))
     {
-        reply(exchange, make_answer(answer_kind::forbidden, "other_workspace"));
+        reply(exchange, refuse_other_workspace());
         return;
     }
     client_answer result = make_answer(answer_kind::status, "known_job");
@@ -583,7 +591,7 @@
     auto& state = found->second;
     if (!may_access(state, from))
     {
-        reply(exchange, make_answer(answer_kind::forbidden, "other_workspace"));
+        reply(exchange, refuse_other_workspace());
         return;
     }
     if (state.stored_status_ != job_status::queued &&
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -53,6 +53,26 @@
            !job.account_->admits(shape.each_, shape.gang_ ? shape.tasks_ : 1);
 }
 
+/// The progress of the task of a step that is the least advanced.
+std::int64_t min_percent(step_state const& step)
+{
+    if (step.waiting_ != 0)
+    {
+        return 0;
+    }
+    std::int64_t result = 100;
+    for (auto const& task : step.tasks_)
+    {
+        bool const done = task.phase_ == task_phase::done;
+        bool const runs = task.phase_ == task_phase::running;
+        result = std::min<std::int64_t>(result,
+                                        done   ? 100
+                                        : runs ? std::min(100U, task.percent_)
+                                               : 0);
+    }
+    return result;
+}
+
 } // namespace
 
 bool cell::is_ready(job_step const& shape, occurrence_state const& occurrence)
@@ -111,15 +131,13 @@
 
 void cell::account_for_orphans()
 {
-    std::map<workspace_account*, std::pair<resource_amount, std::uint32_t>>
-        orphaned;
-    for (auto& item : accounts_.all())
+    if (accounts_.all().empty())
     {
-        orphaned[&item.second] = {};
+        return;
     }
-    if (orphaned.empty())
+    for (auto& item : accounts_.all())
     {
-        return;
+        item.second.clear_orphaned();
     }
     for (auto const& worker : workers_)
     {
@@ -128,16 +146,10 @@
             auto const at = find(orphan.first);
             if (at && at.job_->account_ != nullptr)
             {
-                auto& sum = orphaned[at.job_->account_];
-                sum.first += at.shape_->each_;
-                ++sum.second;
+                at.job_->account_->add_orphaned(at.shape_->each_);
             }
         }
     }
-    for (auto const& item : orphaned)
-    {
-        item.first->set_orphaned(item.second.first, item.second.second);
-    }
 }
 
 bool cell::is_held_by_limit(step_id const& step, job_state const& job,
@@ -196,8 +208,12 @@
         for (std::size_t s = 0; s < occurrence.steps_.size(); ++s)
         {
             auto const& shape = job.request_->steps_[s];
-            if (occurrence.steps_[s].waiting_ != 0 &&
-                is_ready(shape, occurrence) && !lacks_limit(job, shape))
+            if (occurrence.steps_[s].waiting_ == 0 ||
+                !is_ready(shape, occurrence))
+            {
+                continue;
+            }
+            if (!lacks_limit(job, shape))
             {
                 return false;
             }
@@ -353,7 +369,8 @@
             continue;
         }
         task_location at{&job, &state, &shape, &task};
-        if (is_held_by_limit({id, occurrence, step}, job, now))
+        if (job.account_ != nullptr &&
+            is_held_by_limit({id, occurrence, step}, job, now))
         {
             return;
         }
@@ -511,7 +528,8 @@
         }
         run = std::max(run, task.run_);
     }
-    if (is_held_by_limit({id, occurrence, step}, job, now))
+    if (job.account_ != nullptr &&
+        is_held_by_limit({id, occurrence, step}, job, now))
     {
         return;
     }
@@ -632,17 +650,7 @@
             {
                 continue;
             }
-            std::int64_t min_percent = 100;
-            for (auto const& task : step.tasks_)
-            {
-                bool const done = task.phase_ == task_phase::done;
-                bool const runs = task.phase_ == task_phase::running;
-                min_percent = std::min<std::int64_t>(
-                    min_percent, done   ? 100
-                                 : runs ? std::min(100U, task.percent_)
-                                        : 0);
-            }
-            ends[s] += step.run_time_ * (100 - min_percent) / 100 +
+            ends[s] += step.run_time_ * (100 - min_percent(step)) / 100 +
                        step.run_time_ *
                            (waves(job.account_, shape, step.waiting_) - 1);
             longest = std::max(longest, ends[s]);
--- a/source/kernel/cell/workspace_accounts.cpp
+++ b/source/kernel/cell/workspace_accounts.cpp
@@ -107,11 +107,16 @@
     --tasks_;
 }
 
-void workspace_account::set_orphaned(resource_amount const& amount,
-                                     std::uint32_t runs)
+void workspace_account::clear_orphaned() noexcept
 {
-    orphaned_ = amount;
-    orphaned_runs_ = runs;
+    orphaned_ = {};
+    orphaned_runs_ = 0;
+}
+
+void workspace_account::add_orphaned(resource_amount const& each) noexcept
+{
+    orphaned_ += each;
+    ++orphaned_runs_;
 }
 
 void workspace_account::reserve_for(step_id const& gang, time_point now)
--- a/source/kernel/cell/workspace_accounts.hpp
+++ b/source/kernel/cell/workspace_accounts.hpp
@@ -52,8 +52,11 @@
     /// A task was assigned to a worker, or is not any more.
     void add(resource_amount const& each) noexcept;
     void remove(resource_amount const& each) noexcept;
-    /// Sets what orphaned runs occupy.
-    void set_orphaned(resource_amount const& amount, std::uint32_t runs);
+    /// @name Orphaned runs, which are counted anew at each placement
+    /// @{
+    void clear_orphaned() noexcept;
+    void add_orphaned(resource_amount const& each) noexcept;
+    /// @}
 
     /// A gang lacks room within the limit. For a while no other step of the
     /// workspace starts, so that running tasks make room for it.
--- a/tests/kernel/cell/workspace_accounts_test.cpp
+++ b/tests/kernel/cell/workspace_accounts_test.cpp
@@ -67,16 +67,17 @@
     {
         CAPTURE(std::string(row.name_));
         auto account = make_account(row.limit_);
+        // An orphaned run counts like a task.
+        auto orphaned = make_account(row.limit_);
         for (std::uint32_t i = 0; i < row.running_; ++i)
         {
             account.add({1000, 10, 1});
+            orphaned.add_orphaned({1000, 10, 1});
         }
         CHECK(account.admits(row.each_, row.tasks_) == row.admitted_);
-        // An orphaned run counts like a task.
-        auto orphaned = make_account(row.limit_);
-        orphaned.set_orphaned(resource_amount{1000, 10, 1} * row.running_,
-                              row.running_);
         CHECK(orphaned.admits(row.each_, row.tasks_) == row.admitted_);
+        orphaned.clear_orphaned();
+        CHECK(orphaned.usage() == resource_amount{});
     }
 }
 
