kernel: Accept a job that can start within its workspace's limit

Cause: a job whose tasks all run counted as one that the limit holds back, so that a new job was judged by the work ahead of it although there was room.

Change: only a job that has a waiting step can be held back.

Result: the new case of workspace_limit_test fails without the change.

--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -203,6 +203,7 @@
     {
         return false;
     }
+    bool waits = false;
     for (auto const& occurrence : job.occurrences_)
     {
         for (std::size_t s = 0; s < occurrence.steps_.size(); ++s)
@@ -217,9 +218,10 @@
             {
                 return false;
             }
+            waits = true;
         }
     }
-    return true;
+    return waits;
 }
 
 void cell::find_candidates(pool_name const& pool, time_point now)
--- a/tests/kernel/cell/workspace_limit_test.cpp
+++ b/tests/kernel/cell/workspace_limit_test.cpp
@@ -139,6 +139,26 @@
     CHECK(world.violations() == "");
 }
 
+// Guards against a refusal while there is room within the limit: a job whose
+// tasks all run counted as one that the limit holds back.
+TEST_CASE("a job that can start within the limit is accepted")
+{
+    cell_world world(1, 6);
+    world.set_limit(tenant, {4000, 0, 0});
+    world.set_objective(0, 1ms);
+    world.run_for(50ms);
+    world.workspace_ = tenant;
+    world.submit("running", {cell_world::make_step(3, 1000, 2000ms)});
+    world.run_for(300ms);
+    REQUIRE(world.runs_of("running") == 3);
+    auto wide = cell_world::make_step(40, 1000, 1000ms);
+    wide.after_ = {0};
+    world.submit("next", {cell_world::make_step(1, 1000, 100ms), wide, wide});
+    world.run_for(200ms);
+    CHECK(world.has_answer("next", answer_kind::accepted));
+    CHECK(world.violations() == "");
+}
+
 // Guards against clients that read or cancel jobs of other workspaces, also
 // after the job has ended and the owner has changed.
 TEST_CASE("a job is open to its own workspace alone")
