node: Deny a job only with proof that no newer owner knows it

Change: that a job is unknown is answered after a confirmation of the epoch that was sent after the decision; it is sent at once. Without one the answer stays `epoch_unconfirmed`, as before.

Result: the new test fails before the change: 410 from a node whose store has just gone out of reach.

--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -119,6 +119,7 @@
     stopped_ = true;
     timer_.cancel();
     follower_.reset();
+    unproven_answers_.clear();
     for (auto& exchange : std::exchange(exchanges_, {}))
     {
         exchange.second(make_refusal(answer_kind::unknown, "owner_stopped"));
@@ -253,6 +254,7 @@
     {
         return;
     }
+    send_proven_answers();
     cell_.on_entries_read(follower_->current_as_of());
     cell_.tick(now, calendar_now());
     fleet_.tick(now, confirmed_at_);
--- a/source/node/cell_owner.hpp
+++ b/source/node/cell_owner.hpp
@@ -113,6 +113,13 @@
         std::function<void(client_answer)> done_;
     };
 
+    /// An answer that a newer owner could contradict.
+    struct unproven_answer
+    {
+        answer_client action_;
+        time_point decided_at_;
+    };
+
     void load();
     void on_content_read(platform::topic_content const& content);
     void serve_if_ready();
@@ -136,8 +143,8 @@
     /// @return false if there is none
     bool send_rest();
     /// Checks that the epoch is still the newest by an empty append to the
-    /// cell's partition. Sends none while a batch is in flight, because its
-    /// response confirms the epoch too.
+    /// cell's partition, at intervals or if an answer waits for it. Sends none
+    /// while a batch is in flight, because its response confirms the epoch too.
     void confirm_epoch();
     platform::append_call next_heartbeat_call() const;
     /// Renews the owner record in the store with a new heartbeat number, so
@@ -155,6 +162,9 @@
     void end_ownership(char const* cause);
     void run_actions();
     void run(answer_client const& action);
+    void reply(std::uint64_t exchange, client_answer const& answer);
+    /// Sends the answers that were decided before the epoch was confirmed.
+    void send_proven_answers();
     void run(start_run const& action);
     void run(stop_run const& action);
     void run(renew_worker const& action);
@@ -216,6 +226,9 @@
     /// Calls that the cell has not answered, by exchange.
     std::unordered_map<std::uint64_t, std::function<void(client_answer)>>
         exchanges_;
+    /// In order of time. That a job is unknown is answered only after the epoch
+    /// was confirmed: a newer owner may have accepted the job.
+    std::deque<unproven_answer> unproven_answers_;
     std::vector<early_call> early_calls_;
 };
 
--- a/source/node/cell_owner_orders.cpp
+++ b/source/node/cell_owner_orders.cpp
@@ -147,20 +147,43 @@
 
 void cell_owner::run(answer_client const& action)
 {
-    auto const found = exchanges_.find(action.exchange_);
+    if (action.answer_.kind_ != answer_kind::no_such_job)
+    {
+        reply(action.exchange_, action.answer_);
+        return;
+    }
+    unproven_answers_.push_back({action, node_now()});
+    send_proven_answers();
+    confirm_epoch();
+}
+
+void cell_owner::reply(std::uint64_t exchange, client_answer const& answer)
+{
+    auto const found = exchanges_.find(exchange);
     if (found != exchanges_.end())
     {
         auto const done = std::move(found->second);
         exchanges_.erase(found);
-        auto answer = action.answer_;
-        // A newer owner may know a job that this one does not.
-        bool const stale = node_now() - confirmed_at_ > max_confirmation_age;
-        if (stale && answer.kind_ == answer_kind::no_such_job)
+        done(answer);
+    }
+}
+
+void cell_owner::send_proven_answers()
+{
+    bool const is_stale = node_now() - confirmed_at_ > max_confirmation_age;
+    while (!unproven_answers_.empty())
+    {
+        auto const next = unproven_answers_.front();
+        bool const is_proven = confirmed_at_ >= next.decided_at_;
+        if (!is_proven && !is_stale)
         {
-            answer =
-                make_refusal(answer_kind::unavailable, "epoch_unconfirmed");
+            return;
         }
-        done(std::move(answer));
+        unproven_answers_.pop_front();
+        reply(next.action_.exchange_,
+              is_proven ? next.action_.answer_
+                        : make_refusal(answer_kind::unavailable,
+                                       "epoch_unconfirmed"));
     }
 }
 
--- a/source/node/cell_owner_store.cpp
+++ b/source/node/cell_owner_store.cpp
@@ -375,6 +375,10 @@
         confirmed_at_ = sent;
         cell_.on_epoch_confirmed(sent);
         next_confirm_ = now + confirm_interval;
+        if (!unproven_answers_.empty())
+        {
+            post_pump();
+        }
     }
     check_fenced(result);
 }
@@ -394,7 +398,8 @@
 void cell_owner::confirm_epoch()
 {
     auto const now = node_now();
-    if (confirm_in_flight_ || batch_in_flight_ || now < next_confirm_)
+    bool const is_due = now >= next_confirm_ || !unproven_answers_.empty();
+    if (confirm_in_flight_ || batch_in_flight_ || !is_due)
     {
         return;
     }
--- a/tests/node/node_process_test.cpp
+++ b/tests/node/node_process_test.cpp
@@ -628,6 +628,30 @@
                       { return system.job_status(id_of(90)) == "completed"; });
 }
 
+// Guards against an owner that denies a job of which a newer owner knows: it
+// has to prove first that there is none.
+TEST_CASE("a job is not denied while the store is out of reach")
+{
+    small_system system;
+    auto const target = std::string(platform_stand_in::prefix_) + id_of(1);
+    auto const is_denied = [&](std::unique_ptr<entry_vm> const& vm)
+    { return system.status(vm->clients_, "GET", target) == 410; };
+    for (auto const& vm : system.vms_)
+    {
+        system.wait_until([&] { return is_denied(vm); });
+    }
+    system.platform_.set_down(true);
+    for (auto const& vm : system.vms_)
+    {
+        CHECK_FALSE(is_denied(vm));
+    }
+    system.platform_.set_down(false);
+    for (auto const& vm : system.vms_)
+    {
+        system.wait_until([&] { return is_denied(vm); });
+    }
+}
+
 // Guards against calls that run without a key, by the key of another workspace
 // or by one that was revoked, also while the store is out of reach.
 TEST_CASE("calls need a key that is known not to be revoked")
