node: Claim the cell as soon as the owner's record has been read

Cause: a node that had decided to take over waited for its next tick, up to 50 ms. Another one that claimed the cell in that time was fenced by it. In the logs of two failed runs of node_odd_entry_test the second claim came 40 ms after the first, with the record that had been read before it.

Change: the steps of the ownership protocol run after each read as well.

--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -376,6 +376,12 @@
                 register_node();
             }
         }
+        take_ownership_steps();
+    }
+
+    void take_ownership_steps()
+    {
+        auto const now = node_now();
         for (auto step = ownership_.next(now); step != ownership_step::nothing;
              step = ownership_.next(now))
         {
@@ -448,6 +454,9 @@
                 }
                 update_forward_limit(nodes.size());
                 ownership_.record_read(record, nodes, node_now());
+                // A takeover that waits for the next tick would not see that
+                // another node has become the owner since.
+                take_ownership_steps();
                 check_owner_change();
                 log_owner_condition();
             });
