kernel: Maintain VMs while others move into their pool

Cause: at most a third of a pool's VMs may be unavailable for a wave, and VMs on their way into the pool counted as unavailable.

Change: a VM that moves counts neither as one of the pool's VMs nor as unavailable.

Result: the new case of fleet_plan_test fails without the change.

--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -404,6 +404,12 @@
     std::map<pool_name, std::uint32_t> pool_size;
     for (auto const& vm : vms_)
     {
+        if (vm.second.status_ == vm_status::moving)
+        {
+            // It has not served its pool yet, so that the pool does not lack
+            // it. After a change of demand most VMs of a pool are moving.
+            continue;
+        }
         ++pool_size[vm.second.pool_];
         unavailable[vm.second.pool_] +=
             operations_.count(vm.first) != 0 || orders_.may_be_down(vm.first) ||
--- a/tests/kernel/cell/fleet_plan_test.cpp
+++ b/tests/kernel/cell/fleet_plan_test.cpp
@@ -33,6 +33,22 @@
     CHECK(world.reported_ == std::set<bool>{false, true});
 }
 
+// Guards against waves that stand still after a change of demand, while most
+// VMs of a pool are on their way into it.
+TEST_CASE("VMs that move into a pool do not hold up its wave")
+{
+    fleet_world world(12);
+    for (std::size_t i = 4; i < world.vms_.size(); ++i)
+    {
+        world.vms_[i].status_ = vm_status::moving;
+    }
+    world.set_wave(2, 2);
+    world.run_for(10'000ms);
+    CHECK(world.ordered_.size() == 2);
+    CHECK(world.max_down_ == 1);
+    CHECK(world.reported_.count(true) == 1);
+}
+
 TEST_CASE("a store entry that appears late does not end a VM's maintenance")
 {
     fleet_world world(8);
