tests: Start a node again beside uncontrolled clients

Cause: what a crowd does to a node that starts again was not measured.

Change: three crowds of uncontrolled_clients_test stay while their node is killed and starts again; the bounds are those of the other case.

--- a/tests/node/uncontrolled_clients_test.cpp
+++ b/tests/node/uncontrolled_clients_test.cpp
@@ -32,6 +32,8 @@
 constexpr auto timeout = 60s;
 /// How long a crowd sends; clients that are closed connect again.
 constexpr auto crowd_time = 6s;
+/// How long it sends before the node is killed.
+constexpr auto time_before_restart = 2s;
 constexpr std::uint64_t bytes_per_mb = 1024 * 1024;
 /// The node's setting, and the bound on its resident memory.
 constexpr std::uint64_t memory_mb = 64;
@@ -58,6 +60,8 @@
     std::string block_;
     std::size_t max_bytes_;
     bool reads_;
+    /// Whether a node is also started again beside this crowd.
+    bool stays_at_restart_ = false;
 };
 
 /// A node process alone beside the platform stand-in.
@@ -70,8 +74,7 @@
           platform_(1)
     {
         std::filesystem::create_directories(folder_);
-        auto const file = (folder_ / "node.yaml").string();
-        std::ofstream(file)
+        std::ofstream(folder_ / "node.yaml")
             << "name: node\n"
             << "clients_address: 127.0.0.1:0\n"
             << "health_address: 127.0.0.1:0\n"
@@ -80,14 +83,7 @@
             << "machines_address: " << platform_.address() << "\n"
             << "advice_address: " << platform_.address() << "\n"
             << "memory_mb: " << memory_mb << "\n";
-        process_ = std::make_unique<child_process>(
-            CUMINFOLD_NODE, std::vector<std::string>{"--config", file},
-            (folder_ / "errors").string());
-        for (auto& address : addresses_)
-        {
-            address = process_->next_address();
-        }
-        process_->keep_output((folder_ / "log").string());
+        restart();
         wait_until_job_accepted("0000000000000001");
     }
 
@@ -97,6 +93,22 @@
         std::filesystem::remove_all(folder_);
     }
 
+    /// Kills the process, if there is one, and starts it at other addresses.
+    void restart()
+    {
+        process_.reset();
+        process_ = std::make_unique<child_process>(
+            CUMINFOLD_NODE,
+            std::vector<std::string>{"--config",
+                                     (folder_ / "node.yaml").string()},
+            (folder_ / "errors").string());
+        for (auto& address : addresses_)
+        {
+            address = process_->next_address();
+        }
+        process_->keep_output((folder_ / "log").string());
+    }
+
     std::string const& address(listener which) const
     {
         return addresses_.at(static_cast<std::size_t>(which));
@@ -168,11 +180,7 @@
     crowd_runner(crowd const& plan, std::string const& address)
         : plan_(plan), clients_(plan.connections_), polled_(plan.connections_)
     {
-        auto const colon = address.find(':');
-        at_.sin_family = AF_INET;
-        at_.sin_port = htons(
-            static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
-        inet_pton(AF_INET, address.substr(0, colon).c_str(), &at_.sin_addr);
+        set_address(address);
         for (auto& each : clients_)
         {
             open(each);
@@ -190,6 +198,16 @@
     crowd_runner(crowd_runner const&) = delete;
     crowd_runner& operator=(crowd_runner const&) = delete;
 
+    /// Sets where clients connect from now on.
+    void set_address(std::string const& address)
+    {
+        auto const colon = address.find(':');
+        at_.sin_family = AF_INET;
+        at_.sin_port = htons(
+            static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
+        inet_pton(AF_INET, address.substr(0, colon).c_str(), &at_.sin_addr);
+    }
+
     /// Sends and reads once on each connection that is ready.
     void step()
     {
@@ -296,20 +314,24 @@
     std::string const get = "GET " + std::string(platform_stand_in::prefix_) +
                             " HTTP/1.1\r\nhost: " + platform_stand_in::host_ +
                             "\r\n\r\n";
+    std::string const small_fields =
+        post(repeat("a:\r\n", 3500) + "transfer-encoding: chunked");
     std::string const metrics = "GET /metrics HTTP/1.1\r\nhost: node\r\n\r\n";
     return {
         {"endless trailer fields", listener::clients, 40, trailers, fields,
-         endless, true},
+         endless, true, true},
         {"one endless trailer field", listener::clients, 40,
          trailers + "x-trailer: ", letters, endless, true},
         {"an endless chunk extension", listener::clients, 40,
          chunked + "1;a=", letters, endless, true},
         {"large chunks without an end", listener::clients, 300, chunked,
-         "4000\r\n" + letters + "\r\n", 500'000, true},
+         "4000\r\n" + letters + "\r\n", 500'000, true, true},
         {"one-byte chunks without an end", listener::clients, 500, chunked,
          repeat("1\r\nx\r\n", 4000), 720'000, true},
         {"bodies some bytes short", listener::clients, 400, with_length,
-         letters, with_length.size() + length - missing, true},
+         letters, with_length.size() + length - missing, true, true},
+        {"many small fields before a body without an end", listener::clients,
+         600, small_fields, "", small_fields.size(), true},
         {"unread answers", listener::clients, 300, "", repeat(get, 100),
          endless, false},
         {"unread metrics", listener::peers, 300, "", repeat(metrics, 100),
@@ -323,6 +345,32 @@
     };
 }
 
+/// Lets the crowd send for that time, and checks that the node lives and stays
+/// within its bounds.
+void check_bounds(small_node& node, crowd_runner& clients,
+                  std::chrono::milliseconds time)
+{
+    std::uint64_t resident = 0;
+    std::size_t descriptors = 0;
+    auto next_sample = std::chrono::steady_clock::now();
+    auto const end = next_sample + time;
+    while (std::chrono::steady_clock::now() < end && node.poll() == -1)
+    {
+        clients.step();
+        if (std::chrono::steady_clock::now() >= next_sample)
+        {
+            next_sample += 20ms;
+            resident = std::max(resident, node.resident_bytes());
+            descriptors = std::max(descriptors, node.descriptors());
+        }
+    }
+    MESSAGE("resident MB " << resident / bytes_per_mb << ", descriptors "
+                           << descriptors);
+    REQUIRE(node.poll() == -1);
+    CHECK(resident < max_resident_bytes);
+    CHECK(descriptors < max_descriptors);
+}
+
 } // namespace
 
 // Guards against a node that runs out of memory or descriptors by what clients
@@ -331,29 +379,32 @@
 {
     for (auto const& plan : make_crowds())
     {
-        CAPTURE(std::string(plan.name_));
+        INFO(std::string(plan.name_));
         small_node node;
         crowd_runner clients(plan, node.address(plan.at_));
-        std::uint64_t resident = 0;
-        std::size_t descriptors = 0;
-        auto const end = std::chrono::steady_clock::now() + crowd_time;
-        auto next_sample = std::chrono::steady_clock::now();
-        while (std::chrono::steady_clock::now() < end && node.poll() == -1)
+        check_bounds(node, clients, crowd_time);
+        node.wait_until_job_accepted("0000000000000003");
+        CHECK(node.poll() == -1);
+    }
+}
+
+// Guards against a node that a crowd keeps from coming back: all its clients
+// connect and send at once while the node claims and loads the cell.
+TEST_CASE("a node starts again beside uncontrolled clients")
+{
+    for (auto const& plan : make_crowds())
+    {
+        if (!plan.stays_at_restart_)
         {
-            clients.step();
-            if (std::chrono::steady_clock::now() >= next_sample)
-            {
-                next_sample += 20ms;
-                resident = std::max(resident, node.resident_bytes());
-                descriptors = std::max(descriptors, node.descriptors());
-            }
+            continue;
         }
-        MESSAGE(std::string(plan.name_)
-                << ": resident MB " << resident / bytes_per_mb
-                << ", descriptors " << descriptors);
-        REQUIRE(node.poll() == -1);
-        CHECK(resident < max_resident_bytes);
-        CHECK(descriptors < max_descriptors);
+        INFO(std::string(plan.name_));
+        small_node node;
+        crowd_runner clients(plan, node.address(plan.at_));
+        check_bounds(node, clients, time_before_restart);
+        node.restart();
+        clients.set_address(node.address(plan.at_));
+        check_bounds(node, clients, crowd_time);
         node.wait_until_job_accepted("0000000000000003");
         CHECK(node.poll() == -1);
     }
