cell: Send queries for advice so that each answer can be used

Cause: the validity of a ticket counted from when the owner sent the query. The service handles the queries of a node in turn, and up to four were in flight whatever its times and the validity were. Once four steps waited, each ticket counted as expired when it arrived, and its step asked again at the end of the line.

Change: advice_line admits a query if its answer comes in time, keeps queries that timed out in account, and lets a step that found no room come next. A query names as many workers as its answer has time for. A ticket counts from the earliest time at which the service may have begun the query, and from its arrival if it could not be used by that; the worker decides. A refused ticket pauses its step for 200 ms. The log line `advice` has the time, `advice_delayed` shows the limit at work.

Why it works: at most as many queries wait as are answered within the validity by any reading of it, and each answer leads to a start.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -194,13 +194,10 @@
     void on_renewal_response(renew_worker const& order, call_outcome outcome,
                              worker_report const& report, time_point sent,
                              time_point now);
-    /// @param allowed the workers that the policy service allows; none if the
-    /// service did not answer
     /// @param sent when the request was sent
-    void
-    on_advice_response(query_advice const& query,
-                       std::optional<std::vector<issued_ticket>> const& allowed,
-                       time_point sent, time_point now);
+    void on_advice_response(query_advice const& query,
+                            advice_result const& result, time_point sent,
+                            time_point now);
     /// @}
 
     /// @name Clients
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -1,8 +1,8 @@
 #ifndef CUMINFOLD_KERNEL_CELL_CELL_ACTION_HPP
 #define CUMINFOLD_KERNEL_CELL_CELL_ACTION_HPP
 
+#include "kernel/cell/advice_query.hpp"
 #include "kernel/cell/job_definition.hpp"
-#include "kernel/cell/ticket_cache.hpp"
 #include "kernel/cell/worker_state.hpp"
 #include "kernel/time.hpp"
 
@@ -102,16 +102,6 @@
     bool extra_ = false;
 };
 
-/// Queries on which of these workers the queue's policy allows a step to run.
-struct query_advice
-{
-    step_id step_;
-    std::vector<std::string> workers_;
-    /// Expected time until the answer, including the queries that the service
-    /// handles first.
-    duration answer_time_{0};
-};
-
 /// A decision for the log.
 struct log_decision
 {
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -25,9 +25,6 @@
 /// Minimum time between two log lines about the wait of one step.
 constexpr duration wait_log_interval = std::chrono::seconds{1};
 
-/// Workers in one query to a policy service: the platform counts one query of
-/// this size for each step.
-constexpr std::size_t workers_per_query = 30;
 /// Added to the score of a worker whose ticket has expired, so that its ticket
 /// is renewed before workers of unknown status are queried.
 constexpr double expired_ticket_bonus = 1000;
@@ -754,18 +751,32 @@
         placement_due_ = placement_due_ || tickets_.paused(id, now);
         return;
     }
+    auto const count = std::min(workers.size(), max_queried_workers(advice));
+    if (!tickets_.admit(id, advice, count, now))
+    {
+        // Without an answer to come, nothing else makes a placement due.
+        auto const& line = tickets_.line();
+        placement_due_ = placement_due_ || line.in_flight() == 0;
+        if (tickets_.delayed(id))
+        {
+            auto const wait =
+                std::chrono::duration_cast<std::chrono::milliseconds>(
+                    line.expected_wait());
+            log_event("advice_delayed", describe(id),
+                      "in_flight=" + std::to_string(line.in_flight()) +
+                          " line_ms=" + std::to_string(wait.count()));
+        }
+        return;
+    }
     std::sort(workers.begin(), workers.end(),
               [](auto const& a, auto const& b) { return a.first > b.first; });
     query_advice query;
     query.step_ = id;
-    for (std::size_t i = 0; i < std::min(workers.size(), workers_per_query);
-         ++i)
+    for (std::size_t i = 0; i < count; ++i)
     {
         query.workers_.push_back(std::move(workers[i].second));
     }
-    query.answer_time_ = advice.answer_time(workers_per_query) *
-                         static_cast<std::int64_t>(ticket_cache::max_in_flight);
-    tickets_.requested(id, query.workers_);
+    tickets_.requested(query, advice);
     actions_.emplace_back(std::move(query));
 }
 
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -460,7 +460,7 @@
         record_failure(worker, now);
         break;
     case call_outcome::ticket_refused:
-        tickets_.refused({task.job_, task.occurrence_, task.step_}, name);
+        tickets_.refused({task.job_, task.occurrence_, task.step_}, name, now);
         break;
     case call_outcome::not_sent:
         count_unanswered(worker, now);
@@ -477,27 +477,30 @@
     mark_dirty(*at.job_, task);
 }
 
-void cell::on_advice_response(
-    query_advice const& query,
-    std::optional<std::vector<issued_ticket>> const& allowed, time_point sent,
-    time_point now)
+void cell::on_advice_response(query_advice const& query,
+                              advice_result const& result, time_point sent,
+                              time_point now)
 {
     auto const job = jobs_.find(query.step_.job_.text());
     auto const* const advice =
         job == jobs_.end() ? nullptr : advice_for(job->second);
-    if (allowed)
+    if (result.allowed_)
     {
-        tickets_.answered(query.step_, query.workers_, *allowed,
-                          advice == nullptr ? duration{0} : advice->validity_,
-                          sent);
+        tickets_.answered(query, *result.allowed_,
+                          advice == nullptr ? advice_policy{} : *advice, sent,
+                          now);
     }
     else
     {
-        tickets_.failed(query.step_, query.workers_, now);
+        tickets_.failed(query, result.is_queued_, now);
     }
+    auto const waited =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - sent);
     log_event("advice", describe(query.step_),
               "asked=" + std::to_string(query.workers_.size()) + " allowed=" +
-                  (allowed ? std::to_string(allowed->size()) : "no_answer"));
+                  (result.allowed_ ? std::to_string(result.allowed_->size())
+                                   : "no_answer") +
+                  " ms=" + std::to_string(waited.count()));
     placement_due_ = true;
 }
 
--- a/source/kernel/cell/ticket_cache.cpp
+++ b/source/kernel/cell/ticket_cache.cpp
@@ -1,6 +1,7 @@
 #include "kernel/cell/ticket_cache.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cuminfold
 {
@@ -8,11 +9,9 @@
 namespace
 {
 
-/// Delay of the next query about a step after a query without an answer.
+/// Delay of the next query about a step after a query without an answer or a
+/// refused ticket.
 constexpr duration failure_pause = std::chrono::milliseconds{200};
-/// A ticket that expires within this time is not used, because the start has
-/// to be stored and sent first.
-constexpr duration start_margin = std::chrono::milliseconds{150};
 
 } // namespace
 
@@ -41,7 +40,7 @@
     {
         return ticket_status::denied;
     }
-    if (entry->decided_ && now + start_margin < entry->expires_at_)
+    if (entry->decided_ && now < entry->usable_until_)
     {
         return ticket_status::allowed;
     }
@@ -62,9 +61,8 @@
 bool ticket_cache::can_query(step_id const& step, time_point now) const
 {
     auto const place = steps_.find(step);
-    bool const step_in_flight =
-        place != steps_.end() && place->second.in_flight_;
-    return in_flight_ < max_in_flight && !step_in_flight && !paused(step, now);
+    bool const is_in_flight = place != steps_.end() && place->second.in_flight_;
+    return !is_in_flight && !paused(step, now);
 }
 
 bool ticket_cache::paused(step_id const& step, time_point now) const
@@ -73,31 +71,40 @@
     return place != steps_.end() && now < place->second.not_before_;
 }
 
-void ticket_cache::requested(step_id const& step,
-                             std::vector<std::string> const& workers)
+bool ticket_cache::delayed(step_id const& step)
 {
-    auto& at_step = steps_[step];
+    return !std::exchange(steps_[step].is_delayed_, true);
+}
+
+void ticket_cache::requested(query_advice& query, advice_policy const& policy)
+{
+    auto& at_step = steps_[query.step_];
     at_step.in_flight_ = true;
-    ++in_flight_;
-    for (auto const& worker : workers)
+    at_step.is_delayed_ = false;
+    for (auto const& worker : query.workers_)
     {
         at_step.workers_[worker].requested_ = true;
     }
+    query.number_ = line_.add(policy.answer_time(query.workers_.size()));
+    query.answer_time_ = std::max(line_.expected_wait(), max_line_time(policy));
 }
 
-void ticket_cache::answered(step_id const& step,
-                            std::vector<std::string> const& workers,
+void ticket_cache::answered(query_advice const& query,
                             std::vector<issued_ticket> const& allowed,
-                            duration validity, time_point sent)
+                            advice_policy const& policy, time_point sent,
+                            time_point now)
 {
-    --in_flight_;
-    auto const place = steps_.find(step);
+    auto const begun = line_.answered(query.number_, sent, now);
+    auto const place = steps_.find(query.step_);
     if (place == steps_.end())
     {
         return;
     }
+    auto const margin = ticket_start_margin(policy);
+    bool const is_usable = now + margin < begun + policy.validity_;
+    auto const expires_at = (is_usable ? begun : now) + policy.validity_;
     place->second.in_flight_ = false;
-    for (auto const& worker : workers)
+    for (auto const& worker : query.workers_)
     {
         auto const known = place->second.workers_.find(worker);
         if (known == place->second.workers_.end())
@@ -112,23 +119,23 @@
         entry.decided_ = true;
         entry.allowed_ = found != allowed.end();
         entry.ticket_ = entry.allowed_ ? found->ticket_ : std::string();
-        entry.expires_at_ = sent + validity;
+        entry.expires_at_ = expires_at;
+        entry.usable_until_ = expires_at - margin;
     }
 }
 
-void ticket_cache::failed(step_id const& step,
-                          std::vector<std::string> const& workers,
+void ticket_cache::failed(query_advice const& query, bool is_queued,
                           time_point now)
 {
-    --in_flight_;
-    auto const place = steps_.find(step);
+    line_.failed(query.number_, is_queued);
+    auto const place = steps_.find(query.step_);
     if (place == steps_.end())
     {
         return;
     }
     place->second.in_flight_ = false;
     place->second.not_before_ = now + failure_pause;
-    for (auto const& worker : workers)
+    for (auto const& worker : query.workers_)
     {
         auto const known = place->second.workers_.find(worker);
         if (known != place->second.workers_.end())
@@ -138,12 +145,16 @@
     }
 }
 
-void ticket_cache::refused(step_id const& step, std::string const& worker)
+void ticket_cache::refused(step_id const& step, std::string const& worker,
+                           time_point now)
 {
     auto const place = steps_.find(step);
     if (place != steps_.end())
     {
-        place->second.workers_[worker].expires_at_ = {};
+        auto& entry = place->second.workers_[worker];
+        entry.expires_at_ = {};
+        entry.usable_until_ = {};
+        place->second.not_before_ = now + failure_pause;
     }
 }
 
@@ -164,6 +175,7 @@
         ++last;
     }
     steps_.erase(first, last);
+    line_.erase_job(job);
 }
 
 } // namespace cuminfold
--- a/source/kernel/cell/ticket_cache.hpp
+++ b/source/kernel/cell/ticket_cache.hpp
@@ -1,6 +1,8 @@
 #ifndef CUMINFOLD_KERNEL_CELL_TICKET_CACHE_HPP
 #define CUMINFOLD_KERNEL_CELL_TICKET_CACHE_HPP
 
+#include "kernel/cell/advice_line.hpp"
+#include "kernel/cell/advice_query.hpp"
 #include "kernel/cell/job_definition.hpp"
 #include "kernel/time.hpp"
 
@@ -13,13 +15,6 @@
 namespace cuminfold
 {
 
-/// A ticket that a queue's policy service issued for one worker.
-struct issued_ticket
-{
-    std::string worker_;
-    std::string ticket_;
-};
-
 /// Whether a worker may run a step.
 enum class ticket_status : std::uint8_t
 {
@@ -35,36 +30,51 @@
 class ticket_cache
 {
 public:
-    /// Limit on queries in flight. The service processes the queries of one
-    /// caller one after the other. Further queries wait there, so that it is
-    /// never idle.
-    static constexpr std::size_t max_in_flight = 4;
-
     ticket_status status(step_id const& step, std::string const& worker,
                          time_point now) const;
     /// The worker's ticket; empty unless one is valid.
     std::string ticket(step_id const& step, std::string const& worker,
                        time_point now) const;
 
-    /// Whether a query about the step may be sent now.
+    /// Whether the step has neither a query in flight nor a pause after one.
     bool can_query(step_id const& step, time_point now) const;
-    /// Whether the step is in the pause after a query without an answer.
+    /// Whether the step is in the pause after a query without an answer, or
+    /// after a worker refused its ticket.
     bool paused(step_id const& step, time_point now) const;
-    /// Records that a query was sent.
-    void requested(step_id const& step,
-                   std::vector<std::string> const& workers);
+    /// Whether the line of queries to the service has room for one about the
+    /// step.
+    bool admit(step_id const& step, advice_policy const& policy,
+               std::size_t workers, time_point now)
+    {
+        return line_.admit(step, policy, workers, now);
+    }
+    advice_line const& line() const noexcept
+    {
+        return line_;
+    }
+    /// Records that the line had no room for a query about the step.
+    /// @return whether it is the first time since the step's last query
+    bool delayed(step_id const& step);
+    /// Records that a query will be sent now, and sets its number and the time
+    /// until its answer.
+    void requested(query_advice& query, advice_policy const& policy);
     /// Records the answer to a query. Workers that `allowed` omits are denied.
-    /// @param validity of each ticket, from the time when the query was sent
+    ///
+    /// The tickets are valid from when the service decided. They count from the
+    /// earliest time at which it may have begun the query. If they would not be
+    /// usable by that, they count from their arrival: the workers decide.
     /// @param sent when the query was sent
-    void answered(step_id const& step, std::vector<std::string> const& workers,
-                  std::vector<issued_ticket> const& allowed, duration validity,
-                  time_point sent);
+    void answered(query_advice const& query,
+                  std::vector<issued_ticket> const& allowed,
+                  advice_policy const& policy, time_point sent, time_point now);
     /// Records a query without an answer; the next query about the step may be
     /// sent after 200 ms.
-    void failed(step_id const& step, std::vector<std::string> const& workers,
-                time_point now);
-    /// Marks the worker's ticket as expired because the worker refused it.
-    void refused(step_id const& step, std::string const& worker);
+    /// @param is_queued the service may handle the query yet
+    void failed(query_advice const& query, bool is_queued, time_point now);
+    /// Marks the worker's ticket as expired because the worker refused it. The
+    /// next query about the step may be sent after 200 ms.
+    void refused(step_id const& step, std::string const& worker,
+                 time_point now);
 
     /// Drops all entries of the worker, whose tickets end with its incarnation.
     /// The answer to a query in flight does not count for it.
@@ -80,12 +90,16 @@
         bool allowed_ = false;
         std::string ticket_;
         time_point expires_at_{};
+        /// Until when a start with the ticket may be stored and sent.
+        time_point usable_until_{};
     };
 
     struct step_entry
     {
         std::map<std::string, worker_entry> workers_;
         bool in_flight_ = false;
+        /// The line had no room for a query since the last one.
+        bool is_delayed_ = false;
         /// Earliest time of the next query.
         time_point not_before_{};
     };
@@ -94,7 +108,7 @@
                              std::string const& worker) const;
 
     std::map<step_id, step_entry> steps_;
-    std::size_t in_flight_ = 0;
+    advice_line line_;
 };
 
 } // namespace cuminfold
--- a/source/node/cell_owner_orders.cpp
+++ b/source/node/cell_owner_orders.cpp
@@ -251,14 +251,14 @@
 {
     environment_.advice_.request_tickets(
         action,
-        [self = shared_from_this(), action, sent = node_now()](
-            std::optional<std::vector<issued_ticket>> const& allowed)
+        [self = shared_from_this(), action,
+         sent = node_now()](advice_result const& result)
         {
             if (!self->stopped_)
             {
                 self->environment_.metrics_.observe("cuminfold_advice_call",
                                                     node_now() - sent);
-                self->cell_.on_advice_response(action, allowed, sent,
+                self->cell_.on_advice_response(action, result, sent,
                                                node_now());
                 self->post_pump();
             }
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -822,6 +822,7 @@
              now_ >= time_point{milliseconds{std::stoll(order.ticket_)}} +
                          policy_->validity_))
         {
+            ++ticket_refusals_;
             return call_outcome::ticket_refused;
         }
         auto const outcome = worker->start(token, order, planned, now_);
@@ -995,36 +996,63 @@
 
 void cell_world::set_policy(std::chrono::milliseconds validity)
 {
-    policy_ = advice_policy{milliseconds{20}, milliseconds{1}, validity};
+    set_policy(advice_policy{milliseconds{20}, milliseconds{1}, validity},
+               ticket_start::request);
+}
+
+void cell_world::set_policy(advice_policy const& policy, ticket_start from)
+{
+    policy_ = policy;
+    ticket_start_ = from;
     config_.routes_[0].advice_ = policy_;
     cell_->set_config(config_);
 }
 
+void cell_world::delay_advice(std::chrono::milliseconds time)
+{
+    advice_free_at_ = std::max(advice_free_at_, now_) + time;
+}
+
 void cell_world::carry_out(query_advice const& order)
 {
+    constexpr duration timeout_margin = milliseconds{500};
     advice_queries_ += order.workers_.size();
-    schedule(now_ + milliseconds{20},
-             [this, order, sent = now_, epoch = epoch_]
-             {
-                 std::vector<issued_ticket> allowed;
-                 for (auto const& worker : order.workers_)
-                 {
-                     if ((worker[1] - '0') % 2 == 0)
-                     {
-                         allowed.push_back(
-                             {worker, std::to_string(sent.time_since_epoch() /
-                                                     milliseconds{1})});
-                     }
-                 }
-                 if (epoch == epoch_)
-                 {
-                     cell_->on_advice_response(
-                         order,
-                         advice_down_ ? std::nullopt
-                                      : std::make_optional(allowed),
-                         sent, now_);
-                 }
-             });
+    ++advice_calls_;
+    auto const begun = std::max(now_, advice_free_at_);
+    auto const answered = begun + policy_->answer_time(order.workers_.size());
+    advice_free_at_ = answered;
+    auto const valid_from = ticket_start_ == ticket_start::request ? now_
+                            : ticket_start_ == ticket_start::decision
+                                ? begun
+                                : answered;
+    // The service handles a query that has timed out as well.
+    auto const timeout = now_ + order.answer_time_ + timeout_margin;
+    bool const in_time = answered <= timeout;
+    schedule(
+        in_time ? answered : timeout,
+        [this, order, sent = now_, valid_from, in_time, epoch = epoch_]
+        {
+            std::vector<issued_ticket> allowed;
+            for (auto const& worker : order.workers_)
+            {
+                if ((worker[1] - '0') % 2 == 0)
+                {
+                    allowed.push_back(
+                        {worker, std::to_string(valid_from.time_since_epoch() /
+                                                milliseconds{1})});
+                }
+            }
+            if (epoch == epoch_)
+            {
+                advice_result result;
+                if (in_time && !advice_down_)
+                {
+                    result.allowed_ = std::move(allowed);
+                }
+                result.is_queued_ = !in_time;
+                cell_->on_advice_response(order, result, sent, now_);
+            }
+        });
 }
 
 void cell_world::carry_out(answer_client const& answer)
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -198,6 +198,8 @@
     bool advice_down_ = false;
     /// Number of workers that the policy service was queried about.
     std::size_t advice_queries_ = 0;
+    /// Number of queries to the policy service.
+    std::size_t advice_calls_ = 0;
     /// Adds a pool without workers to the configuration.
     void add_pool(pool_name const& name);
     /// The workspace of the jobs that are submitted from now on; empty: none.
@@ -212,6 +214,19 @@
     /// Gives the queue a policy.
     /// @param validity of a ticket, from when it was requested
     void set_policy(std::chrono::milliseconds validity);
+    /// From when the workers count the validity of a ticket.
+    enum class ticket_start : std::uint8_t
+    {
+        request,  ///< when the owner sent the query
+        decision, ///< when the service began to handle the query
+        answer    ///< when the service answered
+    };
+    void set_policy(advice_policy const& policy, ticket_start from);
+    /// Keeps the policy service busy with other queries of this VM, so that it
+    /// handles those of the owner after that time.
+    void delay_advice(std::chrono::milliseconds time);
+    /// Starts that workers refused for want of a valid ticket.
+    std::size_t ticket_refusals_ = 0;
     /// Tasks that some owner sent a stop for.
     std::set<task_id> stops_sent_;
     /// Starts of each task that got no answer.
@@ -320,6 +335,9 @@
     fleet_config config_;
     /// What the workers demand tickets by, also for a queue that was removed.
     std::optional<advice_policy> policy_;
+    ticket_start ticket_start_ = ticket_start::request;
+    /// When the policy service has handled all queries that it has received.
+    time_point advice_free_at_{};
     std::vector<std::unique_ptr<fake_worker>> workers_;
     restart_ids ids_;
     std::chrono::milliseconds max_lease_;
