node: Find forwarded calls that were lost on silent connections

Cause: a node gave a forwarded call all the time that its client has, on an idle connection if there was one, so that only the end of that time showed a silent connection; the other idle ones to the owner stayed in use. Pings have connections of their own and went on.

Change: a call without an answer after call_check_delay (250 ms) is named in a check, by which the owner says which calls it executes. A call that it does not execute by two checks is sent again on a new connection. In the HTTP client, a call that ends without a response closes the idle connections to its address that have carried none since it began; store_client and worker_client did so themselves, vm_client, advice_client and calls between nodes not at all. Log lines call_lost and unproven_connections_closed, counters for both and for checks.

Why it works: what decides is whether the owner has the call, not how long it takes. No call is given up earlier than before; a slow or stopped owner gets none twice.

The soak has a series in which open connections go silent (--silences 1).

--- a/source/kernel/cell/owner_record.hpp
+++ b/source/kernel/cell/owner_record.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace cuminfold
 {
@@ -50,6 +51,13 @@
     duration unconfirmed_{0};
 };
 
+/// Calls that one incarnation of a node has forwarded to a peer.
+struct forwarded_calls
+{
+    std::uint64_t incarnation_ = 0;
+    std::vector<std::uint64_t> numbers_;
+};
+
 } // namespace cuminfold
 
 #endif
--- a/source/node/client_frontend.cpp
+++ b/source/node/client_frontend.cpp
@@ -93,13 +93,16 @@
 } // namespace
 
 client_frontend::client_frontend(boost::asio::io_context& context,
-                                 http_client& peers,
+                                 http_client& peers, http_client& checks,
+                                 std::uint64_t incarnation,
                                  client_frontend_handler handler,
                                  decision_log& log, metrics& counters,
                                  node_settings const& settings,
                                  std::shared_ptr<connection_budget> budget)
-    : peers_(peers), handler_(std::move(handler)), log_(log),
-      metrics_(counters), timer_(context),
+    : peers_(peers), checks_(checks), incarnation_(incarnation),
+      check_timeout_(settings.peer_timeout_), handler_(std::move(handler)),
+      log_(log), metrics_(counters), timer_(context),
+      watch_(settings.call_check_delay_),
       server_(context, client_limits(settings),
               {[this](std::uint64_t exchange, http_request request,
                       http_responder respond) {
@@ -201,18 +204,122 @@
             { on_attempt_ended(exchange, number, answer, true); });
         return;
     }
-    open.peer_call_ = call_peer(
-        peers_, owner.address_, open.call_,
-        [this, exchange, number, epoch = owner.epoch_](
+    forward(exchange, owner, now);
+}
+
+void client_frontend::forward(std::uint64_t exchange,
+                              owner_location const& owner, time_point now)
+{
+    auto& open = open_.at(exchange);
+    auto const call = ++last_forwarded_;
+    open.forwarded_call_ = call;
+    watch_.add(call, owner.epoch_, open.call_.job_.text_.size(),
+               open.lost_calls_, now);
+    auto& forwarded = forwarded_[call];
+    forwarded.exchange_ = exchange;
+    forwarded.epoch_ = owner.epoch_;
+    forwarded.address_ = owner.address_;
+    forwarded.sent_at_ = now;
+    bool const new_connection = open.lost_calls_ != 0;
+    forwarded.peer_call_ = call_peer(
+        peers_, owner.address_, open.call_, {incarnation_, call},
+        new_connection,
+        [this, exchange, call, number = open.attempt_](
             std::optional<client_answer> const& answer, peer_failure failure)
         {
-            forwards_.ended(epoch);
+            remove_forwarded(call);
             on_attempt_ended(exchange, number, answer,
                              failure != peer_failure::not_sent);
             start_waiting();
         });
 }
 
+void client_frontend::remove_forwarded(std::uint64_t call)
+{
+    auto const found = forwarded_.find(call);
+    forwards_.ended(found->second.epoch_);
+    forwarded_.erase(found);
+    watch_.remove(call);
+}
+
+void client_frontend::cancel_forwarded(open_request& open)
+{
+    auto const call = std::exchange(open.forwarded_call_, 0);
+    if (call != 0)
+    {
+        peers_.cancel(forwarded_.at(call).peer_call_);
+        remove_forwarded(call);
+    }
+}
+
+void client_frontend::check_forwarded()
+{
+    forwarded_calls calls;
+    calls.incarnation_ = incarnation_;
+    calls.numbers_ = watch_.begin_check(node_now());
+    if (calls.numbers_.empty())
+    {
+        return;
+    }
+    metrics_.add("cuminfold_call_checks_total", 1);
+    check_calls(checks_, forwarded_.at(calls.numbers_.front()).address_, calls,
+                check_timeout_,
+                [this](check_end end, forwarded_calls const& executing)
+                { on_check_ended(end, executing); });
+}
+
+void client_frontend::on_check_ended(check_end end,
+                                     forwarded_calls const& executing)
+{
+    if (end == check_end::unanswered)
+    {
+        watch_.fail_check();
+        return;
+    }
+    if (end == check_end::unsupported)
+    {
+        watch_.reject_check();
+        return;
+    }
+    for (auto const call : watch_.end_check(executing.numbers_, node_now()))
+    {
+        repeat_lost_call(call);
+    }
+    start_waiting();
+}
+
+void client_frontend::repeat_lost_call(std::uint64_t call)
+{
+    auto const lost = forwarded_.at(call);
+    auto const now = node_now();
+    peers_.abandon(lost.peer_call_);
+    remove_forwarded(call);
+    auto const found = open_.find(lost.exchange_);
+    bool const is_awaited =
+        found != open_.end() && found->second.forwarded_call_ == call;
+    auto const waited = std::chrono::duration_cast<std::chrono::milliseconds>(
+        now - lost.sent_at_);
+    metrics_.add("cuminfold_calls_lost_total", 1);
+    log_.write("call_lost",
+               {{"request", is_awaited ? found->second.call_.path_ : ""},
+                {"owner", lost.address_},
+                {"epoch", std::to_string(lost.epoch_)},
+                {"ms", std::to_string(waited.count())}},
+               now);
+    if (!is_awaited)
+    {
+        return;
+    }
+    auto& open = found->second;
+    open.forwarded_call_ = 0;
+    open.in_flight_ = false;
+    // The answer may be what was lost.
+    open.maybe_stored_ = true;
+    ++open.attempt_;
+    ++open.lost_calls_;
+    start_attempt(lost.exchange_);
+}
+
 void client_frontend::start_waiting()
 {
     while (auto const exchange = forwards_.next())
@@ -243,7 +350,7 @@
     }
     auto& open = found->second;
     open.in_flight_ = false;
-    open.peer_call_ = 0;
+    open.forwarded_call_ = 0;
     open.next_attempt_ = node_now() + retry_pause;
     if (!answer || answer->kind_ == answer_kind::unknown)
     {
@@ -306,11 +413,7 @@
 void client_frontend::abort_request(std::uint64_t exchange, char const* cause)
 {
     auto& open = open_.at(exchange);
-    if (open.peer_call_ != 0)
-    {
-        peers_.cancel(open.peer_call_);
-        forwards_.ended(open.sent_to_epoch_);
-    }
+    cancel_forwarded(open);
     ++open.attempt_;
     client_answer answer;
     bool const maybe_stored = open.maybe_stored_ || open.in_flight_;
@@ -339,12 +442,7 @@
         if (open.in_flight_ && open.sent_to_epoch_ != owner.epoch_)
         {
             open.maybe_stored_ = true;
-            if (open.peer_call_ != 0)
-            {
-                peers_.cancel(open.peer_call_);
-                forwards_.ended(open.sent_to_epoch_);
-                open.peer_call_ = 0;
-            }
+            cancel_forwarded(open);
             open.in_flight_ = false;
             ++open.attempt_;
         }
@@ -431,7 +529,8 @@
         }
     }
     start_waiting();
-    if (!open_.empty())
+    check_forwarded();
+    if (!open_.empty() || !forwarded_.empty())
     {
         arm_timer();
     }
--- a/source/node/client_frontend.hpp
+++ b/source/node/client_frontend.hpp
@@ -6,7 +6,9 @@
 #include "kernel/cell/owner_record.hpp"
 #include "node/decision_log.hpp"
 #include "node/forward_limit.hpp"
+#include "node/forward_watch.hpp"
 #include "node/node_settings.hpp"
+#include "node/peer_api.hpp"
 #include "transport/connection_budget.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
@@ -54,7 +56,12 @@
 class client_frontend
 {
 public:
+    /// @param peers forwards calls
+    /// @param checks checks forwarded calls; not `peers`, whose connections may
+    /// all wait for answers
+    /// @param incarnation of this node's process
     client_frontend(boost::asio::io_context& context, http_client& peers,
+                    http_client& checks, std::uint64_t incarnation,
                     client_frontend_handler handler, decision_log& log,
                     metrics& counters, node_settings const& settings,
                     std::shared_ptr<connection_budget> budget);
@@ -92,7 +99,10 @@
         /// Until when the request waits for a reachable owner.
         time_point owner_deadline_{};
         owner_epoch sent_to_epoch_ = 0;
-        std::uint64_t peer_call_ = 0;
+        /// Number of the forwarded call in `forwarded_`; 0: none.
+        std::uint64_t forwarded_call_ = 0;
+        /// How often a forwarded call of it was lost.
+        std::uint32_t lost_calls_ = 0;
         /// Number of the newest attempt; results of earlier ones are ignored.
         std::uint64_t attempt_ = 0;
         bool in_flight_ = false;
@@ -103,6 +113,16 @@
         time_point next_attempt_{};
     };
 
+    struct forwarded_call
+    {
+        std::uint64_t exchange_ = 0;
+        owner_epoch epoch_ = 0;
+        std::string address_;
+        /// Number of the call in `peers_`.
+        std::uint64_t peer_call_ = 0;
+        time_point sent_at_{};
+    };
+
     void on_request(std::uint64_t exchange, http_request request,
                     http_responder respond);
     void on_rejected(char const* cause);
@@ -114,6 +134,17 @@
     void on_attempt_ended(std::uint64_t exchange, std::uint64_t attempt,
                           std::optional<client_answer> const& answer,
                           bool maybe_stored);
+    void forward(std::uint64_t exchange, owner_location const& owner,
+                 time_point now);
+    /// Removes a forwarded call that has ended or was cancelled.
+    void remove_forwarded(std::uint64_t call);
+    /// Cancels the forwarded call of a request, if any.
+    void cancel_forwarded(open_request& open);
+    /// Asks the owner which of the calls without an answer it executes.
+    void check_forwarded();
+    void on_check_ended(check_end end, forwarded_calls const& executing);
+    /// Sends the request of a lost call again.
+    void repeat_lost_call(std::uint64_t call);
     void finish(std::uint64_t exchange, client_answer const& answer);
     /// Whether no owner is in reach and none can take over at present.
     bool is_without_owner() const;
@@ -122,12 +153,19 @@
     void on_timer();
 
     http_client& peers_;
+    http_client& checks_;
+    std::uint64_t incarnation_;
+    duration check_timeout_;
     client_frontend_handler handler_;
     decision_log& log_;
     metrics& metrics_;
     boost::asio::steady_timer timer_;
     std::map<std::uint64_t, open_request> open_;
     forward_limit forwards_;
+    forward_watch watch_;
+    /// By number, also those of requests whose client is gone.
+    std::map<std::uint64_t, forwarded_call> forwarded_;
+    std::uint64_t last_forwarded_ = 0;
     /// The newest configuration version that an answer was based on; later
     /// requests must be answered from this version or a newer one.
     std::uint64_t config_floor_ = 0;
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -65,8 +65,9 @@
     return limits;
 }
 
-/// One ping is in flight at a time; the other connection may be closing.
-constexpr std::size_t ping_connections = 2;
+/// One ping and one check of forwarded calls are in flight at a time; the other
+/// connection may be closing.
+constexpr std::size_t ping_connections = 3;
 
 http_client_limits ping_limits()
 {
@@ -104,13 +105,20 @@
           budget_(std::make_shared<connection_budget>(
               settings_.connection_bytes())),
           peers_(context_, make_peer_handler(), settings_, budget_),
-          client_frontend_(context_, peer_http_, make_client_frontend_handler(),
-                           log_, metrics_, settings_, budget_),
+          client_frontend_(context_, peer_http_, ping_http_, incarnation_,
+                           make_client_frontend_handler(), log_, metrics_,
+                           settings_, budget_),
           health_(context_, health_limits(settings_), make_health_handler(),
                   budget_),
           timer_(context_), stop_timer_(context_),
           signals_(context_, SIGTERM, SIGINT, SIGHUP)
     {
+        for (auto* const http : {&http_, &peer_http_, &ping_http_})
+        {
+            http->set_close_observer(
+                [this](std::string const& address, std::size_t closed)
+                { on_connections_closed(address, closed); });
+        }
         store_.set_latency_observer(
             [this](duration response_time)
             { ownership_.store_answered(response_time, node_now()); });
@@ -155,6 +163,17 @@
         return options;
     }
 
+    /// A call to the address has ended without a response, so that connections
+    /// which may be silent, too, were closed.
+    void on_connections_closed(std::string const& address, std::size_t closed)
+    {
+        metrics_.add("cuminfold_unproven_connections_closed_total",
+                     static_cast<double>(closed));
+        log_.write("unproven_connections_closed",
+                   {{"address", address}, {"count", std::to_string(closed)}},
+                   node_now());
+    }
+
     peer_handler make_peer_handler()
     {
         peer_handler handler;
--- a/source/node/node_settings.hpp
+++ b/source/node/node_settings.hpp
@@ -42,6 +42,9 @@
     duration store_timeout_ = std::chrono::milliseconds{1500};
     duration worker_timeout_ = std::chrono::milliseconds{200};
     duration peer_timeout_ = std::chrono::milliseconds{400};
+    /// A call to the owner that has no answer after this time is checked: the
+    /// owner is asked whether it executes it.
+    duration call_check_delay_ = std::chrono::milliseconds{250};
     /// After SIGTERM the node keeps serving for at least this long, so that
     /// the load balancer can stop routing to it...
     duration stop_time_ = std::chrono::milliseconds{2600};
--- a/source/node/node_settings_file.cpp
+++ b/source/node/node_settings_file.cpp
@@ -37,6 +37,7 @@
     in.read("store_timeout", settings.store_timeout_, min_time, max_time);
     in.read("worker_timeout", settings.worker_timeout_, min_time, max_time);
     in.read("peer_timeout", settings.peer_timeout_, min_time, max_time);
+    in.read("call_check_delay", settings.call_check_delay_, min_time, max_time);
     in.read("stop_time", settings.stop_time_, duration{0}, max_time);
     in.read("stop_limit", settings.stop_limit_, duration{0}, max_time);
     in.read("longest_lease", settings.longest_lease_, min_time, max_time);
--- a/source/node/peer_api.hpp
+++ b/source/node/peer_api.hpp
@@ -4,6 +4,7 @@
 #include "kernel/cell/cell_action.hpp"
 #include "kernel/cell/client_call.hpp"
 #include "kernel/cell/owner_record.hpp"
+#include "node/executing_calls.hpp"
 #include "node/node_settings.hpp"
 #include "transport/connection_budget.hpp"
 #include "transport/http_client.hpp"
@@ -11,6 +12,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -50,9 +52,17 @@
     void stop(std::function<void()> done);
 
 private:
-    void serve(http_request request, http_responder const& respond);
+    void serve(std::uint64_t exchange, http_request request,
+               http_responder const& respond);
+    void serve_call(std::uint64_t exchange, http_request const& request,
+                    http_responder const& respond);
+    void serve_check(http_request const& request,
+                     http_responder const& respond) const;
 
     peer_handler handler_;
+    /// Shared with the answers of calls, which may come after the server.
+    std::shared_ptr<executing_calls> executing_ =
+        std::make_shared<executing_calls>();
     http_server server_;
 };
 
@@ -70,12 +80,29 @@
 
 /// Forwards a client's call to a peer that owns the cell, for as long as the
 /// client waits. `done` gets the failure only without an answer.
-/// @return the call's number, to cancel it
+/// @param id names the call in `check_calls()`
+/// @param new_connection opens a connection for the call
+/// @return the call's number in `http`, to cancel it
 std::uint64_t
 call_peer(http_client& http, std::string const& address,
-          client_call const& call,
+          client_call const& call, forwarded_call_id const& id,
+          bool new_connection,
           std::function<void(std::optional<client_answer>, peer_failure)> done);
 
+/// How a check of forwarded calls ended.
+enum class check_end : std::uint8_t
+{
+    answered,
+    unanswered,
+    unsupported ///< by the peer's program
+};
+
+/// Asks a peer which of these calls it executes. `done` gets them only if the
+/// peer has answered.
+void check_calls(http_client& http, std::string const& address,
+                 forwarded_calls const& calls, duration timeout,
+                 std::function<void(check_end, forwarded_calls const&)> done);
+
 } // namespace cuminfold
 
 #endif
--- a/source/transport/http_client.cpp
+++ b/source/transport/http_client.cpp
@@ -117,16 +117,22 @@
         drop(open);
     }
 
-    void forget(std::string const& address)
+    void abandon(std::uint64_t number)
     {
-        auto const found = idle_.find(address);
-        if (found != idle_.end())
+        auto const found = calls_.find(number);
+        if (found != calls_.end())
         {
-            close_all(found->second);
-            idle_.erase(found);
+            close_unproven(*found->second);
+            cancel(number);
         }
     }
 
+    void set_close_observer(
+        std::function<void(std::string const&, std::size_t)> observer)
+    {
+        close_observer_ = std::move(observer);
+    }
+
     void stop()
     {
         waiting_.clear();
@@ -151,6 +157,8 @@
         http_call call_;
         callback done_;
         clock::time_point deadline_;
+        /// When the call got a connection or began to open one.
+        clock::time_point begun_{};
         /// When the call is given up in its present phase; `deadlines_` holds
         /// it.
         clock::time_point watched_{};
@@ -176,7 +184,11 @@
 
     void begin(open_ptr const& open)
     {
-        if (auto kept = take_idle(open->call_.address_))
+        open->begun_ = clock::now();
+        auto kept = open->call_.new_connection_
+                        ? nullptr
+                        : take_idle(open->call_.address_);
+        if (kept)
         {
             open->connection_ = std::move(kept);
             ++busy_[open->call_.address_];
@@ -220,6 +232,34 @@
         }
     }
 
+    /// Closes the idle connections to the call's address that have carried no
+    /// response since the call began.
+    void close_unproven(open_call const& open)
+    {
+        auto const found = idle_.find(open.call_.address_);
+        if (found == idle_.end())
+        {
+            return;
+        }
+        auto& kept = found->second;
+        auto const unproven =
+            std::stable_partition(kept.begin(), kept.end(),
+                                  [&](connection_ptr const& each)
+                                  { return each->idle_since_ > open.begun_; });
+        auto const closed =
+            static_cast<std::size_t>(std::distance(unproven, kept.end()));
+        close_all({unproven, kept.end()});
+        kept.erase(unproven, kept.end());
+        if (kept.empty())
+        {
+            idle_.erase(found);
+        }
+        if (closed != 0 && close_observer_)
+        {
+            close_observer_(open.call_.address_, closed);
+        }
+    }
+
     connection_ptr take_idle(std::string const& address)
     {
         auto const found = idle_.find(address);
@@ -534,9 +574,20 @@
         std::exchange(open->done_, nullptr)(std::move(result));
     }
 
+    /// Whether the other side has answered a call that ended so.
+    static bool is_answered(http_end how)
+    {
+        return how == http_end::whole || how == http_end::mismatched ||
+               how == http_end::too_large;
+    }
+
     void end(open_ptr const& open, http_end how)
     {
         calls_.erase(open->number_);
+        if (!is_answered(how))
+        {
+            close_unproven(*open);
+        }
         drop(open);
         auto const done = std::exchange(open->done_, nullptr);
         if (done)
@@ -657,6 +708,7 @@
     /// What the timer waits for.
     clock::time_point deadline_armed_ = clock::time_point::max();
     std::set<std::pair<clock::time_point, std::uint64_t>> deadlines_;
+    std::function<void(std::string const&, std::size_t)> close_observer_;
 };
 
 http_client::http_client(asio::io_context& context, http_client_limits limits)
@@ -679,9 +731,15 @@
     impl_->cancel(number);
 }
 
-void http_client::forget(std::string const& address)
+void http_client::abandon(std::uint64_t number)
+{
+    impl_->abandon(number);
+}
+
+void http_client::set_close_observer(
+    std::function<void(std::string const&, std::size_t)> observer)
 {
-    impl_->forget(address);
+    impl_->set_close_observer(std::move(observer));
 }
 
 void http_client::stop()
--- a/source/transport/http_client.hpp
+++ b/source/transport/http_client.hpp
@@ -37,6 +37,8 @@
     http_fields fields_;
     std::string body_;
     duration timeout_ = std::chrono::seconds{2};
+    /// Opens a connection for the call, also while idle ones are kept.
+    bool new_connection_ = false;
     /// A field of the call whose value the response must repeat; empty: none.
     std::string echo_field_;
 };
@@ -65,6 +67,10 @@
 ///
 /// A connection carries one request at a time. It is kept only after a whole
 /// response; after anything else it is closed and never used again.
+///
+/// Open connections may fall silent together, without a sign. So a call that
+/// ends without a response closes the idle connections to its address as well,
+/// but for those that have carried a response since the call was sent.
 class http_client
 {
 public:
@@ -80,8 +86,16 @@
     /// Gives a call up and closes its connection.
     void cancel(std::uint64_t number);
 
-    /// Closes the idle connections to an address.
-    void forget(std::string const& address);
+    /// Gives up a call that the other side has not received or has answered:
+    /// its connection and the idle ones to its address are closed as after a
+    /// timeout.
+    void abandon(std::uint64_t number);
+
+    /// Sets what is called with the number of idle connections that were closed
+    /// since a call to their address has ended without a response.
+    void set_close_observer(
+        std::function<void(std::string const& address, std::size_t closed)>
+            observer);
 
     /// Closes everything; open calls end without a callback.
     void stop();
--- a/source/wire/cell_codec.cpp
+++ b/source/wire/cell_codec.cpp
@@ -94,4 +94,14 @@
     return from_bytes<peer_ping>(bytes);
 }
 
+std::string encode_forwarded_calls(forwarded_calls const& calls)
+{
+    return to_bytes(calls);
+}
+
+forwarded_calls decode_forwarded_calls(std::string const& bytes)
+{
+    return from_bytes<forwarded_calls>(bytes);
+}
+
 } // namespace cuminfold
--- a/source/wire/cell_codec.hpp
+++ b/source/wire/cell_codec.hpp
@@ -34,6 +34,8 @@
 
 std::string encode_ping(peer_ping const& ping);
 peer_ping decode_ping(std::string const& bytes);
+std::string encode_forwarded_calls(forwarded_calls const& calls);
+forwarded_calls decode_forwarded_calls(std::string const& bytes);
 /// @}
 
 } // namespace cuminfold
--- a/source/wire/cell_fields.hpp
+++ b/source/wire/cell_fields.hpp
@@ -193,6 +193,13 @@
     v("unconfirmed", x.unconfirmed_);
 }
 
+template <class V>
+void fields(V& v, forwarded_calls& x)
+{
+    v("life", x.incarnation_);
+    v("calls", x.numbers_);
+}
+
 } // namespace detail
 
 } // namespace cuminfold
--- a/tests/soak/fault_link.cpp
+++ b/tests/soak/fault_link.cpp
@@ -59,6 +59,11 @@
             });
     }
 
+    void silence(link_fault fault)
+    {
+        silenced_ = fault;
+    }
+
     void close()
     {
         timer_.cancel();
@@ -108,7 +113,11 @@
 
     bool holds(way const& in) const
     {
-        auto const fault = link_.state_.fault_;
+        return holds(link_.state_.fault_, in) || holds(silenced_, in);
+    }
+
+    bool holds(link_fault fault, way const& in) const
+    {
         return fault == link_fault::silence ||
                (fault == link_fault::hold_calls && &in == &calls_) ||
                (fault == link_fault::hold_answers && &in == &answers_);
@@ -166,6 +175,8 @@
     way calls_;
     way answers_;
     boost::asio::steady_timer timer_;
+    /// A fault that does not end.
+    link_fault silenced_ = link_fault::none;
 };
 
 fault_link::fault_link(boost::asio::io_context& context)
@@ -207,6 +218,15 @@
     }
 }
 
+std::size_t fault_link::silence_open(link_fault fault)
+{
+    for (auto const& each : sessions_)
+    {
+        each->silence(fault);
+    }
+    return sessions_.size();
+}
+
 void fault_link::accept()
 {
     acceptor_.async_accept(
--- a/tests/soak/fault_link.hpp
+++ b/tests/soak/fault_link.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <set>
 #include <string>
@@ -46,6 +47,11 @@
     /// Where connections are led to; none are taken before it is set.
     void set_target(std::string const& address);
     void set_state(link_state state);
+    /// The connections that are open now carry nothing any more, while new ones
+    /// work.
+    /// @param fault which ways: `silence`, `hold_calls` or `hold_answers`
+    /// @return how many there are
+    std::size_t silence_open(link_fault fault);
 
 private:
     class session;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -35,6 +35,7 @@
     std::uint32_t workers_ = 6;
     std::chrono::seconds time_{10};
     bool restarts_ = true;
+    bool silences_ = false;
     bool workspaces_ = false;
     std::string program_ = CUMINFOLD_NODE;
 };
@@ -55,6 +56,7 @@
     soak_clients clients(system, oracle, seed, size.restarts_);
     soak_faults faults(system, seed + 1, fault_series::mixed);
     soak_faults restarts(system, seed + 2, fault_series::restarts);
+    soak_faults silences(system, seed + 4, fault_series::silences);
     auto const step = [&](bool more)
     {
         system.tick();
@@ -70,6 +72,10 @@
         {
             restarts.tick();
         }
+        if (size.silences_)
+        {
+            silences.tick();
+        }
         step(true);
     }
     system.heal();
@@ -94,7 +100,8 @@
               << clients.accepted() << " accepted, " << clients.rejected()
               << " rejected, " << oracle.starts() << " starts, "
               << faults.history().size() << " faults, "
-              << restarts.history().size() << " restarts, " << breaches.size()
+              << restarts.history().size() << " restarts, "
+              << silences.history().size() << " silences, " << breaches.size()
               << " rules broken" << std::endl;
     if (!breaches.empty())
     {
@@ -102,7 +109,7 @@
         {
             std::cout << "  " << line << '\n';
         }
-        for (auto const* const each : {&faults, &restarts})
+        for (auto const* const each : {&faults, &restarts, &silences})
         {
             for (auto const& line : each->history())
             {
@@ -134,6 +141,9 @@
     add("workers", options::value(&size.workers_), "workers");
     add("restarts", options::value(&size.restarts_),
         "1: long tasks, and workers that restart under their ids; 0: neither");
+    add("silences", options::value(&size.silences_),
+        "1: open connections between nodes, to the store and to workers go "
+        "silent; 0: they don't");
     add("workspaces", options::value(&size.workspaces_),
         "1: calls need keys, which change all the time; 0: no keys");
     try
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -1,6 +1,7 @@
 #include "soak/soak_faults.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <numeric>
 
 namespace cuminfold
@@ -67,7 +68,12 @@
     static std::vector<fault_kind> const restarts = {
         {1, &soak_faults::restart_and_cut},
     };
-    return series_ == fault_series::mixed ? mixed : restarts;
+    static std::vector<fault_kind> const silences = {
+        {1, &soak_faults::silence_connections},
+    };
+    return series_ == fault_series::mixed      ? mixed
+           : series_ == fault_series::restarts ? restarts
+                                               : silences;
 }
 
 soak_faults::soak_faults(soak_system& system, std::uint32_t seed,
@@ -229,6 +235,36 @@
            std::to_string(healed.count()) + " ms";
 }
 
+std::string soak_faults::silence_connections()
+{
+    constexpr link_fault ways[] = {link_fault::silence, link_fault::hold_calls,
+                                   link_fault::hold_answers};
+    auto const way = ways[draw(static_cast<std::uint32_t>(std::size(ways)))];
+    // Between nodes, to the store and to workers; one of them or all at once.
+    constexpr link_place places[] = {link_place::peers_to_node,
+                                     link_place::node_to_store,
+                                     link_place::nodes_to_worker};
+    auto const chosen = draw(static_cast<std::uint32_t>(std::size(places)) + 1);
+    std::size_t silenced = 0;
+    for (std::size_t i = 0; i < std::size(places); ++i)
+    {
+        if (chosen != std::size(places) && chosen != i)
+        {
+            continue;
+        }
+        auto const count = places[i] == link_place::nodes_to_worker
+                               ? system_.workers()
+                               : system_.nodes();
+        for (std::size_t number = 0; number < count; ++number)
+        {
+            silenced += system_.silence_link(places[i], number, way);
+        }
+    }
+    return std::to_string(silenced) + " open connections go silent (ways " +
+           std::to_string(static_cast<int>(way)) + ", links " +
+           std::to_string(chosen) + ")";
+}
+
 void soak_faults::begin()
 {
     auto const& rows = kinds();
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -18,7 +18,8 @@
 enum class fault_series
 {
     mixed,
-    restarts ///< workers restart under their ids and are cut off soon after
+    restarts, ///< workers restart under their ids and are cut off soon after
+    silences  ///< open connections carry nothing any more, while new ones work
 };
 
 /// Injects faults in series that overlap, all drawn from one seed.
@@ -68,6 +69,7 @@
     std::string crash_worker();
     std::string drain_worker();
     std::string restart_and_cut();
+    std::string silence_connections();
 
     soak_system& system_;
     std::mt19937 random_;
--- a/tests/soak/soak_system.cpp
+++ b/tests/soak/soak_system.cpp
@@ -203,6 +203,14 @@
     on_links([&] { link(place, number).set_state(state); });
 }
 
+std::size_t soak_system::silence_link(link_place place, std::size_t number,
+                                      link_fault ways)
+{
+    std::size_t silenced = 0;
+    on_links([&] { silenced = link(place, number).silence_open(ways); });
+    return silenced;
+}
+
 void soak_system::set_store_down(bool down)
 {
     platform_.set_down(down);
--- a/tests/soak/soak_system.hpp
+++ b/tests/soak/soak_system.hpp
@@ -66,6 +66,10 @@
     void resume(std::size_t node);
     void reload(std::size_t node);
     void set_link(link_place place, std::size_t number, link_state state);
+    /// The link's open connections carry nothing any more.
+    /// @return how many there are
+    std::size_t silence_link(link_place place, std::size_t number,
+                             link_fault ways);
     void set_store_down(bool down);
     void drop_append_responses(std::uint32_t percent, std::uint32_t seed);
     void change_config();
