node: Check forwarded calls on connections that are opened after them

Cause: checks went over the connections for pings, which a busy owner reads before it has accepted the new connections of calls. By two such checks, calls that were only late were taken for lost and sent again, on further new connections. A call also counted from before its connection was open.

Change: each check opens a connection. The owner accepts it after those of the calls, so that it reads the check after them. A call counts from when it was written.

Why it works: connections are accepted in the order in which they were opened.

--- a/source/kernel/cell/advice_line.cpp
+++ b/source/kernel/cell/advice_line.cpp
@@ -94,14 +94,14 @@
         // Its answer was overtaken by the one to a later query.
         return sent;
     }
-    auto const not_begun = std::max(sent, newest_answer_at_);
+    auto const earliest_begin = std::max(sent, newest_answer_at_);
     newest_answered_ = number;
     newest_answer_at_ = now;
     while (!queries_.empty() && queries_.front().number_ < number)
     {
         queries_.pop_front();
     }
-    return not_begun;
+    return earliest_begin;
 }
 
 void advice_line::failed(std::uint64_t number, bool is_queued)
--- a/source/node/client_frontend.cpp
+++ b/source/node/client_frontend.cpp
@@ -213,8 +213,6 @@
     auto& open = open_.at(exchange);
     auto const call = ++last_forwarded_;
     open.forwarded_call_ = call;
-    watch_.add(call, owner.epoch_, open.call_.job_.text_.size(),
-               open.lost_calls_, now);
     auto& forwarded = forwarded_[call];
     forwarded.exchange_ = exchange;
     forwarded.epoch_ = owner.epoch_;
@@ -224,6 +222,9 @@
     forwarded.peer_call_ = call_peer(
         peers_, owner.address_, open.call_, {incarnation_, call},
         new_connection,
+        [this, call, epoch = owner.epoch_, bytes = open.call_.job_.text_.size(),
+         lost = open.lost_calls_]
+        { watch_.add(call, epoch, bytes, lost, node_now()); },
         [this, exchange, call, number = open.attempt_](
             std::optional<client_answer> const& answer, peer_failure failure)
         {
--- a/source/node/forward_watch.hpp
+++ b/source/node/forward_watch.hpp
@@ -15,17 +15,17 @@
 /// Finds forwarded calls that were lost on their way, or whose answers were,
 /// since their connections have fallen silent. Decides when to ask the owner
 /// which of the calls without an answer it executes. A call that it does not
-/// execute by two checks was lost; one check may overtake a call at an owner
-/// that reads both late. A slow owner executes its calls, and a stopped one
-/// does not answer checks, so that neither gets a call twice.
+/// execute by two checks was lost; one check may overtake a call on the way. A
+/// busy owner reads a check after the calls, a slow one executes them, and a
+/// stopped one does not answer checks, so that none gets a call twice.
 class forward_watch
 {
 public:
     /// @param delay time without an answer after which a call is checked
     explicit forward_watch(duration delay) : delay_(delay) {}
 
-    /// Adds a call that was sent to the owner of `epoch`. Calls to an earlier
-    /// owner are not checked any more.
+    /// Adds a call that was written to a connection to the owner of `epoch`.
+    /// Calls to an earlier owner are not checked any more.
     /// @param bytes of the call, which take time on a slow link
     /// @param repeats how often the call was lost before
     void add(std::uint64_t call, owner_epoch epoch, std::size_t bytes,
--- a/source/node/peer_api.cpp
+++ b/source/node/peer_api.cpp
@@ -200,7 +200,7 @@
 std::uint64_t
 call_peer(http_client& http, std::string const& address,
           client_call const& call, forwarded_call_id const& id,
-          bool new_connection,
+          bool new_connection, std::function<void()> on_written,
           std::function<void(std::optional<client_answer>, peer_failure)> done)
 {
     http_call request;
@@ -210,6 +210,7 @@
     request.body_ = encode_call(call);
     request.timeout_ = call.time_left_;
     request.new_connection_ = new_connection;
+    request.on_written_ = std::move(on_written);
     return http.start(std::move(request),
                       [done = std::move(done)](http_result const& result)
                       {
@@ -230,6 +231,7 @@
     request.target_ = check_path;
     request.body_ = encode_forwarded_calls(calls);
     request.timeout_ = timeout;
+    request.new_connection_ = true;
     http.start(std::move(request),
                [done = std::move(done)](http_result const& result)
                {
--- a/source/node/peer_api.hpp
+++ b/source/node/peer_api.hpp
@@ -82,11 +82,12 @@
 /// client waits. `done` gets the failure only without an answer.
 /// @param id names the call in `check_calls()`
 /// @param new_connection opens a connection for the call
+/// @param on_written called once the call was written to its connection
 /// @return the call's number in `http`, to cancel it
 std::uint64_t
 call_peer(http_client& http, std::string const& address,
           client_call const& call, forwarded_call_id const& id,
-          bool new_connection,
+          bool new_connection, std::function<void()> on_written,
           std::function<void(std::optional<client_answer>, peer_failure)> done);
 
 /// How a check of forwarded calls ended.
@@ -97,8 +98,9 @@
     unsupported ///< by the peer's program
 };
 
-/// Asks a peer which of these calls it executes. `done` gets them only if the
-/// peer has answered.
+/// Asks a peer which of these calls it executes, on a new connection: a peer
+/// accepts it after those of the calls, so that it reads the check after them.
+/// `done` gets the calls only if the peer has answered.
 void check_calls(http_client& http, std::string const& address,
                  forwarded_calls const& calls, duration timeout,
                  std::function<void(check_end, forwarded_calls const&)> done);
--- a/source/transport/http_client.cpp
+++ b/source/transport/http_client.cpp
@@ -453,6 +453,10 @@
             end(open, http_end::lost);
             return;
         }
+        if (open->call_.on_written_)
+        {
+            open->call_.on_written_();
+        }
         open->parser_.emplace();
         open->parser_->header_limit(
             static_cast<std::uint32_t>(limits_.head_bytes_));
--- a/source/transport/http_client.hpp
+++ b/source/transport/http_client.hpp
@@ -39,6 +39,8 @@
     duration timeout_ = std::chrono::seconds{2};
     /// Opens a connection for the call, also while idle ones are kept.
     bool new_connection_ = false;
+    /// Called once the whole call was written to its connection; may be empty.
+    std::function<void()> on_written_;
     /// A field of the call whose value the response must repeat; empty: none.
     std::string echo_field_;
 };
--- a/tests/node/peer_api_test.cpp
+++ b/tests/node/peer_api_test.cpp
@@ -50,6 +50,7 @@
         call.time_left_ = std::chrono::seconds{10};
         bool is_done = false;
         call_peer(client, server.listen("127.0.0.1:0"), call, {1, 1}, false,
+                  nullptr,
                   [&](std::optional<client_answer> const& answer,
                       peer_failure failure)
                   {
--- a/tests/node/silent_connections_test.cpp
+++ b/tests/node/silent_connections_test.cpp
@@ -6,13 +6,17 @@
 #include <doctest/doctest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
-#include <map>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace cuminfold;
@@ -25,19 +29,88 @@
 constexpr std::chrono::milliseconds client_deadline{20'000};
 constexpr std::size_t connections = 6;
 
+/// An owner on a thread of its own.
+class played_owner
+{
+public:
+    played_owner() : api_(context_, make_handler(), settings_, nullptr)
+    {
+        address_ = api_.listen("127.0.0.1:0");
+        thread_ = std::thread([this] { context_.run(); });
+    }
+
+    ~played_owner()
+    {
+        context_.stop();
+        thread_.join();
+    }
+
+    std::string const& address() const
+    {
+        return address_;
+    }
+
+    /// From now on each pass over the owner's sockets takes this time.
+    void begin_load(std::chrono::milliseconds pass)
+    {
+        boost::asio::post(context_, [this, pass] { repeat_load(pass); });
+    }
+
+    /// How long it takes for a call.
+    std::atomic<std::chrono::milliseconds> answer_time_{0ms};
+    /// Calls that it has received.
+    std::atomic<std::size_t> received_{0};
+
+private:
+    void repeat_load(std::chrono::milliseconds pass)
+    {
+        std::this_thread::sleep_for(pass);
+        begin_load(pass);
+    }
+
+    peer_handler make_handler()
+    {
+        peer_handler handler;
+        handler.on_ping_ = [] { return peer_ping{}; };
+        handler.on_metrics_ = [] { return std::string(); };
+        handler.on_rejected_ = [](char const*) {};
+        handler.on_call_ =
+            [this](client_call const&,
+                   std::function<void(client_answer)> const& done)
+        {
+            ++received_;
+            auto const timer =
+                std::make_shared<boost::asio::steady_timer>(context_);
+            timer->expires_after(answer_time_.load());
+            timer->async_wait(
+                [timer, done](boost::system::error_code)
+                {
+                    client_answer answer;
+                    answer.kind_ = answer_kind::status;
+                    done(answer);
+                });
+        };
+        return handler;
+    }
+
+    boost::asio::io_context context_{1};
+    node_settings settings_;
+    peer_api api_;
+    std::string address_;
+    std::thread thread_;
+};
+
 /// A node that forwards its clients' calls to an owner over a link.
 class forwarding_node
 {
 public:
     forwarding_node()
         : log_(metrics_), http_(context_, {}), peer_http_(context_, {}),
-          ping_http_(context_, {}), budget_(std::make_shared<connection_budget>(
-                                        settings_.connection_bytes())),
-          owner_(context_, make_owner(), settings_, budget_), link_(context_),
+          ping_http_(context_, {}), link_(context_),
           frontend_(context_, peer_http_, ping_http_, 7, make_handler(), log_,
-                    metrics_, settings_, budget_)
+                    metrics_, settings_, nullptr)
     {
-        link_.set_target(owner_.listen("127.0.0.1:0"));
+        link_.set_target(owner_.address());
         address_ = frontend_.listen("127.0.0.1:0");
     }
 
@@ -86,7 +159,7 @@
     /// Runs until the owner has received this many calls.
     void run_until_received(std::size_t calls)
     {
-        while (received_ < calls)
+        while (owner_.received_ < calls)
         {
             context_.run_one();
         }
@@ -99,45 +172,13 @@
     http_client http_;
     http_client peer_http_;
     http_client ping_http_;
-    std::shared_ptr<connection_budget> budget_;
-    peer_api owner_;
+    played_owner owner_;
     fault_link link_;
     client_frontend frontend_;
     std::string address_;
-    /// How long the owner takes for a call.
-    std::chrono::milliseconds answer_time_{0};
-    /// Calls that the owner has received, and of each request.
-    std::size_t received_ = 0;
-    std::map<std::string, std::size_t> received_of_;
     std::vector<unsigned> statuses_;
 
 private:
-    peer_handler make_owner()
-    {
-        peer_handler handler;
-        handler.on_ping_ = [] { return peer_ping{}; };
-        handler.on_metrics_ = [] { return std::string(); };
-        handler.on_rejected_ = [](char const*) {};
-        handler.on_call_ =
-            [this](client_call const& call,
-                   std::function<void(client_answer)> const& done)
-        {
-            ++received_;
-            ++received_of_[call.path_];
-            auto const timer =
-                std::make_shared<boost::asio::steady_timer>(context_);
-            timer->expires_after(answer_time_);
-            timer->async_wait(
-                [timer, done](boost::system::error_code)
-                {
-                    client_answer answer;
-                    answer.kind_ = answer_kind::status;
-                    done(answer);
-                });
-        };
-        return handler;
-    }
-
     client_frontend_handler make_handler()
     {
         client_frontend_handler handler;
@@ -191,9 +232,9 @@
         {
             if (each.in_flight_)
             {
-                node.answer_time_ = 300ms;
+                node.owner_.answer_time_ = 300ms;
                 node.start(connections);
-                node.run_until_received(node.received_ + connections);
+                node.run_until_received(node.owner_.received_ + connections);
                 CHECK(node.link_.silence_open(each.ways_) >= connections);
                 node.wait();
                 CHECK(node.statuses_ == all_answered);
@@ -214,15 +255,42 @@
     }
 }
 
-TEST_CASE("a slow owner gets each call once")
+// Guards against a busy owner that gets more calls the busier it is.
+TEST_CASE("an owner that answers late gets each call once")
 {
-    forwarding_node node;
-    node.answer_time_ = 2000ms;
-    CHECK(node.call(connections) == std::vector<unsigned>(connections, 200));
-    CHECK(node.received_ == connections);
-    CHECK(node.received_of_.size() == connections);
-    CHECK(node.metrics_.write().find("cuminfold_call_checks_total") !=
-          std::string::npos);
+    struct row
+    {
+        char const* name_;
+        std::chrono::milliseconds answer_time_;
+        std::chrono::milliseconds pass_;
+        std::size_t calls_;
+    };
+    row const rows[] = {
+        {"it takes long for each call", 2000ms, 0ms, connections},
+        // One connection is accepted in each pass.
+        {"it accepts connections late", 0ms, 30ms, 40},
+    };
+    for (auto const& each : rows)
+    {
+        CAPTURE(std::string(each.name_));
+        forwarding_node node;
+        // Opens the connections that pings use.
+        ping_peer(node.ping_http_, node.link_.address(), 20s,
+                  [](std::optional<peer_ping> const&) {});
+        REQUIRE(node.call(1) == std::vector<unsigned>{200});
+        node.owner_.answer_time_ = each.answer_time_;
+        if (each.pass_ != 0ms)
+        {
+            node.owner_.begin_load(each.pass_);
+        }
+        CHECK(node.call(each.calls_) ==
+              std::vector<unsigned>(each.calls_, 200));
+        CHECK(node.owner_.received_ == each.calls_ + 1);
+        auto const counters = node.metrics_.write();
+        CHECK(counters.find("cuminfold_call_checks_total") !=
+              std::string::npos);
+        CHECK(counters.find("cuminfold_calls_lost_total") == std::string::npos);
+    }
 }
 
 // Guards against a caller of the HTTP client that pays a timeout for each
