tests: Submit the job of a workspace after its nodes know the workspace

Cause: "calls need a key that is known not to be revoked" submitted its job right after the configuration was changed.

Change: the test waits until each node asks for a key, then submits. All checks stay; the wait now covers all nodes.

--- a/tests/node/node_process_test.cpp
+++ b/tests/node/node_process_test.cpp
@@ -671,17 +671,19 @@
             });
     };
     configure({"key-1", "key-1b"});
+    // A job that is submitted before belongs to no workspace.
+    for (auto const& vm : system.vms_)
+    {
+        system.wait_until(
+            [&] {
+                return system.status(vm->clients_, "GET", prefix + id_of(1)) ==
+                       401;
+            });
+    }
     system.authorization_ = "Bearer key-1";
     system.submit_until_accepted(id_of(1), 2, 20);
     system.wait_until([&]
                       { return system.job_status(id_of(1)) == "completed"; });
-    system.authorization_ = "";
-    system.wait_until(
-        [&]
-        {
-            return system.status(system.vms_[0]->clients_, "GET",
-                                 prefix + id_of(1)) == 401;
-        });
     struct row
     {
         char const* authorization_;
