--- a/source/gateway/worker_duty.cpp
+++ b/source/gateway/worker_duty.cpp
@@ -14,13 +14,6 @@
 
 constexpr std::size_t max_short_body_bytes = 4096;
 
-std::string milliseconds_text(duration value)
-{
-    using std::chrono::milliseconds;
-    return std::to_string(
-        std::chrono::duration_cast<milliseconds>(value).count());
-}
-
 /// Makes a call whose reply must echo the request id.
 http_call make_call(std::string const& address, std::string target,
                     request_id const& request, request_payload const& payload,
@@ -31,7 +24,7 @@
     call.target_ = std::move(target);
     call.echo_field_ = "cuminfold-request-id";
     call.fields_["cuminfold-request-id"] = request.text();
-    call.fields_["cuminfold-deadline"] = milliseconds_text(deadline);
+    call.fields_["cuminfold-deadline"] = in_milliseconds(deadline);
     if (!payload.key_.empty())
     {
         call.fields_["idempotency-key"] = payload.key_;
--- a/source/kernel/cell/cell_placement.cpp
+++ b/source/kernel/cell/cell_placement.cpp
@@ -759,12 +759,9 @@
         placement_due_ = placement_due_ || line.in_flight() == 0;
         if (tickets_.delayed(id))
         {
-            auto const wait =
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    line.expected_wait());
             log_event("advice_delayed", describe(id),
                       "in_flight=" + std::to_string(line.in_flight()) +
-                          " line_ms=" + std::to_string(wait.count()));
+                          " line_ms=" + in_milliseconds(line.expected_wait()));
         }
         return;
     }
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -94,12 +94,6 @@
 
 std::string cell::describe_lease(worker_state const& worker, time_point now)
 {
-    auto const in_milliseconds = [](duration time)
-    {
-        return std::to_string(
-            std::chrono::duration_cast<std::chrono::milliseconds>(time)
-                .count());
-    };
     return " clock=" + std::to_string(worker.clock_.count()) +
            " leased_until=" + std::to_string(worker.leased_until_.count()) +
            " lease_ends_in=" + in_milliseconds(worker.lease_expires_at_ - now) +
--- a/source/kernel/cell/cell_tasks.cpp
+++ b/source/kernel/cell/cell_tasks.cpp
@@ -162,11 +162,7 @@
         job.ended_ = now;
         mark_dirty(job);
         log_event("job_completed", job.request_->id_.text(),
-                  "ms=" +
-                      std::to_string(
-                          std::chrono::duration_cast<std::chrono::milliseconds>(
-                              now - job.arrived_)
-                              .count()));
+                  "ms=" + in_milliseconds(now - job.arrived_));
     }
 }
 
@@ -228,11 +224,7 @@
         worker.avoided_until_ = now + avoidance;
         log_event("worker_avoided", worker.entry_.id_,
                   "strikes=" + std::to_string(worker.consecutive_failures_) +
-                      " ms=" +
-                      std::to_string(
-                          std::chrono::duration_cast<std::chrono::milliseconds>(
-                              avoidance)
-                              .count()));
+                      " ms=" + in_milliseconds(avoidance));
     }
 }
 
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -494,13 +494,11 @@
     {
         tickets_.failed(query, result.is_queued_, now);
     }
-    auto const waited =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now - sent);
     log_event("advice", describe(query.step_),
               "asked=" + std::to_string(query.workers_.size()) + " allowed=" +
                   (result.allowed_ ? std::to_string(result.allowed_->size())
                                    : "no_answer") +
-                  " ms=" + std::to_string(waited.count()));
+                  " ms=" + in_milliseconds(now - sent));
     placement_due_ = true;
 }
 
--- a/source/kernel/cell/fleet_config_check.cpp
+++ b/source/kernel/cell/fleet_config_check.cpp
@@ -260,8 +260,7 @@
 
 std::string text_of(duration value)
 {
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+    return in_milliseconds(value);
 }
 
 /// Collects the settings that differ between two entries.
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -179,13 +179,12 @@
 
 void fleet_plan::give_back(vm_id const& vm, char const* cause, time_point now)
 {
-    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - operations_.at(vm).reserved_at_);
+    auto const age = now - operations_.at(vm).reserved_at_;
     actions_.emplace_back(log_decision{
         "reservation_given_back", vm.text(),
         std::string(cause) +
             " wave=" + std::to_string(operations_.at(vm).wave_) +
-            " ms=" + std::to_string(age.count()) +
+            " ms=" + in_milliseconds(age) +
             " tasks=" + std::to_string(cell_.tasks_on(vm)) + " long_running=" +
             std::to_string(cell_.long_running_tasks_on(vm))});
     end_operation(vm, now);
@@ -604,16 +603,13 @@
 void fleet_plan::log_maintenance_order(vm_id const& vm, wave_number wave,
                                        time_point now)
 {
-    using std::chrono::milliseconds;
     auto const& state = waves_.at(wave);
-    auto const list_age =
-        std::chrono::duration_cast<milliseconds>(now - list_requested_at_);
     actions_.emplace_back(log_decision{
         "maintenance_ordered", vm.text(),
         "wave=" + std::to_string(wave) +
             " down_or_reserved=" + std::to_string(maintenance_count(state)) +
             " max_at_once=" + std::to_string(state.order_.max_at_once_) +
-            " list_age_ms=" + std::to_string(list_age.count())});
+            " list_age_ms=" + in_milliseconds(now - list_requested_at_)});
 }
 
 void fleet_plan::advance_operations(time_point now, bool can_send_orders)
--- a/source/kernel/time.hpp
+++ b/source/kernel/time.hpp
@@ -2,6 +2,7 @@
 #define CUMINFOLD_KERNEL_TIME_HPP
 
 #include <chrono>
+#include <string>
 
 namespace cuminfold
 {
@@ -17,6 +18,13 @@
 using wall_time =
     std::chrono::time_point<std::chrono::system_clock, std::chrono::seconds>;
 
+/// A time as a number of whole milliseconds, for log lines and other texts.
+inline std::string in_milliseconds(duration value)
+{
+    return std::to_string(
+        std::chrono::duration_cast<std::chrono::milliseconds>(value).count());
+}
+
 /// A time as a number of seconds, for rates and shares.
 inline double to_seconds(duration value)
 {
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -39,12 +39,6 @@
 /// Interval of the `owner_load` log lines.
 constexpr duration load_log_interval = std::chrono::seconds{1};
 
-std::string in_milliseconds(duration time)
-{
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 cell_options make_options(node_settings const& settings)
 {
     cell_options options;
--- a/source/node/client_frontend.cpp
+++ b/source/node/client_frontend.cpp
@@ -298,14 +298,12 @@
     auto const found = open_.find(lost.exchange_);
     bool const is_awaited =
         found != open_.end() && found->second.forwarded_call_ == call;
-    auto const waited = std::chrono::duration_cast<std::chrono::milliseconds>(
-        now - lost.sent_at_);
     metrics_.add("cuminfold_calls_lost_total", 1);
     log_.write("call_lost",
                {{"request", is_awaited ? found->second.call_.path_ : ""},
                 {"owner", lost.address_},
                 {"epoch", std::to_string(lost.epoch_)},
-                {"ms", std::to_string(waited.count())}},
+                {"ms", in_milliseconds(now - lost.sent_at_)}},
                now);
     if (!is_awaited)
     {
@@ -393,20 +391,16 @@
                               answer.kind_ != answer_kind::pending);
     if (is_decision)
     {
-        log_.write(
-            "request_answered",
-            {{"request", open.call_.path_},
-             {"verb", verb_name(open.call_.verb_)},
-             {"outcome", kind_name(answer.kind_)},
-             {"cause", answer.cause_},
-             {"config", std::to_string(answer.config_version_)},
-             {"epoch", std::to_string(open.sent_to_epoch_)},
-             {"attempts", std::to_string(open.attempt_)},
-             {"ms", std::to_string(
-                        std::chrono::duration_cast<std::chrono::milliseconds>(
-                            now - open.received_at_)
-                            .count())}},
-            now);
+        log_.write("request_answered",
+                   {{"request", open.call_.path_},
+                    {"verb", verb_name(open.call_.verb_)},
+                    {"outcome", kind_name(answer.kind_)},
+                    {"cause", answer.cause_},
+                    {"config", std::to_string(answer.config_version_)},
+                    {"epoch", std::to_string(open.sent_to_epoch_)},
+                    {"attempts", std::to_string(open.attempt_)},
+                    {"ms", in_milliseconds(now - open.received_at_)}},
+                   now);
     }
     open.respond_(platform::write_client_answer(answer));
 }
--- a/source/node/node_server.cpp
+++ b/source/node/node_server.cpp
@@ -51,12 +51,6 @@
 /// limit on file descriptors.
 constexpr std::size_t max_connections_per_address = 10;
 
-std::string in_milliseconds(duration time)
-{
-    return std::to_string(
-        std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 http_client_limits platform_limits()
 {
     http_client_limits limits;
