node: Read peers' requests by one function

Cause: calls and checks from peers each had the same handling of a body that cannot be decoded, and a call was noted as executing before it was decoded.

Change: read_request() decodes a body, or logs the event and rejects the request with 400 and the error's text.

Result: the same answers and log lines. An error thrown past the decoding is no longer taken for an unreadable body.

--- a/source/node/peer_api.cpp
+++ b/source/node/peer_api.cpp
@@ -56,6 +56,25 @@
                : std::nullopt;
 }
 
+/// A peer's request; none, after a log line and a rejection, if it cannot be
+/// decoded.
+template <class Request>
+std::optional<Request>
+read_request(std::string const& body, Request (*read)(std::string const&),
+             char const* log_event, http_responder const& respond)
+{
+    try
+    {
+        return read(body);
+    }
+    catch (decode_error const& error)
+    {
+        write_log(log_level::warning, log_event, {{"error", error.what()}});
+        respond(make_response(400, "text/plain", error.what()));
+        return std::nullopt;
+    }
+}
+
 /// A peer's answer; none if there was none or it cannot be decoded.
 template <class Answer>
 std::optional<Answer> read_answer(http_result const& result,
@@ -134,55 +153,45 @@
 void peer_api::serve_call(std::uint64_t exchange, http_request const& request,
                           http_responder const& respond)
 {
+    auto const call = read_request(request.body_, decode_call,
+                                   "peer_call_unreadable", respond);
+    if (!call)
+    {
+        return;
+    }
     auto const id = read_call_id(request.field(call_id_field));
     if (id)
     {
         executing_->begin(exchange, *id);
     }
-    try
-    {
-        handler_.on_call_(
-            decode_call(request.body_),
-            [respond, exchange,
-             executing = executing_](client_answer const& answer)
-            {
-                executing->end(exchange);
-                respond(make_response(200, cbor_type, encode_answer(answer)));
-            });
-    }
-    catch (decode_error const& error)
-    {
-        executing_->end(exchange);
-        write_log(log_level::warning, "peer_call_unreadable",
-                  {{"error", error.what()}});
-        respond(make_response(400, "text/plain", error.what()));
-    }
+    handler_.on_call_(
+        *call,
+        [respond, exchange, executing = executing_](client_answer const& answer)
+        {
+            executing->end(exchange);
+            respond(make_response(200, cbor_type, encode_answer(answer)));
+        });
 }
 
 void peer_api::serve_check(http_request const& request,
                            http_responder const& respond) const
 {
-    try
+    auto const calls = read_request(request.body_, decode_forwarded_calls,
+                                    "peer_check_unreadable", respond);
+    if (!calls)
     {
-        auto const calls = decode_forwarded_calls(request.body_);
-        forwarded_calls executing;
-        executing.incarnation_ = calls.incarnation_;
-        for (auto const number : calls.numbers_)
-        {
-            if (executing_->contains({calls.incarnation_, number}))
-            {
-                executing.numbers_.push_back(number);
-            }
-        }
-        respond(
-            make_response(200, cbor_type, encode_forwarded_calls(executing)));
+        return;
     }
-    catch (decode_error const& error)
+    forwarded_calls executing;
+    executing.incarnation_ = calls->incarnation_;
+    for (auto const number : calls->numbers_)
     {
-        write_log(log_level::warning, "peer_check_unreadable",
-                  {{"error", error.what()}});
-        respond(make_response(400, "text/plain", error.what()));
+        if (executing_->contains({calls->incarnation_, number}))
+        {
+            executing.numbers_.push_back(number);
+        }
     }
+    respond(make_response(200, cbor_type, encode_forwarded_calls(executing)));
 }
 
 void ping_peer(http_client& http, std::string const& address, duration timeout,
