cell: Compare steps by an operator, and find a query once

Cause: the line of queries compared steps by two calls of the order, and looked up the oldest abandoned query a second time by its number.

Change: step_id has operator==, and advice_line::failed() finds the oldest abandoned query while it counts them.

Result: the same behaviour.

--- a/source/kernel/cell/advice_line.cpp
+++ b/source/kernel/cell/advice_line.cpp
@@ -18,11 +18,6 @@
 /// A step keeps its turn for this long, and for the time of one answer.
 constexpr duration turn_time = std::chrono::milliseconds{500};
 
-bool is_other_step(step_id const& a, step_id const& b)
-{
-    return a < b || b < a;
-}
-
 } // namespace
 
 duration ticket_start_margin(advice_policy const& policy)
@@ -53,7 +48,7 @@
                         std::size_t workers, time_point now)
 {
     bool const is_turn_of_other =
-        next_ && is_other_step(next_->step_, step) && now < next_->expires_at_;
+        next_ && !(next_->step_ == step) && now < next_->expires_at_;
     if (is_turn_of_other)
     {
         return false;
@@ -112,18 +107,20 @@
         erase(number);
         return;
     }
-    for (auto& each : queries_)
+    std::size_t abandoned = 0;
+    auto oldest = queries_.end();
+    for (auto each = queries_.begin(); each != queries_.end(); ++each)
     {
-        each.in_flight_ = each.in_flight_ && each.number_ != number;
+        each->in_flight_ = each->in_flight_ && each->number_ != number;
+        if (!each->in_flight_)
+        {
+            ++abandoned;
+            oldest = oldest == queries_.end() ? each : oldest;
+        }
     }
-    auto const abandoned =
-        std::count_if(queries_.begin(), queries_.end(),
-                      [](query const& each) { return !each.in_flight_; });
-    if (static_cast<std::size_t>(abandoned) > max_queued)
+    if (abandoned > max_queued)
     {
-        erase(std::find_if(queries_.begin(), queries_.end(),
-                           [](query const& each) { return !each.in_flight_; })
-                  ->number_);
+        queries_.erase(oldest);
     }
 }
 
--- a/source/kernel/cell/job_definition.hpp
+++ b/source/kernel/cell/job_definition.hpp
@@ -160,6 +160,11 @@
     std::uint32_t occurrence_ = 0;
     std::uint32_t step_ = 0;
 
+    friend bool operator==(step_id const& a, step_id const& b)
+    {
+        return a.job_ == b.job_ && a.occurrence_ == b.occurrence_ &&
+               a.step_ == b.step_;
+    }
     friend bool operator<(step_id const& a, step_id const& b)
     {
         return std::tie(a.job_, a.occurrence_, a.step_) <
