tests: Remove two counters that no test reads

Cause: the test world counted queries and refused tickets, and no test reads either since the tests look at the queries' sizes and at the runs.

Change: both are gone.

Result: no check changes.

--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -822,7 +822,6 @@
              now_ >= time_point{milliseconds{std::stoll(order.ticket_)}} +
                          policy_->validity_))
         {
-            ++ticket_refusals_;
             return call_outcome::ticket_refused;
         }
         auto const outcome = worker->start(token, order, planned, now_);
@@ -1017,7 +1016,6 @@
 {
     constexpr duration timeout_margin = milliseconds{500};
     advice_queries_ += order.workers_.size();
-    ++advice_calls_;
     auto const begun = std::max(now_, advice_free_at_);
     auto const answered = begun + policy_->answer_time(order.workers_.size());
     advice_free_at_ = answered;
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -198,8 +198,6 @@
     bool advice_down_ = false;
     /// Number of workers that the policy service was queried about.
     std::size_t advice_queries_ = 0;
-    /// Number of queries to the policy service.
-    std::size_t advice_calls_ = 0;
     /// Adds a pool without workers to the configuration.
     void add_pool(pool_name const& name);
     /// The workspace of the jobs that are submitted from now on; empty: none.
@@ -225,8 +223,6 @@
     /// Keeps the policy service busy with other queries of this VM, so that it
     /// handles those of the owner after that time.
     void delay_advice(std::chrono::milliseconds time);
-    /// Starts that workers refused for want of a valid ticket.
-    std::size_t ticket_refusals_ = 0;
     /// Tasks that some owner sent a stop for.
     std::set<task_id> stops_sent_;
     /// Starts of each task that got no answer.
