cell: Do not give a task up for crashes before its runs began

Cause: cell::count_crash() took a crash under a start without an answer for a proof against the task, like one under a run that had begun. Such a task is alone on its worker after the first crash, so that it was the prime suspect, and three crashes failed its job though it had never run.

Change: begun_runs keeps which of a task's recent runs are known to have begun: a worker accepted the start, also after the owner gave the worker up, or reported the run. Only a crash under such a run makes the task the prime suspect, and three crashes fail a job only if two came under such runs. The bound of five crashes of any kind stays. Nothing new is stored. The test world checks in all histories that a job is given up after fewer than five crashes only if two of the workers had begun its task.

--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -268,9 +268,11 @@
     for (auto const& run : suspects)
     {
         auto const at = find(run.first);
-        if (has_prime && at.task_->crashes_ == most)
+        if (at.task_->begun_runs_.contains(run.second))
         {
-            ++at.task_->prime_crashes_;
+            ++at.task_->begun_crashes_;
+            at.task_->prime_crashes_ +=
+                has_prime && at.task_->crashes_ == most ? 1 : 0;
         }
         judge_crash(run.first, at, worker.entry_.id_, now);
     }
@@ -283,7 +285,8 @@
     log_event("task_suspected", describe(task),
               worker + " run=" + std::to_string(at.task_->run_) +
                   " crashes=" + std::to_string(at.task_->crashes_) +
-                  " prime=" + std::to_string(at.task_->prime_crashes_));
+                  " prime=" + std::to_string(at.task_->prime_crashes_) +
+                  " begun=" + std::to_string(at.task_->begun_crashes_));
     give_up_if_due(task, at, now);
 }
 
@@ -439,6 +442,7 @@
         {
             at.task_->crashes_ = item.second.all_;
             at.task_->prime_crashes_ = item.second.prime_;
+            at.task_->begun_crashes_ = item.second.prime_;
             at.task_->waiting_since_ = now;
             if (at.task_->isolation_ == task_isolation::none)
             {
@@ -654,6 +658,7 @@
                       " crashes=" + std::to_string(task.crashes_));
         task.crashes_ = 0;
         task.prime_crashes_ = 0;
+        task.begun_crashes_ = 0;
         store_crashes(job, id);
     }
 }
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -481,6 +481,7 @@
     if (report != nullptr)
     {
         at.job_->begun_ = true;
+        state.begun_runs_.add(state.run_);
         state.reported_at_ = std::max(state.reported_at_, asked);
         state.missing_since_ = {};
         if (must_adopt(at, worker, now))
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -414,6 +414,10 @@
                                 at.task_->run_ == run;
     bool const current =
         is_present_run && at.task_->phase_ == task_phase::starting;
+    if (at && outcome == call_outcome::accepted)
+    {
+        at.task_->begun_runs_.add(run);
+    }
     if (is_present_run)
     {
         at.task_->start_in_flight_ = false;
--- a/source/kernel/cell/crash_counts.hpp
+++ b/source/kernel/cell/crash_counts.hpp
@@ -14,7 +14,8 @@
 struct crash_count
 {
     std::uint32_t all_ = 0;
-    /// Those for which no other task had as many crashes.
+    /// Those under runs that had begun for which no other task had as many
+    /// crashes.
     std::uint32_t prime_ = 0;
 
     friend bool operator==(crash_count const& a, crash_count const& b)
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -1,6 +1,7 @@
 #ifndef CUMINFOLD_KERNEL_CELL_JOB_STATE_HPP
 #define CUMINFOLD_KERNEL_CELL_JOB_STATE_HPP
 
+#include "kernel/cell/begun_runs.hpp"
 #include "kernel/cell/job_definition.hpp"
 #include "kernel/cell/start_budget.hpp"
 #include "kernel/cell/task_blocks.hpp"
@@ -61,9 +62,14 @@
 
     /// Workers that crashed while they ran the task. Stored.
     std::uint32_t crashes_ = 0;
-    /// Those of them for which no other task had as many crashes, and that
-    /// crashed without much of their rack or data centre. Stored.
+    /// Those of them on which the run is known to have begun. A new owner
+    /// assumes `prime_crashes_`, which is never more.
+    std::uint32_t begun_crashes_ = 0;
+    /// Those of `begun_crashes_` for which no other task had as many crashes,
+    /// and that crashed without much of their rack or data centre. Stored.
     std::uint32_t prime_crashes_ = 0;
+    /// A new owner knows the runs that workers report to it.
+    begun_runs begun_runs_;
     /// Workers that stopped answering while they ran the task, of which it is
     /// not known whether they crashed. Stored as `lost_runs`.
     std::uint32_t unexplained_losses_ = 0;
--- a/source/kernel/cell/task_isolation.cpp
+++ b/source/kernel/cell/task_isolation.cpp
@@ -34,8 +34,9 @@
 
 bool is_given_up(task_state const& task, bool long_running)
 {
-    bool const is_proved =
-        task.crashes_ >= max_crashes && task.prime_crashes_ > 0;
+    bool const is_proved = task.crashes_ >= max_crashes &&
+                           task.prime_crashes_ > 0 &&
+                           task.begun_crashes_ >= min_begun_crashes;
     return (is_proved && !long_running) ||
            task.crashes_ >= max_unproved_crashes;
 }
--- a/source/kernel/cell/task_isolation.hpp
+++ b/source/kernel/cell/task_isolation.hpp
@@ -12,8 +12,11 @@
 {
 
 /// Number of crashes after which a task is given up, if it was the prime
-/// suspect of one of them.
+/// suspect of one of them, and enough of them came under runs that had begun.
 constexpr std::uint32_t max_crashes = 3;
+/// Number of crashes under runs that are known to have begun, without which
+/// `max_crashes` do not count: the users allow a job to be given up after two.
+constexpr std::uint32_t min_begun_crashes = 2;
 /// Number of crashes after which a task is given up in any case.
 constexpr std::uint32_t max_unproved_crashes = 5;
 
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -307,13 +307,17 @@
                     std::uint32_t run, time_point sent);
     /// Whether a worker runs the task.
     bool is_running(task_id const& task) const;
+    /// Notes the tasks that have begun on a worker that crashes.
+    void count_crash(fake_worker const& crashed);
     /// Crashes the worker if the task is deadly and still runs there.
     void crash_under(task_id const& task, std::string const& worker);
     /// Ends the runs of gangs of which a member has begun and ended otherwise
     /// than done.
     void break_gangs();
-    /// Checks that a job that is given up after lost runs had as many.
-    /// @param cause as it is logged: the task and the number of its starts
+    /// Checks that a job that is given up after lost runs or crashes had
+    /// enough.
+    /// @param cause as it is logged: the task and the number of its starts or
+    /// crashes
     void check_given_up(std::string const& cause);
     /// Records the runs that ended, and those whose end was acknowledged.
     void record_ends();
@@ -377,6 +381,9 @@
     /// The runs of each task that a worker may have begun, as far as the owners
     /// that sent their starts know.
     std::map<std::string, std::set<std::uint32_t>> possible_runs_;
+    /// Crashes of workers that a run of the task had begun on, or that a stop
+    /// of it had reached.
+    std::map<std::string, std::uint32_t> crashes_after_begin_;
     time_point next_vm_list_{};
     std::set<task_id> done_;
     /// Number of tasks in `done_` by their step.
