tests: Play late answers to starts before crashes

Cause: notes answers to starts that come after the owner has ceased to wait, and no test had one. It had also left out that the start in "a crash on an idle worker is counted although the start is unanswered" is sent within 20 ms.

Change: the cases of crashes have an answer for each start, late ones among them, and two cases in which two runs have begun fail the job. The 20 ms are required again.

--- a/tests/kernel/cell/crashing_task_test.cpp
+++ b/tests/kernel/cell/crashing_task_test.cpp
@@ -294,6 +294,8 @@
     world.run_for(5000ms);
     world.faults_.calls_lost_ = 100;
     world.submit("a", {cell_world::make_step(1, 900, 640ms)});
+    world.run_for(20ms);
+    REQUIRE(state_of(world, only_task).phase_ == task_phase::starting);
     auto const holder = await_start(world, only_task);
     REQUIRE(holder);
     lose_start_answer(world, only_task, *holder);
@@ -306,32 +308,48 @@
 namespace
 {
 
-/// What the owner knows of the runs under which a task's workers crash.
-struct start_knowledge_case
+/// The answer to the start of a run whose worker crashes.
+enum class start_answer : std::uint8_t
+{
+    none,   ///< the worker crashes before it gets the start
+    prompt, ///< the worker crashes 100 ms later
+    late    ///< the answer comes once the owner has ceased to wait for it
+};
+
+/// The answers to a task's starts, after each of which the worker crashes.
+struct start_answer_case
 {
     char const* name_;
-    /// Of each crash: whether the run had begun, which the owner knows.
-    bool has_begun_[max_crashes];
+    start_answer answers_[max_crashes];
     /// Another owner takes over before this crash.
     std::size_t taken_over_ = max_crashes;
 };
 
-constexpr start_knowledge_case start_knowledge_cases[] = {
-    {"no run has begun", {false, false, false}},
-    {"the first run has begun", {true, false, false}},
-    {"the second run has begun", {false, true, false}},
-    {"the last run has begun", {false, false, true}},
-    {"the owner is replaced before the last crash", {true, false, false}, 2},
+constexpr auto none = start_answer::none;
+constexpr auto prompt = start_answer::prompt;
+constexpr auto late = start_answer::late;
+
+constexpr start_answer_case unproved_crash_cases[] = {
+    {"no run has begun", {none, none, none}},
+    {"the first run has begun", {prompt, none, none}},
+    {"the first run has begun, by a late answer", {late, none, none}},
+    {"the second run has begun", {none, prompt, none}},
+    {"the last run has begun", {none, none, prompt}},
+    {"the owner is replaced before the last crash", {prompt, none, none}, 2},
+};
+
+constexpr start_answer_case proved_crash_cases[] = {
+    {"the first and the last run have begun", {prompt, none, prompt}},
+    {"two runs have begun, one by a late answer", {prompt, late, none}},
 };
 
-/// Crashes the worker that the task is sent to next, before it gets the start
-/// or 100 ms later.
-void crash_next_worker(cell_world& world, bool has_begun,
+/// Crashes the worker that the task is sent to next.
+void crash_next_worker(cell_world& world, start_answer answer,
                        std::chrono::milliseconds down_time)
 {
     auto const holder = await_start(world, only_task);
     REQUIRE(holder);
-    if (has_begun)
+    if (answer == start_answer::prompt)
     {
         world.run_for(100ms);
         REQUIRE(world.worker_running(only_task) == holder);
@@ -340,36 +358,67 @@
     {
         lose_start_answer(world, only_task, *holder);
     }
+    if (answer == start_answer::late)
+    {
+        // The start reaches the worker, and no renewal reports the run.
+        world.run_for(1ms);
+        REQUIRE(world.worker_running(only_task) == holder);
+        world.owner().on_start_response(world.worker(*holder).entry_.id_,
+                                        only_task,
+                                        state_of(world, only_task).run_,
+                                        call_outcome::accepted, world.now());
+    }
     world.crash_for(*holder, down_time);
 }
 
+/// Crashes a worker after each start of the job "a" and lets the job end.
+job_status play_crashes(start_answer_case const& crashes,
+                        std::chrono::milliseconds down_time)
+{
+    cell_world world(1, worker_count);
+    world.lists_vms_ = true;
+    world.run_for(5000ms);
+    world.submit("a", {cell_world::make_step(1, 900, 640ms)});
+    for (std::size_t i = 0; i < max_crashes; ++i)
+    {
+        if (i == crashes.taken_over_)
+        {
+            world.take_over();
+        }
+        crash_next_worker(world, crashes.answers_[i], down_time);
+    }
+    world.run_for(30'000ms);
+    CHECK(world.violations() == "");
+    return world.status("a");
+}
+
 } // namespace
 
 // Guards against a job that is shown as failed although two of the three
 // workers that crashed had never begun its task.
 TEST_CASE("crashes under starts without an answer do not fail a job")
 {
-    for (auto const& each : start_knowledge_cases)
+    for (auto const& each : unproved_crash_cases)
     {
         for (auto const down_time : {500ms, 1500ms, 3000ms, 6000ms})
         {
             CAPTURE(std::string(each.name_));
             CAPTURE(down_time.count());
-            cell_world world(1, worker_count);
-            world.lists_vms_ = true;
-            world.run_for(5000ms);
-            world.submit("a", {cell_world::make_step(1, 900, 640ms)});
-            for (std::size_t i = 0; i < max_crashes; ++i)
-            {
-                if (i == each.taken_over_)
-                {
-                    world.take_over();
-                }
-                crash_next_worker(world, each.has_begun_[i], down_time);
-            }
-            world.run_for(30'000ms);
-            CHECK(world.status("a") == job_status::completed);
-            CHECK(world.violations() == "");
+            CHECK(play_crashes(each, down_time) == job_status::completed);
+        }
+    }
+}
+
+// Guards against late answers to starts that are no evidence of their runs.
+TEST_CASE("crashes under two runs that have begun fail a job")
+{
+    for (auto const& each : proved_crash_cases)
+    {
+        for (auto const down_time : {500ms, 1500ms, 3000ms})
+        {
+            CAPTURE(std::string(each.name_));
+            CAPTURE(down_time.count());
+            CHECK(play_crashes(each, down_time) == job_status::failed);
         }
     }
 }
