--- a/source/node/peer_api.cpp
+++ b/source/node/peer_api.cpp
@@ -153,8 +153,8 @@
 void peer_api::serve_call(std::uint64_t exchange, http_request const& request,
                           http_responder const& respond)
 {
-    auto const call = read_request(request.body_, decode_call,
-                                   "peer_call_unreadable", respond);
+    auto call = read_request(request.body_, decode_call, "peer_call_unreadable",
+                             respond);
     if (!call)
     {
         return;
@@ -165,7 +165,7 @@
         executing_->begin(exchange, *id);
     }
     handler_.on_call_(
-        *call,
+        std::move(*call),
         [respond, exchange, executing = executing_](client_answer const& answer)
         {
             executing->end(exchange);
