cell: Log what an unseen restart of a worker would show

Nothing in the owner's log told a restart that it had not seen from a lost answer. An answer to a start or a stop states the worker's clock, which the adapter did not read.

No decision changes.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -183,12 +183,12 @@
     void on_vm_listed(vm_id const& vm, std::string const& worker,
                       time_point asked, time_point now);
     void on_worker_unlisted(std::string const& worker, time_point now);
-    void on_start_response(std::string const& worker, task_id const& task,
-                           std::uint32_t run, call_outcome outcome,
-                           time_point now);
-    void on_stop_response(std::string const& worker, task_id const& task,
-                          std::uint32_t run, call_outcome outcome,
-                          time_point now);
+    /// @param sent when the order was sent
+    void on_start_response(start_run const& order, order_answer const& answer,
+                           time_point sent, time_point now);
+    /// @param sent when the order was sent
+    void on_stop_response(stop_run const& order, order_answer const& answer,
+                          time_point sent, time_point now);
     /// @param report is read only if the outcome is `accepted`
     /// @param sent when the request was sent
     void on_renewal_response(renew_worker const& order, call_outcome outcome,
@@ -506,6 +506,16 @@
     bool can_start(time_point now) const;
     /// Counts a call that the worker did not answer.
     void count_unanswered(worker_state& worker, time_point now);
+    /// Compares the clock that an answer to an order states with that of the
+    /// incarnation that is known.
+    /// @param call the order's kind, for the log
+    /// @param sent when the order was sent
+    void check_clock(worker_state& worker, char const* call,
+                     order_answer const& answer, time_point sent,
+                     time_point now);
+    /// How many of the worker's tasks were sent there and are not known to have
+    /// begun on the incarnation that is known.
+    std::size_t count_unreported(worker_state const& worker);
     void update_clock(worker_state& worker, worker_clock clock, time_point now);
     /// Releases all tasks of a worker on which no run of this cell can exist
     /// any more.
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -1,5 +1,6 @@
 #include "kernel/cell/cell.hpp"
 
+#include "kernel/cell/clock_check.hpp"
 #include "kernel/cell/task_isolation.hpp"
 
 #include <algorithm>
@@ -11,8 +12,6 @@
 namespace
 {
 
-/// Minimum rate of a worker's clock, relative to the owner's.
-constexpr double min_clock_rate = 0.98;
 /// Added to the computed end of a lease for the time that the worker needs to
 /// stop its runs.
 constexpr duration lapse_margin = std::chrono::milliseconds{150};
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -98,8 +98,10 @@
         return;
     }
     log_event("worker_lapsed", worker.entry_.id_,
-              "tasks=" + std::to_string(worker.tasks_.size()) + " kept=" +
-                  std::to_string(kept.size()) + describe_lease(worker, now));
+              "tasks=" + std::to_string(worker.tasks_.size()) +
+                  " kept=" + std::to_string(kept.size()) + " unreported=" +
+                  std::to_string(count_unreported(worker)) +
+                  describe_lease(worker, now));
     if (worker.entry_.address_.empty())
     {
         // Known from an earlier owner's records alone: nothing will show how it
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -1,5 +1,7 @@
 #include "kernel/cell/cell.hpp"
 
+#include "kernel/cell/clock_check.hpp"
+
 #include <algorithm>
 
 namespace cuminfold
@@ -337,11 +339,47 @@
 {
     if (++worker.unanswered_renewals_ == 1)
     {
-        log_event("worker_silent", worker.entry_.id_, "renewal");
+        log_event("worker_silent", worker.entry_.id_,
+                  "tasks=" + std::to_string(worker.tasks_.size()) +
+                      " unreported=" +
+                      std::to_string(count_unreported(worker)) +
+                      describe_lease(worker, now));
         worker.silent_since_ = now;
     }
 }
 
+void cell::check_clock(worker_state& worker, char const* call,
+                       order_answer const& answer, time_point sent,
+                       time_point now)
+{
+    if (!answer.clock_ || worker.clock_read_at_ == time_point{})
+    {
+        return;
+    }
+    auto const lag = clock_lag({worker.clock_, worker.clock_read_at_},
+                               *answer.clock_, sent);
+    if (lag > worker_clock{0})
+    {
+        log_event("worker_clock_behind", worker.entry_.id_,
+                  std::string(call) +
+                      " answer_clock=" + std::to_string(answer.clock_->count()) +
+                      " lag=" + std::to_string(lag.count()) +
+                      describe_lease(worker, now));
+    }
+}
+
+std::size_t cell::count_unreported(worker_state const& worker)
+{
+    return static_cast<std::size_t>(std::count_if(
+        worker.tasks_.begin(), worker.tasks_.end(),
+        [&](task_id const& task)
+        {
+            auto const at = find(task);
+            return at && at.task_->phase_ != task_phase::placed &&
+                   at.task_->reported_at_ == time_point{};
+        }));
+}
+
 void cell::update_clock(worker_state& worker, worker_clock clock,
                         time_point now)
 {
@@ -403,10 +441,13 @@
     }
 }
 
-void cell::on_start_response(std::string const& name, task_id const& task,
-                             std::uint32_t run, call_outcome outcome,
-                             time_point now)
+void cell::on_start_response(start_run const& order, order_answer const& answer,
+                             time_point sent, time_point now)
 {
+    auto const& name = order.worker_;
+    auto const& task = order.task_;
+    auto const run = order.run_;
+    auto const outcome = answer.outcome_;
     auto const found = workers_.find(name);
     auto const at = find(task);
     bool const is_present_run = found != workers_.end() && at &&
@@ -414,6 +455,10 @@
                                 at.task_->run_ == run;
     bool const current =
         is_present_run && at.task_->phase_ == task_phase::starting;
+    if (found != workers_.end())
+    {
+        check_clock(found->second, "start", answer, sent, now);
+    }
     if (at && outcome == call_outcome::accepted)
     {
         at.task_->begun_runs_.add(run);
@@ -506,10 +551,13 @@
     placement_due_ = true;
 }
 
-void cell::on_stop_response(std::string const& name, task_id const& task,
-                            std::uint32_t run, call_outcome outcome,
-                            time_point now)
+void cell::on_stop_response(stop_run const& order, order_answer const& answer,
+                            time_point sent, time_point now)
 {
+    auto const& name = order.worker_;
+    auto const& task = order.task_;
+    auto const run = order.run_;
+    auto const outcome = answer.outcome_;
     auto const found = workers_.find(name);
     if (found == workers_.end())
     {
@@ -523,6 +571,7 @@
         }
         return;
     }
+    check_clock(found->second, "stop", answer, sent, now);
     auto const at = find(task);
     if (at && outcome == call_outcome::accepted && at.task_->worker_ == name &&
         at.task_->run_ == run && !at.task_->stop_accepted_)
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -100,6 +101,14 @@
     not_run ///< the worker refused the request, without effect
 };
 
+/// A worker's answer to an order to start or stop a run.
+struct order_answer
+{
+    call_outcome outcome_ = call_outcome::no_answer;
+    /// The worker's clock when it answered; unset if the answer states none.
+    std::optional<worker_clock> clock_;
+};
+
 /// What the owner knows of one incarnation of a worker. A worker may start
 /// again under its id; then none of this is true any more.
 struct worker_incarnation
--- a/source/node/cell_owner_orders.cpp
+++ b/source/node/cell_owner_orders.cpp
@@ -192,8 +192,7 @@
     auto const sent = node_now();
     environment_.workers_.start(
         action,
-        [self = shared_from_this(), worker = action.worker_,
-         task = action.task_, run = action.run_, sent](call_outcome outcome)
+        [self = shared_from_this(), action, sent](order_answer const& answer)
         {
             if (!self->stopped_)
             {
@@ -201,8 +200,8 @@
                 auto& metrics = self->environment_.metrics_;
                 metrics.observe("cuminfold_start_call", now - sent);
                 metrics.add("cuminfold_starts_total", 1, "outcome",
-                            outcome_name(outcome));
-                self->cell_.on_start_response(worker, task, run, outcome, now);
+                            outcome_name(answer.outcome_));
+                self->cell_.on_start_response(action, answer, sent, now);
                 self->post_pump();
             }
         });
@@ -219,13 +218,12 @@
                             node_now());
     environment_.workers_.stop(
         action,
-        [self = shared_from_this(), worker = action.worker_,
-         task = action.task_, run = action.run_](call_outcome outcome)
+        [self = shared_from_this(), action,
+         sent = node_now()](order_answer const& answer)
         {
             if (!self->stopped_)
             {
-                self->cell_.on_stop_response(worker, task, run, outcome,
-                                             node_now());
+                self->cell_.on_stop_response(action, answer, sent, node_now());
                 self->post_pump();
             }
         });
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -55,6 +55,16 @@
 
 static_assert(max_late_delay + call_timeout <= cell_world::max_call_delay);
 
+/// The answer that an owner sees.
+/// @param clock of the worker that executed the order, if one did
+order_answer answer_of(call_outcome outcome,
+                       std::optional<worker_clock> const& clock)
+{
+    bool const is_answered = outcome != call_outcome::no_answer &&
+                             outcome != call_outcome::not_sent;
+    return {outcome, is_answered ? clock : std::nullopt};
+}
+
 /// Resources that a run uses of its worker. A best-effort task has no processor
 /// time of its own.
 resource_amount usage_of(job_step const& shape)
@@ -822,9 +832,12 @@
 void cell_world::carry_out(start_run const& order)
 {
     possible_runs_[describe(order.task_)].insert(order.run_);
-    auto const execute = [this, order, token = token_of(order), sent = now_]
+    auto const clock = std::make_shared<std::optional<worker_clock>>();
+    auto const execute = [this, order, clock, token = token_of(order),
+                          sent = now_]
     {
         auto* const worker = find(order.worker_);
+        *clock = worker->clock(now_);
         auto const& shape = order.job_->steps_[order.task_.step_];
         fake_worker::run planned;
         planned.used_ = usage_of(shape);
@@ -859,7 +872,7 @@
         }
         return outcome;
     };
-    auto const done = [this, order](call_outcome outcome)
+    auto const done = [this, order, clock, sent = now_](call_outcome outcome)
     {
         bool const is_unanswered = outcome == call_outcome::no_answer;
         unanswered_starts_[order.task_] += is_unanswered ? 1 : 0;
@@ -867,8 +880,7 @@
         {
             possible_runs_[describe(order.task_)].erase(order.run_);
         }
-        cell_->on_start_response(order.worker_, order.task_, order.run_,
-                                 outcome, now_);
+        cell_->on_start_response(order, answer_of(outcome, *clock), sent, now_);
     };
     if (start_delay_ > milliseconds{0})
     {
@@ -898,11 +910,13 @@
 void cell_world::call_stop(stop_run const& order, std::uint64_t token,
                            time_point sent)
 {
+    auto const clock = std::make_shared<std::optional<worker_clock>>();
     call(
         order.address_, true,
-        [this, order, token, sent]
+        [this, order, clock, token, sent]
         {
             auto* const worker = find(order.worker_);
+            *clock = worker->clock(now_);
             auto const before = worker->running_.count(order.task_);
             auto const outcome =
                 worker->stop(token, order.task_, order.run_, now_);
@@ -912,10 +926,9 @@
             }
             return outcome;
         },
-        [this, order](call_outcome outcome)
-        {
-            cell_->on_stop_response(order.worker_, order.task_, order.run_,
-                                    outcome, now_);
+        [this, order, clock, sent](call_outcome outcome) {
+            cell_->on_stop_response(order, answer_of(outcome, *clock), sent,
+                                    now_);
         });
 }
 
--- a/tests/kernel/cell/crashing_task_test.cpp
+++ b/tests/kernel/cell/crashing_task_test.cpp
@@ -150,13 +150,24 @@
     return std::nullopt;
 }
 
+/// Gives the owner an answer to the start of the task's present run.
+void answer_start(cell_world& world, task_id const& task,
+                  std::string const& worker, call_outcome outcome)
+{
+    start_run order;
+    order.worker_ = worker;
+    order.task_ = task;
+    order.run_ = state_of(world, task).run_;
+    world.owner().on_start_response(order, {outcome, std::nullopt}, world.now(),
+                                    world.now());
+}
+
 /// Breaks the connection of the task's start, and refuses the next renewal.
 void lose_start_answer(cell_world& world, task_id const& task,
                        std::uint32_t holder)
 {
     auto const name = world.worker(holder).entry_.id_;
-    world.owner().on_start_response(name, task, state_of(world, task).run_,
-                                    call_outcome::no_answer, world.now());
+    answer_start(world, task, name, call_outcome::no_answer);
     renew_worker query;
     query.worker_ = name;
     world.owner().on_renewal_response(query, call_outcome::not_sent, {},
@@ -363,10 +374,8 @@
         // The start reaches the worker, and no renewal reports the run.
         world.run_for(1ms);
         REQUIRE(world.worker_running(only_task) == holder);
-        world.owner().on_start_response(world.worker(*holder).entry_.id_,
-                                        only_task,
-                                        state_of(world, only_task).run_,
-                                        call_outcome::accepted, world.now());
+        answer_start(world, only_task, world.worker(*holder).entry_.id_,
+                     call_outcome::accepted);
     }
     world.crash_for(*holder, down_time);
 }
