cell: Keep tasks that an unseen incarnation of their worker may run

Evidence: both starts have the owner's first token, so that it knew of no restart; it counted on the end of the first run's lease 3.2 s after the last order, and the run lapsed 10.2 s after it, the platform's bound. The owner's leases last 3 s, so that the end was computed by a clock far ahead of the worker's. Ruled out: an earlier owner (the token is of the first epoch) and a restart that the owner knew of (it raises the worker's token).

Cause: a worker that shows no sign of a restart was taken for the incarnation that was known. A worker without tasks is sent nothing, so that it may restart unseen until its entry is read; the start that follows is computed by the clock of before. If the worker is cut off before a renewal is answered, nothing shows the restart, and the task was started elsewhere when the owner's own lease had lapsed. The same holds for a start that is under way at the restart, and for a new owner, which knows less.

Change: a run counts as confirmed once a report of the known incarnation lists it, or the answer to its start states a clock that is not behind the known one. A silent worker's tasks that are not confirmed stay until no order can arrive any more and the platform's bound has passed, unless the worker answers, writes an entry of the known incarnation after the start, or is missing from a complete list of the VMs. A clock that is behind is a sign of a restart, so that the worker is queried at once under a raised token, which also covers a VM that was suspended. The other tasks of the worker move as soon as before.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -72,6 +72,10 @@
     duration stop_grace_ = std::chrono::milliseconds{600};
     /// A call without an answer may be carried out this long after it was sent.
     duration max_late_call_ = std::chrono::seconds{12};
+    /// Time in which a call is carried out that is not late.
+    duration max_call_delay_ = std::chrono::milliseconds{500};
+    /// A worker's entry may be stored this long after the worker wrote it.
+    duration max_entry_delay_ = std::chrono::seconds{3};
     /// If the store takes longer than this for a batch, it counts as
     /// unreachable and no job is accepted.
     duration store_stall_timeout_ = std::chrono::milliseconds{700};
@@ -177,6 +181,15 @@
     /// All workers' entries were read; they are complete up to `at`.
     void on_entries_read(time_point at);
     void on_worker_listed(worker_registration entry, time_point now);
+    /// The worker has written its entry again, without a change.
+    /// @param stored_after the store did not have the record at that time
+    void on_entry_repeated(std::string const& worker,
+                           calendar_time incarnation_start,
+                           time_point stored_after);
+    /// The platform has listed all VMs.
+    /// @param workers ids of the workers that are up
+    /// @param asked when the list was requested
+    void on_workers_up(std::set<std::string> const& workers, time_point asked);
     /// The platform lists that worker as the present incarnation on a VM. Older
     /// incarnations on that VM are treated as ended.
     /// @param asked when the list was requested
@@ -507,12 +520,14 @@
     /// Counts a call that the worker did not answer.
     void count_unanswered(worker_state& worker, time_point now);
     /// Compares the clock that an answer to an order states with that of the
-    /// incarnation that is known.
+    /// incarnation that is known. If it is behind, another incarnation has
+    /// answered, so that the worker is queried.
     /// @param call the order's kind, for the log
     /// @param sent when the order was sent
-    void check_clock(worker_state& worker, char const* call,
-                     order_answer const& answer, time_point sent,
-                     time_point now);
+    /// @return whether the incarnation's leases end when the owner counts on it
+    bool check_clock(worker_state& worker, char const* call,
+                     std::uint32_t token_offset, order_answer const& answer,
+                     time_point sent, time_point now);
     /// How many of the worker's tasks were sent there and are not known to have
     /// begun on the incarnation that is known.
     std::size_t count_unreported(worker_state const& worker);
@@ -564,8 +579,13 @@
     /// Until when an order may arrive that was computed by the clock of an
     /// earlier incarnation, unless the worker's present one has answered.
     time_point foreign_orders_end(worker_state const& worker) const;
-    /// The tasks of an unconfirmed worker that the next incarnation may run, by
-    /// orders for the one before; none once such runs must have ended.
+    /// Whether the task's run may have begun, or begin yet, on an incarnation of
+    /// its worker that the owner does not know.
+    bool may_run_unseen(task_state const& task,
+                        worker_state const& worker) const;
+    /// The tasks of a silent worker whose runs may outlast the leases that the
+    /// owner granted: another incarnation may have begun them by orders that
+    /// were computed for the known one. None once such runs must have ended.
     std::set<task_id> tasks_to_keep(worker_state const& worker, time_point now);
     /// Adds the worker's `foreign_lease_until_` to the next batch, or deletes
     /// it there if there is none.
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -103,11 +103,28 @@
            options_.max_late_call_;
 }
 
+bool cell::may_run_unseen(task_state const& task,
+                          worker_state const& worker) const
+{
+    // A confirmed run has ended with its incarnation.
+    if (task.phase_ == task_phase::placed || task.confirmed_run_ == task.run_)
+    {
+        return false;
+    }
+    auto const sent = task.start_sent_ != time_point{}
+                          ? task.start_sent_
+                          : takeover_time_ + options_.confirmation_limit_;
+    return worker.is_unconfirmed_ || worker.alone_until_ < sent;
+}
+
 std::set<task_id> cell::tasks_to_keep(worker_state const& worker,
                                       time_point now)
 {
     std::set<task_id> tasks;
-    if (!worker.is_unconfirmed_ ||
+    // Where the platform states no starts, a restart changes the id.
+    bool const may_have_restarted =
+        worker.is_unconfirmed_ || known_start(worker) != calendar_time{};
+    if (!may_have_restarted ||
         now > longest_lease_end(foreign_orders_end(worker)))
     {
         return tasks;
@@ -115,9 +132,7 @@
     for (auto const& task : worker.tasks_)
     {
         auto const at = find(task);
-        // A run that was reported has ended with its incarnation.
-        if (at && at.task_->phase_ != task_phase::placed &&
-            at.task_->reported_at_ == time_point{})
+        if (at && may_run_unseen(*at.task_, worker))
         {
             tasks.insert(task);
         }
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -302,6 +302,11 @@
     }
     forget_losses(worker);
     forgive_lapsed_runs(worker);
+    if (!worker.fenced_)
+    {
+        // The clock of a VM that was suspended is behind the known one.
+        worker.clock_ = worker_clock{0};
+    }
     update_clock(worker, report.clock_, now);
     if (!extra)
     {
@@ -481,6 +486,7 @@
     {
         at.job_->begun_ = true;
         state.begun_runs_.add(state.run_);
+        state.confirmed_run_ = state.run_;
         state.reported_at_ = std::max(state.reported_at_, asked);
         state.missing_since_ = {};
         if (must_adopt(at, worker, now))
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -138,6 +138,33 @@
     placement_due_ = true;
 }
 
+void cell::on_entry_repeated(std::string const& name,
+                             calendar_time incarnation_start,
+                             time_point stored_after)
+{
+    auto const found = workers_.find(name);
+    if (found != workers_.end() && !found->second.is_unconfirmed_ &&
+        incarnation_start == known_start(found->second))
+    {
+        auto& worker = found->second;
+        worker.alone_until_ = std::max(
+            worker.alone_until_, stored_after - options_.max_entry_delay_);
+    }
+}
+
+void cell::on_workers_up(std::set<std::string> const& workers, time_point asked)
+{
+    for (auto& item : workers_)
+    {
+        if (workers.count(item.first) == 0)
+        {
+            auto& worker = item.second;
+            worker.alone_until_ = std::max(worker.alone_until_,
+                                           asked - options_.max_call_delay_);
+        }
+    }
+}
+
 std::vector<std::string> const& cell::workers_on(vm_id const& vm) const
 {
     static std::vector<std::string> const none;
@@ -348,13 +375,13 @@
     }
 }
 
-void cell::check_clock(worker_state& worker, char const* call,
-                       order_answer const& answer, time_point sent,
-                       time_point now)
+bool cell::check_clock(worker_state& worker, char const* call,
+                       std::uint32_t token_offset, order_answer const& answer,
+                       time_point sent, time_point now)
 {
     if (!answer.clock_ || worker.clock_read_at_ == time_point{})
     {
-        return;
+        return false;
     }
     auto const lag = clock_lag({worker.clock_, worker.clock_read_at_},
                                *answer.clock_, sent);
@@ -365,7 +392,14 @@
                       " answer_clock=" + std::to_string(answer.clock_->count()) +
                       " lag=" + std::to_string(lag.count()) +
                       describe_lease(worker, now));
+        // The answer to an earlier token may be of an incarnation that has
+        // ended.
+        if (worker.fenced_ && token_offset == worker.token_offset_)
+        {
+            query_incarnation(worker, "clock", now);
+        }
     }
+    return lag == worker_clock{0};
 }
 
 std::size_t cell::count_unreported(worker_state const& worker)
@@ -376,7 +410,7 @@
         {
             auto const at = find(task);
             return at && at.task_->phase_ != task_phase::placed &&
-                   at.task_->reported_at_ == time_point{};
+                   at.task_->confirmed_run_ != at.task_->run_;
         }));
 }
 
@@ -455,9 +489,13 @@
                                 at.task_->run_ == run;
     bool const current =
         is_present_run && at.task_->phase_ == task_phase::starting;
-    if (found != workers_.end())
+    bool const is_known_clock =
+        found != workers_.end() &&
+        check_clock(found->second, "start", order.token_offset_, answer, sent,
+                    now);
+    if (is_present_run && is_known_clock && outcome == call_outcome::accepted)
     {
-        check_clock(found->second, "start", answer, sent, now);
+        at.task_->confirmed_run_ = run;
     }
     if (at && outcome == call_outcome::accepted)
     {
@@ -571,7 +609,7 @@
         }
         return;
     }
-    check_clock(found->second, "stop", answer, sent, now);
+    check_clock(found->second, "stop", order.token_offset_, answer, sent, now);
     auto const at = find(task);
     if (at && outcome == call_outcome::accepted && at.task_->worker_ == name &&
         at.task_->run_ == run && !at.task_->stop_accepted_)
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -70,6 +70,9 @@
     std::uint32_t prime_crashes_ = 0;
     /// A new owner knows the runs that workers report to it.
     begun_runs begun_runs_;
+    /// The latest run that is known to have begun on an incarnation of its
+    /// worker that the owner knew, so that it ends with that incarnation.
+    std::uint32_t confirmed_run_ = 0;
     /// Workers that stopped answering while they ran the task, of which it is
     /// not known whether they crashed. Stored as `lost_runs`.
     std::uint32_t unexplained_losses_ = 0;
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -125,6 +125,10 @@
     bool predecessor_drained_ = false;
     /// When the owner learned of the incarnation.
     time_point first_seen_{};
+    /// Runs that another incarnation may have begun by then have ended. Proved
+    /// by an entry of this incarnation that was written later, or by a list of
+    /// the VMs without the worker's id.
+    time_point alone_until_{};
 
     worker_clock clock_{0};
     time_point clock_read_at_{};
--- a/source/node/config_follower.cpp
+++ b/source/node/config_follower.cpp
@@ -29,7 +29,8 @@
 {
     topic_handler handler;
     handler.on_snapshot_ = [this](auto const& records) { on_records(records); };
-    handler.on_records_ = [this](auto const& records) { on_records(records); };
+    handler.on_records_ = [this](auto const& records, time_point)
+    { on_records(records); };
     handler.on_reachable_changed_ = [this](bool reachable)
     {
         auto const now = node_now();
--- a/source/node/topic_follower.cpp
+++ b/source/node/topic_follower.cpp
@@ -86,6 +86,7 @@
             self->snapshot_read_ = true;
             self->current_as_of_ = sent;
             self->proven_as_of_ = sent;
+            self->end_read_at_ = sent;
             self->set_reachable(true);
             self->handler_.on_snapshot_(content->records_);
             if (!self->stopped_)
@@ -119,6 +120,11 @@
             self->set_reachable(true);
             self->current_as_of_ = sent;
             self->proven_as_of_ = sent;
+            auto const stored_after = self->end_read_at_;
+            if (self->next_offset_ + result.range_.count_ >= result.range_.end_)
+            {
+                self->end_read_at_ = sent;
+            }
             if (result.range_.count_ == 0)
             {
                 // No record was written before the read's wait ended.
@@ -127,7 +133,7 @@
                 return;
             }
             self->next_offset_ += result.range_.count_;
-            self->handler_.on_records_(result.range_.records_);
+            self->handler_.on_records_(result.range_.records_, stored_after);
             self->timer_.expires_after(min_read_interval);
             self->timer_.async_wait(
                 [self](boost::system::error_code error)
--- a/source/node/topic_follower.hpp
+++ b/source/node/topic_follower.hpp
@@ -22,7 +22,10 @@
     std::function<void(std::vector<platform::keyed_record> const&)>
         on_snapshot_;
     /// Further records, in order.
-    std::function<void(std::vector<platform::keyed_record> const&)> on_records_;
+    /// @param stored_after the store had none of them at that time
+    std::function<void(std::vector<platform::keyed_record> const&,
+                       time_point stored_after)>
+        on_records_;
     /// Called after the first read, and whenever the store stops or resumes
     /// answering.
     std::function<void(bool reachable)> on_reachable_changed_;
@@ -81,6 +84,8 @@
     bool reachability_reported_ = false;
     time_point current_as_of_{};
     time_point proven_as_of_{};
+    /// When the last read was sent whose answer reached the topic's end.
+    time_point end_read_at_{};
 };
 
 } // namespace cuminfold
--- a/source/node/worker_follower.cpp
+++ b/source/node/worker_follower.cpp
@@ -26,7 +26,8 @@
 {
     topic_handler topic;
     topic.on_snapshot_ = [this](auto const& records) { on_snapshot(records); };
-    topic.on_records_ = [this](auto const& records) { on_records(records); };
+    topic.on_records_ = [this](auto const& records, time_point stored_after)
+    { on_records(records, stored_after); };
     topic.on_reachable_changed_ = [this](bool reachable)
     {
         log_.write(reachable ? "store_regained" : "store_lost",
@@ -68,7 +69,7 @@
         entries_.erase(id);
         handler_.on_unlisted_(id);
     }
-    on_records(records);
+    on_records(records, time_point{});
     if (!ready_)
     {
         ready_ = true;
@@ -77,13 +78,13 @@
 }
 
 void worker_follower::on_records(
-    std::vector<platform::keyed_record> const& records)
+    std::vector<platform::keyed_record> const& records, time_point stored_after)
 {
     for (auto const& record : records)
     {
         if (record.value_)
         {
-            apply_entry(record.key_, *record.value_);
+            apply_entry(record.key_, *record.value_, stored_after);
         }
         else if (entries_.erase(record.key_) != 0)
         {
@@ -93,7 +94,8 @@
 }
 
 void worker_follower::apply_entry(std::string const& id,
-                                  std::string const& bytes)
+                                  std::string const& bytes,
+                                  time_point stored_after)
 {
     try
     {
@@ -109,11 +111,13 @@
             known->second.size_.cpu_milli_ == entry.size_.cpu_milli_ &&
             known->second.size_.memory_mb_ == entry.size_.memory_mb_ &&
             known->second.size_.accelerators_ == entry.size_.accelerators_;
-        if (!same)
+        if (same)
         {
-            entries_[id] = entry;
-            handler_.on_listed_(std::move(entry));
+            handler_.on_repeated_(entry, stored_after);
+            return;
         }
+        entries_[id] = entry;
+        handler_.on_listed_(std::move(entry));
     }
     catch (platform::format_error const& error)
     {
--- a/source/node/worker_follower.hpp
+++ b/source/node/worker_follower.hpp
@@ -26,6 +26,11 @@
         /// An entry is new, or its address, pool, draining state, labels or
         /// size has changed.
         std::function<void(worker_registration)> on_listed_;
+        /// An entry was written again, with nothing new that matters.
+        /// @param stored_after the store did not have it at that time
+        std::function<void(worker_registration const& entry,
+                           time_point stored_after)>
+            on_repeated_;
         /// An entry was removed or can no longer be decoded.
         std::function<void(std::string const& worker)> on_unlisted_;
         /// Called once, when all entries have been read.
@@ -48,8 +53,11 @@
 
 private:
     void on_snapshot(std::vector<platform::keyed_record> const& records);
-    void on_records(std::vector<platform::keyed_record> const& records);
-    void apply_entry(std::string const& id, std::string const& bytes);
+    /// @param stored_after as in `topic_handler`
+    void on_records(std::vector<platform::keyed_record> const& records,
+                    time_point stored_after);
+    void apply_entry(std::string const& id, std::string const& bytes,
+                     time_point stored_after);
 
     decision_log& log_;
     handler handler_;
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -24,6 +24,10 @@
 /// starts still find their lease valid.
 constexpr milliseconds max_lease_late_delay{4000};
 constexpr duration append_latency = milliseconds{12};
+/// Interval at which a worker writes its entry.
+constexpr duration entry_interval = milliseconds{1500};
+/// Interval at which the owner reads the entries.
+constexpr duration entry_read_interval = milliseconds{30};
 /// Interval between two lists of VMs.
 constexpr duration vm_list_interval = milliseconds{500};
 /// After this many crashes a task may have fewer further starts than
@@ -425,11 +429,30 @@
 
 void cell_world::list_vms()
 {
+    std::set<std::string> up;
     for (auto const& worker : workers_)
     {
-        cell_->on_vm_listed(worker->entry_.vm_,
-                            worker->is_down_ ? "" : worker->entry_.id_, now_,
-                            now_);
+        auto const id = worker->is_down_ ? std::string() : worker->entry_.id_;
+        cell_->on_vm_listed(worker->entry_.vm_, id, now_, now_);
+        up.insert(id);
+    }
+    cell_->on_workers_up(up, now_);
+}
+
+void cell_world::repeat_entries()
+{
+    for (std::uint32_t i = 0; i < worker_count(); ++i)
+    {
+        auto const& worker = *workers_[i];
+        auto const& start = worker.entry_.incarnation_start_;
+        bool const is_written = !worker.is_down_ && has_entries_ &&
+                                !entries_stale_ && !are_cut_from_store_ &&
+                                registered_[i].incarnation_start_ == start;
+        if (is_written)
+        {
+            cell_->on_entry_repeated(worker.entry_.id_, start,
+                                     now_ - entry_read_interval);
+        }
     }
 }
 
@@ -525,6 +548,11 @@
     if (!store_down_)
     {
         cell_->on_epoch_confirmed(now_);
+        if (now_ >= next_entries_)
+        {
+            next_entries_ = now_ + entry_interval;
+            repeat_entries();
+        }
     }
     if (!entries_stale_)
     {
--- a/tests/kernel/cell/cell_world.hpp
+++ b/tests/kernel/cell/cell_world.hpp
@@ -193,6 +193,8 @@
     bool has_entries_ = true;
     /// While set, the owner cannot read the workers' entries.
     bool entries_stale_ = false;
+    /// While set, the workers cannot write their entries.
+    bool are_cut_from_store_ = false;
     /// While set, the policy service does not answer. Otherwise it denies the
     /// workers with an odd number.
     bool advice_down_ = false;
@@ -325,6 +327,8 @@
     fake_worker* find(std::string const& id);
     worker_registration entry(std::uint32_t number) const;
     std::unique_ptr<fake_worker> make_worker(std::uint32_t number) const;
+    /// The workers write their entries again.
+    void repeat_entries();
     /// The store gets the entry of a worker that has started again.
     void register_worker(std::uint32_t number);
 
@@ -385,6 +389,7 @@
     /// of it had reached.
     std::map<std::string, std::uint32_t> crashes_after_begin_;
     time_point next_vm_list_{};
+    time_point next_entries_{};
     std::set<task_id> done_;
     /// Number of tasks in `done_` by their step.
     std::map<step_id, std::uint32_t> tasks_done_;
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <iterator>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -27,9 +28,20 @@
 constexpr auto prompt_time = 3500ms;
 /// Longer than the owner's lease, so that the run outlasts it.
 constexpr auto long_run = 8000ms;
+/// Longer than the platform's bound.
+constexpr auto longest_run = 12'000ms;
 /// Until the runs behind a network partition have ended and all is settled.
 constexpr auto settling_time = 40'000ms;
 constexpr std::size_t pattern_groups = 4;
+/// A worker's entry is stored this long after the worker wrote it, at most.
+constexpr auto entry_delay = 3000ms;
+/// Interval at which a worker writes its entry.
+constexpr auto entry_interval = 1500ms;
+/// How much longer an owner counts on a lease, since it has not read the clock
+/// of an idle worker, which may be 2 % slow, for `time_before`.
+constexpr auto clock_drift = 500ms;
+/// Until an owner has found a lease that ended, and has stored a placement.
+constexpr auto check_time = 300ms;
 
 cell_world make_world(std::uint32_t seed)
 {
@@ -81,9 +93,10 @@
     }
 }
 
-void submit_long_job(cell_world& world)
+void submit_long_job(cell_world& world,
+                     std::chrono::milliseconds run_time = long_run)
 {
-    world.submit("a", {cell_world::make_step(1, 9000, long_run)});
+    world.submit("a", {cell_world::make_step(1, 9000, run_time)});
 }
 
 /// How an order for the incarnation before reaches a restarted worker.
@@ -201,6 +214,79 @@
     {"registered before the new owner", 5000ms, 5ms, true},
 };
 
+/// Starts a task, and ends its worker's process before the start arrives. The
+/// next incarnation is cut off from its begin on, and stays unregistered.
+void restart_unseen(cell_world& world, std::chrono::milliseconds start_delay,
+                    std::chrono::milliseconds down_time)
+{
+    world.start_delay_ = start_delay;
+    submit_long_job(world, longest_run);
+    world.run_for(50ms);
+    world.start_delay_ = 0ms;
+    auto const& workers = world.owner().workers();
+    for (std::uint32_t i = 0; i < worker_count; ++i)
+    {
+        auto const known = workers.find(world.worker(i).entry_.id_);
+        REQUIRE(known != workers.end());
+        if (!known->second.tasks_.empty())
+        {
+            world.crash_for(i, down_time);
+            world.cut(i, true);
+        }
+    }
+}
+
+/// A worker that is cut off before anything has shown its restart.
+struct unseen_case
+{
+    char const* name_;
+    void (*prepare_)(cell_world&);
+};
+
+unseen_case const unseen_cases[] = {
+    {"a start to a worker that restarted idle",
+     [](cell_world& world)
+     {
+         restart_all(world);
+         // A renewal waits for the end of a run.
+         world.renewal_delay_ = 190ms;
+         submit_long_job(world, longest_run);
+         world.run_for(60ms);
+         cut_busy_workers(world);
+         world.renewal_delay_ = 0ms;
+     }},
+    {"a start under way at the restart",
+     [](cell_world& world) { restart_unseen(world, 70ms, 0ms); }},
+    {"a start that is executed late",
+     [](cell_world& world) { restart_unseen(world, 1000ms, 0ms); }},
+    {"a start that is executed after the lease has lapsed",
+     [](cell_world& world) { restart_unseen(world, 5000ms, 0ms); }},
+    {"a worker that is down for longer than the lease",
+     [](cell_world& world) { restart_unseen(world, 5000ms, 4000ms); }},
+    {"a new owner",
+     [](cell_world& world)
+     {
+         restart_unseen(world, 70ms, 0ms);
+         world.take_over();
+     }},
+    {"a new owner after a while",
+     [](cell_world& world)
+     {
+         restart_unseen(world, 1000ms, 0ms);
+         world.run_for(1500ms);
+         world.take_over();
+     }},
+    {"two new owners",
+     [](cell_world& world)
+     {
+         restart_unseen(world, 1000ms, 0ms);
+         world.run_for(1500ms);
+         world.take_over();
+         world.run_for(4000ms);
+         world.take_over();
+     }},
+};
+
 /// A worker that is cut off where no order for another incarnation can be.
 struct prompt_case
 {
@@ -253,6 +339,29 @@
      }},
 };
 
+/// A worker that is lost while a start to it has no answer, and what shows that
+/// no other incarnation of it can run the task.
+struct proof_case
+{
+    char const* name_;
+    void (*lose_)(cell_world&, std::uint32_t worker);
+    /// From the loss until the task has to run elsewhere.
+    std::chrono::milliseconds longest_wait_;
+};
+
+proof_case const proof_cases[] = {
+    {"the worker still writes its entry",
+     [](cell_world& world, std::uint32_t worker) { world.cut(worker, true); },
+     entry_delay + entry_interval + check_time},
+    {"its VM is listed as down",
+     [](cell_world& world, std::uint32_t worker)
+     {
+         world.lists_vms_ = true;
+         world.crash_for(worker, 60'000ms);
+     },
+     prompt_time + clock_drift},
+};
+
 /// Restarts, cuts and replaces owners at random, while long tasks run.
 void play(cell_world& world, std::uint32_t seed, bool has_new_owners)
 {
@@ -397,6 +506,26 @@
     }
 }
 
+// Guards against a second run beside one on an incarnation that the owner does
+// not know: neither an answer nor the registration has shown the restart.
+TEST_CASE("a task is not started beside a run after a restart that nothing "
+          "shows")
+{
+    for (auto const& each : unseen_cases)
+    {
+        CAPTURE(std::string(each.name_));
+        auto world = make_world(1);
+        world.registration_delay_ = 30'000ms;
+        world.run_for(time_before);
+        each.prepare_(world);
+        world.run_for(25'000ms);
+        connect_all(world);
+        world.run_for(settling_time);
+        CHECK(world.violations() == "");
+        CHECK(world.status("a") == job_status::completed);
+    }
+}
+
 // Guards against tasks that wait for the platform's bound on a lease although
 // no order for another incarnation can be under way.
 TEST_CASE("a task of a worker that is cut off is started elsewhere in time")
@@ -416,6 +545,33 @@
     }
 }
 
+// Guards against tasks that are held back although it is known that no run of
+// theirs can be left.
+TEST_CASE("a task whose start got no answer is held until a proof comes")
+{
+    for (auto const& each : proof_cases)
+    {
+        CAPTURE(std::string(each.name_));
+        auto world = make_world(1);
+        world.run_for(time_before);
+        submit_long_job(world);
+        world.run_for(14ms);
+        auto const& known = world.owner().workers();
+        std::optional<std::uint32_t> holder;
+        for (std::uint32_t i = 0; i < worker_count; ++i)
+        {
+            auto const& tasks = known.at(world.worker(i).entry_.id_).tasks_;
+            holder = tasks.empty() ? holder : i;
+        }
+        REQUIRE(holder);
+        each.lose_(world, *holder);
+        auto const runs = world.runs_of("a");
+        world.run_for(each.longest_wait_);
+        CHECK(world.runs_of("a") == runs + 1);
+        CHECK(world.violations() == "");
+    }
+}
+
 // Guards against a second run beside an orphaned one whose lease was renewed
 // just before a network partition.
 TEST_CASE("a task waits for its orphaned run until the latest lease has ended")
