cell: Store which long runs are confirmed

A new owner does not know which runs the former one had confirmed, so that it would keep all tasks of a worker that it cannot reach for up to 27 s after the takeover, where 8 s had to do.

The confirmed runs of tasks that last longer than a lease are stored (prefix r), one record for each block of a job that has some. Shorter runs end before it matters.

The codec of a number for each task is moved from start_budget to task_rows, since two kinds of records have it.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -14,6 +14,7 @@
 #include "kernel/cell/pool_plan.hpp"
 #include "kernel/cell/run_time_model.hpp"
 #include "kernel/cell/step_waits.hpp"
+#include "kernel/cell/task_rows.hpp"
 #include "kernel/cell/ticket_cache.hpp"
 #include "kernel/cell/unplaced_demands.hpp"
 #include "kernel/cell/worker_state.hpp"
@@ -139,8 +140,11 @@
     void restore_crash_counts(std::string const& name, std::string const& text,
                               time_point now);
     /// The same for the starts that count under a job's tasks.
-    /// @param text as `encode(start_counts)` wrote it
+    /// @param text as `encode(task_numbers)` wrote it
     void restore_start_counts(std::string const& name, std::string const& text);
+    /// @param text as `encode(task_numbers)` wrote it
+    void restore_confirmed_runs(std::string const& name,
+                                std::string const& text);
     /// Restores the policy of a queue that has jobs.
     /// @param text as `encode(advice_policy)` wrote it
     /// @throws std::invalid_argument if the text is not readable
@@ -579,8 +583,16 @@
     /// Until when an order may arrive that was computed by the clock of an
     /// earlier incarnation, unless the worker's present one has answered.
     time_point foreign_orders_end(worker_state const& worker) const;
-    /// Whether the task's run may have begun, or begin yet, on an incarnation of
-    /// its worker that the owner does not know.
+    /// The task's present run has begun on the incarnation that is known.
+    void confirm_run(task_id const& task, task_location const& at);
+    /// Whether it is stored that the task's run is confirmed: else a new owner
+    /// would hold it back for long after its worker is cut off. Shorter runs
+    /// end before that matters.
+    bool stores_confirmation(task_location const& at) const;
+    /// The confirmed runs of the block's tasks, as far as they are stored.
+    task_numbers confirmed_runs_of(job_state const& job, block_number block);
+    /// Whether the task's run may have begun, or begin yet, on an incarnation
+    /// of its worker that the owner does not know.
     bool may_run_unseen(task_state const& task,
                         worker_state const& worker) const;
     /// The tasks of a silent worker whose runs may outlast the leases that the
@@ -747,16 +759,17 @@
     bool has_common_cause(worker_state const& lost, time_point at) const;
     static crash_counts crash_counts_of(job_state const& job,
                                         block_number block);
-    static start_counts start_counts_of(job_state const& job,
+    /// `start_budget::used()` of the block's tasks that have lost runs.
+    static task_numbers start_counts_of(job_state const& job,
                                         block_number block);
     /// The job that an earlier owner stored counts of. Deletes their record and
     /// returns null if it has ended.
     /// @throws std::invalid_argument if it is not the name of a block
     job_state* find_counted(record_kind kind, std::string const& name);
-    /// Adds a block's crash and start counts to the batch if they have changed,
-    /// or deletes them once the job has ended.
+    /// Adds a block's crash and start counts, lost runs and confirmed runs to
+    /// the batch if they have changed, or deletes them once the job has ended.
     void append_count_records(std::string const& id, job_state& job,
-                              block_number block, cell_batch& batch) const;
+                              block_number block, cell_batch& batch);
     /// The runs of a block's tasks whose workers do not answer.
     lost_runs lost_runs_of(std::string const& id, job_state const& job,
                            block_number block) const;
--- a/source/kernel/cell/cell_action.hpp
+++ b/source/kernel/cell/cell_action.hpp
@@ -121,12 +121,15 @@
     vm_order, ///< a VM's orders, see `vm_order_record`
     wave,     ///< a wave that is completed
     crashes,  ///< a job's `crash_counts`
-    starts,   ///< a job's `start_counts`
+    starts,   ///< `start_budget::used()` of a job's tasks
     losses,   ///< a job's `lost_runs`
     policy,   ///< a queue's `advice_policy`
     /// The incarnation of a worker on which its stored runs were started.
     incarnation,
-    foreign_lease ///< a worker's `foreign_lease`
+    foreign_lease, ///< a worker's `foreign_lease`
+    /// The runs of a job's tasks that have begun on the stored incarnations of
+    /// their workers, if they last long.
+    confirmed_runs
 };
 
 /// One record of a cell's partition. A record without content deletes its key.
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -319,9 +319,9 @@
     return counts;
 }
 
-start_counts cell::start_counts_of(job_state const& job, block_number block)
+task_numbers cell::start_counts_of(job_state const& job, block_number block)
 {
-    start_counts counts;
+    task_numbers counts;
     for (auto const& task :
          job.blocks_.tasks_of(block, job.occurrences_.size()))
     {
@@ -400,7 +400,7 @@
 }
 
 void cell::append_count_records(std::string const& id, job_state& job,
-                                block_number block, cell_batch& batch) const
+                                block_number block, cell_batch& batch)
 {
     append_counts(
         record_kind::crashes, id, job.ended(), block, job.crash_records_,
@@ -411,6 +411,10 @@
     append_counts(
         record_kind::losses, id, job.ended(), block, job.loss_records_,
         [&] { return lost_runs_of(id, job, block); }, batch);
+    append_counts(
+        record_kind::confirmed_runs, id, job.ended(), block,
+        job.confirmation_records_,
+        [&] { return confirmed_runs_of(job, block); }, batch);
 }
 
 job_state* cell::find_counted(record_kind kind, std::string const& name)
@@ -472,7 +476,7 @@
     }
     auto const id = parse_block_name(name);
     job->start_records_.stored_.insert(id.second);
-    for (auto const& item : decode_start_counts(text))
+    for (auto const& item : decode_task_numbers(text))
     {
         task_id task = item.first;
         task.job_ = id.first;
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -103,6 +103,66 @@
            options_.max_late_call_;
 }
 
+void cell::confirm_run(task_id const& task, task_location const& at)
+{
+    if (at.task_->confirmed_run_ == at.task_->run_)
+    {
+        return;
+    }
+    at.task_->confirmed_run_ = at.task_->run_;
+    if (stores_confirmation(at) && !at.job_->ended())
+    {
+        at.job_->confirmation_records_.changed_.insert(
+            at.job_->blocks_.block_of(task));
+        mark_dirty(*at.job_, task);
+    }
+}
+
+bool cell::stores_confirmation(task_location const& at) const
+{
+    return at.shape_->long_running_ || at.step_->run_time_ >= options_.lease_;
+}
+
+task_numbers cell::confirmed_runs_of(job_state const& job, block_number block)
+{
+    task_numbers runs;
+    for (auto const& id : job.blocks_.tasks_of(block, job.occurrences_.size()))
+    {
+        task_id task = id;
+        task.job_ = job.request_->id_;
+        auto const at = find(task);
+        if (at && !at.task_->worker_.empty() &&
+            at.task_->confirmed_run_ == at.task_->run_ &&
+            stores_confirmation(at))
+        {
+            runs[id] = at.task_->run_;
+        }
+    }
+    return runs;
+}
+
+void cell::restore_confirmed_runs(std::string const& name,
+                                  std::string const& text)
+{
+    auto* const job = find_counted(record_kind::confirmed_runs, name);
+    if (job == nullptr)
+    {
+        return;
+    }
+    auto const id = parse_block_name(name);
+    job->confirmation_records_.stored_.insert(id.second);
+    for (auto const& item : decode_task_numbers(text))
+    {
+        task_id task = item.first;
+        task.job_ = id.first;
+        auto const at = find(task);
+        if (at)
+        {
+            at.task_->confirmed_run_ = item.second;
+        }
+    }
+}
+
 bool cell::may_run_unseen(task_state const& task,
                           worker_state const& worker) const
 {
--- a/source/kernel/cell/cell_records.cpp
+++ b/source/kernel/cell/cell_records.cpp
@@ -241,6 +241,8 @@
                    job.start_records_.stored_.end());
     counted.insert(job.loss_records_.stored_.begin(),
                    job.loss_records_.stored_.end());
+    counted.insert(job.confirmation_records_.stored_.begin(),
+                   job.confirmation_records_.stored_.end());
     for (auto const block : counted)
     {
         append_count_records(name, job, block, batch);
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -486,7 +486,7 @@
     {
         at.job_->begun_ = true;
         state.begun_runs_.add(state.run_);
-        state.confirmed_run_ = state.run_;
+        confirm_run(task, at);
         state.reported_at_ = std::max(state.reported_at_, asked);
         state.missing_since_ = {};
         if (must_adopt(at, worker, now))
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -99,8 +99,8 @@
     }
     log_event("worker_lapsed", worker.entry_.id_,
               "tasks=" + std::to_string(worker.tasks_.size()) +
-                  " kept=" + std::to_string(kept.size()) + " unreported=" +
-                  std::to_string(count_unreported(worker)) +
+                  " kept=" + std::to_string(kept.size()) +
+                  " unreported=" + std::to_string(count_unreported(worker)) +
                   describe_lease(worker, now));
     if (worker.entry_.address_.empty())
     {
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -159,8 +159,8 @@
         if (workers.count(item.first) == 0)
         {
             auto& worker = item.second;
-            worker.alone_until_ = std::max(worker.alone_until_,
-                                           asked - options_.max_call_delay_);
+            worker.alone_until_ =
+                std::max(worker.alone_until_, asked - options_.max_call_delay_);
         }
     }
 }
@@ -366,11 +366,11 @@
 {
     if (++worker.unanswered_renewals_ == 1)
     {
-        log_event("worker_silent", worker.entry_.id_,
-                  "tasks=" + std::to_string(worker.tasks_.size()) +
-                      " unreported=" +
-                      std::to_string(count_unreported(worker)) +
-                      describe_lease(worker, now));
+        log_event(
+            "worker_silent", worker.entry_.id_,
+            "tasks=" + std::to_string(worker.tasks_.size()) +
+                " unreported=" + std::to_string(count_unreported(worker)) +
+                describe_lease(worker, now));
         worker.silent_since_ = now;
     }
 }
@@ -383,13 +383,13 @@
     {
         return false;
     }
-    auto const lag = clock_lag({worker.clock_, worker.clock_read_at_},
-                               *answer.clock_, sent);
+    auto const lag =
+        clock_lag({worker.clock_, worker.clock_read_at_}, *answer.clock_, sent);
     if (lag > worker_clock{0})
     {
         log_event("worker_clock_behind", worker.entry_.id_,
-                  std::string(call) +
-                      " answer_clock=" + std::to_string(answer.clock_->count()) +
+                  std::string(call) + " answer_clock=" +
+                      std::to_string(answer.clock_->count()) +
                       " lag=" + std::to_string(lag.count()) +
                       describe_lease(worker, now));
         // The answer to an earlier token may be of an incarnation that has
@@ -404,14 +404,14 @@
 
 std::size_t cell::count_unreported(worker_state const& worker)
 {
-    return static_cast<std::size_t>(std::count_if(
-        worker.tasks_.begin(), worker.tasks_.end(),
-        [&](task_id const& task)
-        {
-            auto const at = find(task);
-            return at && at.task_->phase_ != task_phase::placed &&
-                   at.task_->confirmed_run_ != at.task_->run_;
-        }));
+    return static_cast<std::size_t>(
+        std::count_if(worker.tasks_.begin(), worker.tasks_.end(),
+                      [&](task_id const& task)
+                      {
+                          auto const at = find(task);
+                          return at && at.task_->phase_ != task_phase::placed &&
+                                 at.task_->confirmed_run_ != at.task_->run_;
+                      }));
 }
 
 void cell::update_clock(worker_state& worker, worker_clock clock,
@@ -495,7 +495,7 @@
                     now);
     if (is_present_run && is_known_clock && outcome == call_outcome::accepted)
     {
-        at.task_->confirmed_run_ = run;
+        confirm_run(task, at);
     }
     if (at && outcome == call_outcome::accepted)
     {
--- a/source/kernel/cell/clock_check.cpp
+++ b/source/kernel/cell/clock_check.cpp
@@ -20,9 +20,9 @@
         since < duration{0}
             ? since
             : std::chrono::duration_cast<duration>(since * min_clock_rate);
-    auto const lag =
-        known.clock_ +
-        std::chrono::duration_cast<worker_clock>(least_progress) - stated;
+    auto const lag = known.clock_ +
+                     std::chrono::duration_cast<worker_clock>(least_progress) -
+                     stated;
     return lag > rounding ? lag : worker_clock{0};
 }
 
--- a/source/kernel/cell/job_state.hpp
+++ b/source/kernel/cell/job_state.hpp
@@ -198,6 +198,8 @@
     block_records start_records_;
     /// The tasks' `lost_runs`.
     block_records loss_records_;
+    /// The tasks' `confirmed_run_`.
+    block_records confirmation_records_;
     /// Its `memory_bound()` while the owner holds its tasks.
     std::uint64_t memory_ = 0;
     time_point arrived_{};
--- a/source/kernel/cell/start_budget.cpp
+++ b/source/kernel/cell/start_budget.cpp
@@ -1,9 +1,5 @@
 #include "kernel/cell/start_budget.hpp"
 
-#include "kernel/cell/task_rows.hpp"
-
-#include <sstream>
-
 namespace cuminfold
 {
 
@@ -60,27 +56,4 @@
     return used_ >= losses_before_bound + max_starts_after_losses;
 }
 
-std::string encode(start_counts const& counts)
-{
-    std::ostringstream text;
-    for (auto const& item : counts)
-    {
-        detail::append_row(text, item.first, {item.second});
-    }
-    return text.str();
-}
-
-start_counts decode_start_counts(std::string const& text)
-{
-    start_counts counts;
-    std::istringstream lines(text);
-    for (std::string line; std::getline(lines, line);)
-    {
-        std::uint32_t used = 0;
-        auto const task = detail::read_row(line, {&used});
-        counts[task] = used;
-    }
-    return counts;
-}
-
 } // namespace cuminfold
--- a/source/kernel/cell/start_budget.hpp
+++ b/source/kernel/cell/start_budget.hpp
@@ -1,11 +1,7 @@
 #ifndef CUMINFOLD_KERNEL_CELL_START_BUDGET_HPP
 #define CUMINFOLD_KERNEL_CELL_START_BUDGET_HPP
 
-#include "kernel/cell/job_definition.hpp"
-
 #include <cstdint>
-#include <map>
-#include <string>
 
 namespace cuminfold
 {
@@ -45,15 +41,6 @@
     std::uint32_t counted_run_ = 0;
 };
 
-/// `start_budget::used()` of each task of a job that has lost runs. The job's
-/// id is left empty in the keys.
-using start_counts = std::map<task_id, std::uint32_t>;
-
-std::string encode(start_counts const& counts);
-
-/// @throws std::invalid_argument if `encode()` cannot have written the text
-start_counts decode_start_counts(std::string const& text);
-
 } // namespace cuminfold
 
 #endif
--- a/source/kernel/cell/task_rows.cpp
+++ b/source/kernel/cell/task_rows.cpp
@@ -36,3 +36,31 @@
 }
 
 } // namespace cuminfold::detail
+
+namespace cuminfold
+{
+
+std::string encode(task_numbers const& numbers)
+{
+    std::ostringstream text;
+    for (auto const& item : numbers)
+    {
+        detail::append_row(text, item.first, {item.second});
+    }
+    return text.str();
+}
+
+task_numbers decode_task_numbers(std::string const& text)
+{
+    task_numbers numbers;
+    std::istringstream lines(text);
+    for (std::string line; std::getline(lines, line);)
+    {
+        std::uint32_t number = 0;
+        auto const task = detail::read_row(line, {&number});
+        numbers[task] = number;
+    }
+    return numbers;
+}
+
+} // namespace cuminfold
--- a/source/kernel/cell/task_rows.hpp
+++ b/source/kernel/cell/task_rows.hpp
@@ -5,9 +5,24 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <map>
 #include <ostream>
 #include <string>
 
+namespace cuminfold
+{
+
+/// A number for each of some tasks of a job. The job's id is left empty in the
+/// keys.
+using task_numbers = std::map<task_id, std::uint32_t>;
+
+std::string encode(task_numbers const& numbers);
+
+/// @throws std::invalid_argument if `encode()` cannot have written the text
+task_numbers decode_task_numbers(std::string const& text);
+
+} // namespace cuminfold
+
 namespace cuminfold::detail
 {
 
--- a/source/node/cell_owner.cpp
+++ b/source/node/cell_owner.cpp
@@ -91,9 +91,8 @@
         cell_.on_worker_listed(std::move(entry), node_now());
         post_pump();
     };
-    handler.on_repeated_ =
-        [this](worker_registration const& entry, time_point stored_after)
-    {
+    handler.on_repeated_ = [this](worker_registration const& entry,
+                                  time_point stored_after) {
         cell_.on_entry_repeated(entry.id_, entry.incarnation_start_,
                                 stored_after);
     };
--- a/source/node/cell_owner_orders.cpp
+++ b/source/node/cell_owner_orders.cpp
@@ -216,17 +216,17 @@
                              {"cause", action.cause_},
                              {"epoch", std::to_string(record_.epoch_)}},
                             node_now());
-    environment_.workers_.stop(
-        action,
-        [self = shared_from_this(), action,
-         sent = node_now()](order_answer const& answer)
-        {
-            if (!self->stopped_)
-            {
-                self->cell_.on_stop_response(action, answer, sent, node_now());
-                self->post_pump();
-            }
-        });
+    environment_.workers_.stop(action,
+                               [self = shared_from_this(), action,
+                                sent = node_now()](order_answer const& answer)
+                               {
+                                   if (!self->stopped_)
+                                   {
+                                       self->cell_.on_stop_response(
+                                           action, answer, sent, node_now());
+                                       self->post_pump();
+                                   }
+                               });
 }
 
 void cell_owner::run(renew_worker const& action)
--- a/source/node/cell_owner_store.cpp
+++ b/source/node/cell_owner_store.cpp
@@ -38,6 +38,7 @@
 constexpr char const* policy_prefix = "q";
 constexpr char const* incarnation_prefix = "b";
 constexpr char const* foreign_lease_prefix = "f";
+constexpr char const* confirmed_runs_prefix = "r";
 
 char const* key_prefix(record_kind kind)
 {
@@ -63,6 +64,8 @@
         return incarnation_prefix;
     case record_kind::foreign_lease:
         return foreign_lease_prefix;
+    case record_kind::confirmed_runs:
+        return confirmed_runs_prefix;
     }
     return progress_prefix;
 }
@@ -113,6 +116,7 @@
     std::map<std::string, std::string> losses;
     std::map<std::string, std::string> incarnations;
     std::map<std::string, std::string> foreign_leases;
+    std::map<std::string, std::string> confirmed_runs;
     std::size_t jobs = 0;
     for (auto const& record : content.records_)
     {
@@ -156,6 +160,10 @@
             {
                 foreign_leases[id] = *record.value_;
             }
+            else if (record.key_.rfind(confirmed_runs_prefix, 0) == 0)
+            {
+                confirmed_runs[id] = *record.value_;
+            }
             else if (record.key_.rfind(vm_order_prefix, 0) == 0)
             {
                 fleet_.restore_order(vm_id{id}, *record.value_, now);
@@ -204,6 +212,9 @@
     restore_each(losses_prefix, losses,
                  [&](std::string const& job, std::string const& text)
                  { cell_.restore_lost_runs(job, text, now); });
+    restore_each(confirmed_runs_prefix, confirmed_runs,
+                 [&](std::string const& job, std::string const& text)
+                 { cell_.restore_confirmed_runs(job, text); });
     restore_each(incarnation_prefix, incarnations,
                  [&](std::string const& worker, std::string const& start)
                  { cell_.restore_incarnation(worker, start, now); });
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -42,6 +42,9 @@
 constexpr auto clock_drift = 500ms;
 /// Until an owner has found a lease that ended, and has stored a placement.
 constexpr auto check_time = 300ms;
+/// The end of leases of an earlier owner, from the takeover on: orders of 5 s,
+/// and a lease.
+constexpr auto takeover_lease = 8150ms;
 
 cell_world make_world(std::uint32_t seed)
 {
@@ -360,6 +363,15 @@
          world.crash_for(worker, 60'000ms);
      },
      prompt_time + clock_drift},
+    {"its run was reported, and a new owner reaches neither",
+     [](cell_world& world, std::uint32_t worker)
+     {
+         world.run_for(100ms);
+         world.are_cut_from_store_ = true;
+         world.cut(worker, true);
+         world.take_over();
+     },
+     takeover_lease + check_time},
 };
 
 /// Restarts, cuts and replaces owners at random, while long tasks run.
