tests: Restart workers unseen behind a cut in the soak

The soak registered each restarted worker within 0.5 s and its workers wrote their entries once, so that a restart was always seen, and an entry proved nothing.

Workers write their entries again each 1.5 s, as on the users' platform. A new series (--unseen-restarts 1) cuts a worker off, both ways or for its answers alone, restarts it behind the cut and registers it after the cut has ended.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -35,6 +35,7 @@
     std::uint32_t workers_ = 6;
     std::chrono::seconds time_{10};
     bool restarts_ = true;
+    bool unseen_restarts_ = false;
     bool silences_ = false;
     bool workspaces_ = false;
     std::string program_ = CUMINFOLD_NODE;
@@ -57,6 +58,7 @@
     soak_faults faults(system, seed + 1, fault_series::mixed);
     soak_faults restarts(system, seed + 2, fault_series::restarts);
     soak_faults silences(system, seed + 4, fault_series::silences);
+    soak_faults unseen(system, seed + 5, fault_series::unseen_restarts);
     auto const step = [&](bool more)
     {
         system.tick();
@@ -76,6 +78,10 @@
         {
             silences.tick();
         }
+        if (size.unseen_restarts_)
+        {
+            unseen.tick();
+        }
         step(true);
     }
     system.heal();
@@ -100,16 +106,16 @@
               << clients.accepted() << " accepted, " << clients.rejected()
               << " rejected, " << oracle.starts() << " starts, "
               << faults.history().size() << " faults, "
-              << restarts.history().size() << " restarts, "
-              << silences.history().size() << " silences, " << breaches.size()
-              << " rules broken" << std::endl;
+              << restarts.history().size() + unseen.history().size()
+              << " restarts, " << silences.history().size() << " silences, "
+              << breaches.size() << " rules broken" << std::endl;
     if (!breaches.empty())
     {
         for (auto const& line : breaches)
         {
             std::cout << "  " << line << '\n';
         }
-        for (auto const* const each : {&faults, &restarts, &silences})
+        for (auto const* const each : {&faults, &restarts, &silences, &unseen})
         {
             for (auto const& line : each->history())
             {
@@ -141,6 +147,9 @@
     add("workers", options::value(&size.workers_), "workers");
     add("restarts", options::value(&size.restarts_),
         "1: long tasks, and workers that restart under their ids; 0: neither");
+    add("unseen-restarts", options::value(&size.unseen_restarts_),
+        "1: workers restart under their ids behind a cut, and nothing shows it "
+        "until the cut ends; 0: they don't");
     add("silences", options::value(&size.silences_),
         "1: open connections between nodes, to the store and to workers go "
         "silent; 0: they don't");
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -68,12 +68,24 @@
     static std::vector<fault_kind> const restarts = {
         {1, &soak_faults::restart_and_cut},
     };
+    static std::vector<fault_kind> const unseen_restarts = {
+        {1, &soak_faults::restart_unseen},
+    };
     static std::vector<fault_kind> const silences = {
         {1, &soak_faults::silence_connections},
     };
-    return series_ == fault_series::mixed      ? mixed
-           : series_ == fault_series::restarts ? restarts
-                                               : silences;
+    switch (series_)
+    {
+    case fault_series::mixed:
+        return mixed;
+    case fault_series::restarts:
+        return restarts;
+    case fault_series::unseen_restarts:
+        return unseen_restarts;
+    case fault_series::silences:
+        return silences;
+    }
+    return mixed;
 }
 
 soak_faults::soak_faults(soak_system& system, std::uint32_t seed,
@@ -235,6 +247,30 @@
            std::to_string(healed.count()) + " ms";
 }
 
+std::string soak_faults::restart_unseen()
+{
+    auto const worker = draw_worker();
+    constexpr link_fault ways[] = {link_fault::silence, link_fault::reset,
+                                   link_fault::hold_answers,
+                                   link_fault::hold_answers};
+    link_state state;
+    state.fault_ = ways[draw(static_cast<std::uint32_t>(std::size(ways)))];
+    // A restart that is seen after the cut has begun leaves the most time.
+    milliseconds const restarted{draw(20)};
+    milliseconds const healed = restarted + milliseconds{5000 + draw(7000)};
+    milliseconds const registered = healed + milliseconds{draw(1000)};
+    system_.set_link(link_place::nodes_to_worker, worker, state);
+    at(restarted, [this, worker] { system_.restart_worker(worker); });
+    at(healed, [this, worker]
+       { system_.set_link(link_place::nodes_to_worker, worker, {}); });
+    at(registered, [this, worker] { system_.register_worker(worker); });
+    return "cut off worker " + std::to_string(worker) + " (way " +
+           std::to_string(static_cast<int>(state.fault_)) + "), restart it " +
+           std::to_string(restarted.count()) + " ms later, healed after " +
+           std::to_string(healed.count()) + " ms, registered after " +
+           std::to_string(registered.count()) + " ms";
+}
+
 std::string soak_faults::silence_connections()
 {
     constexpr link_fault ways[] = {link_fault::silence, link_fault::hold_calls,
--- a/tests/soak/soak_faults.hpp
+++ b/tests/soak/soak_faults.hpp
@@ -19,7 +19,10 @@
 {
     mixed,
     restarts, ///< workers restart under their ids and are cut off soon after
-    silences  ///< open connections carry nothing any more, while new ones work
+    /// The same, and they reach neither the store nor, one way or both ways,
+    /// the nodes, until the cut ends.
+    unseen_restarts,
+    silences ///< open connections carry nothing any more, while new ones work
 };
 
 /// Injects faults in series that overlap, all drawn from one seed.
@@ -69,6 +72,7 @@
     std::string crash_worker();
     std::string drain_worker();
     std::string restart_and_cut();
+    std::string restart_unseen();
     std::string silence_connections();
 
     soak_system& system_;
--- a/tests/soak/soak_system.cpp
+++ b/tests/soak/soak_system.cpp
@@ -14,6 +14,8 @@
 /// A node that was asked to stop has this long, as on the users' platform.
 constexpr std::chrono::seconds stop_bound{6};
 constexpr std::chrono::milliseconds restart_pause{300};
+/// Interval at which a worker writes its entry.
+constexpr std::chrono::milliseconds entry_interval{1500};
 /// The platform's bound on leases, longer than those that owners ask for.
 constexpr std::chrono::milliseconds longest_lease{10'000};
 
@@ -24,7 +26,7 @@
                          soak_oracle& oracle, std::string extra_settings)
     : program_(std::move(program)), extra_settings_(std::move(extra_settings)),
       folder_(std::move(folder)), oracle_(oracle), links_(ring_capacity),
-      platform_(workers, &oracle), nodes_(nodes)
+      platform_(workers, &oracle), nodes_(nodes), registered_(workers)
 {
     links_.start();
     on_links(
@@ -90,8 +92,20 @@
     done.get_future().wait();
 }
 
+void soak_system::repeat_entries()
+{
+    for (std::size_t i = 0; i < worker_links_.size(); ++i)
+    {
+        if (registered_[i])
+        {
+            register_worker(i);
+        }
+    }
+}
+
 void soak_system::register_worker(std::size_t worker)
 {
+    registered_[worker] = true;
     platform_.run(
         [&] {
             platform_.register_worker(worker, worker_links_[worker]->address());
@@ -255,12 +269,13 @@
             {
                 platform_.deregister_worker(old);
             }
-            platform_.register_worker(worker, worker_links_[worker]->address());
         });
+    register_worker(worker);
 }
 
 void soak_system::restart_worker(std::size_t worker)
 {
+    registered_[worker] = false;
     platform_.run(
         [&]
         {
@@ -277,14 +292,19 @@
         [&]
         {
             platform_.worker(worker).drain();
-            platform_.register_worker(worker, worker_links_[worker]->address());
             oracle_.draining(platform_.worker(worker).id());
         });
+    register_worker(worker);
 }
 
 void soak_system::tick()
 {
     auto const now = clock::now();
+    if (now >= next_entries_)
+    {
+        next_entries_ = now + entry_interval;
+        repeat_entries();
+    }
     for (auto& each : nodes_)
     {
         if (!each.process_)
--- a/tests/soak/soak_system.hpp
+++ b/tests/soak/soak_system.hpp
@@ -111,6 +111,8 @@
     };
 
     void start(node& which);
+    /// Lets the workers write their entries again, as they do all the time.
+    void repeat_entries();
     void on_links(std::function<void()> const& what);
     fault_link& link(link_place place, std::size_t number);
 
@@ -122,6 +124,9 @@
     platform::platform_stand_in platform_;
     std::vector<node> nodes_;
     std::vector<std::unique_ptr<fault_link>> worker_links_;
+    /// Whether the store has the entry of each worker's present incarnation.
+    std::vector<bool> registered_;
+    clock::time_point next_entries_ = clock::now();
     std::size_t next_life_ = 0;
     std::vector<std::string> breaches_;
 };
