cell: Log how many tasks of a silent worker stay, and why

A worker whose tasks all stay wrote no line when its lease lapsed. It writes worker_lapsed now, again when their number changes, with the age of the last proof against an unknown incarnation.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -532,9 +532,8 @@
     bool check_clock(worker_state& worker, char const* call,
                      std::uint32_t token_offset, order_answer const& answer,
                      time_point sent, time_point now);
-    /// How many of the worker's tasks were sent there and are not known to have
-    /// begun on the incarnation that is known.
-    std::size_t count_unreported(worker_state const& worker);
+    /// How many of the worker's tasks were sent there and are not confirmed.
+    std::size_t count_unconfirmed(worker_state const& worker);
     void update_clock(worker_state& worker, worker_clock clock, time_point now);
     /// Releases all tasks of a worker on which no run of this cell can exist
     /// any more.
@@ -612,6 +611,9 @@
     /// How long a lease may last that the worker's incarnation had when it last
     /// answered.
     duration longest_remaining_lease(worker_state const& worker) const;
+    /// For logs, in milliseconds.
+    /// @param at unset: never
+    static std::string describe_age(time_point at, time_point now);
     /// The worker's lease for logs: clock and end of the lease on the worker's
     /// clock, the rest in milliseconds.
     static std::string describe_lease(worker_state const& worker,
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -102,8 +102,8 @@
             "run_lost", describe(task),
             worker.entry_.id_ + " run=" + std::to_string(at.task_->run_) +
                 " phase=" + std::to_string(static_cast<int>(at.task_->phase_)) +
-                " reported=" +
-                (at.task_->reported_at_ != time_point{} ? "1" : "0") +
+                " confirmed=" +
+                (at.task_->confirmed_run_ == at.task_->run_ ? "1" : "0") +
                 " crashes=" + std::to_string(at.task_->crashes_) +
                 " unexplained=" +
                 std::to_string(at.task_->unexplained_losses_));
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -91,15 +91,18 @@
     placement_due_ = true;
 }
 
+std::string cell::describe_age(time_point at, time_point now)
+{
+    return at == time_point{} ? "never" : in_milliseconds(now - at);
+}
+
 std::string cell::describe_lease(worker_state const& worker, time_point now)
 {
     return " clock=" + std::to_string(worker.clock_.count()) +
            " leased_until=" + std::to_string(worker.leased_until_.count()) +
            " lease_ends_in=" + in_milliseconds(worker.lease_expires_at_ - now) +
            " lease_requested_ago=" +
-           (worker.lease_requested_at_ == time_point{}
-                ? "never"
-                : in_milliseconds(now - worker.lease_requested_at_));
+           describe_age(worker.lease_requested_at_, now);
 }
 
 time_point cell::runs_end_by(worker_state const& worker) const
@@ -291,6 +294,7 @@
     if (worker.unanswered_renewals_ > 0)
     {
         worker.unanswered_renewals_ = 0;
+        worker.kept_tasks_ = 0;
         log_event("worker_answers_again", name,
                   "renewal born=" + describe(report.incarnation_start_) +
                       " ends_listed=" + std::to_string(report.ended_.size()) +
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -93,15 +93,22 @@
 void cell::drop_lapsed_tasks(worker_state& worker, time_point now)
 {
     auto const kept = tasks_to_keep(worker, now);
-    if (kept.size() == worker.tasks_.size())
+    bool const keeps_all = kept.size() == worker.tasks_.size();
+    if (keeps_all && kept.size() == worker.kept_tasks_)
     {
         return;
     }
+    worker.kept_tasks_ = kept.size();
     log_event("worker_lapsed", worker.entry_.id_,
               "tasks=" + std::to_string(worker.tasks_.size()) +
                   " kept=" + std::to_string(kept.size()) +
-                  " unreported=" + std::to_string(count_unreported(worker)) +
+                  " unconfirmed=" + std::to_string(count_unconfirmed(worker)) +
+                  " proved_ago=" + describe_age(worker.alone_until_, now) +
                   describe_lease(worker, now));
+    if (keeps_all)
+    {
+        return;
+    }
     if (worker.entry_.address_.empty())
     {
         // Known from an earlier owner's records alone: nothing will show how it
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -369,7 +369,7 @@
         log_event(
             "worker_silent", worker.entry_.id_,
             "tasks=" + std::to_string(worker.tasks_.size()) +
-                " unreported=" + std::to_string(count_unreported(worker)) +
+                " unconfirmed=" + std::to_string(count_unconfirmed(worker)) +
                 describe_lease(worker, now));
         worker.silent_since_ = now;
     }
@@ -402,7 +402,7 @@
     return lag == worker_clock{0};
 }
 
-std::size_t cell::count_unreported(worker_state const& worker)
+std::size_t cell::count_unconfirmed(worker_state const& worker)
 {
     return static_cast<std::size_t>(
         std::count_if(worker.tasks_.begin(), worker.tasks_.end(),
--- a/source/kernel/cell/worker_state.hpp
+++ b/source/kernel/cell/worker_state.hpp
@@ -216,6 +216,9 @@
 
     resource_amount used_;
     std::set<task_id> tasks_;
+    /// How many of them stayed when the lease had lapsed; 0 once the worker
+    /// answers.
+    std::size_t kept_tasks_ = 0;
     std::uint32_t long_running_tasks_ = 0;
     /// Best-effort tasks, and tasks with a bound on their tail latency.
     std::uint32_t best_effort_tasks_ = 0;
