cell: Count a crash once for a task that stays

When the tasks of a lost worker leave at different times, each drop counted a crash for all of the tasks that were still there, so that one that stayed longest had as many crashes as there were drops, and its job could be given up early.

Tasks that stay are no suspects until they leave. The new test counts two crashes for one without the change.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -736,17 +736,23 @@
     void log_loss(task_id const& task, task_location const& at,
                   worker_state const& worker);
     /// Remembers which tasks may have crashed a worker whose lease lapsed.
-    void record_loss(worker_state& worker, time_point now);
+    /// @param kept tasks that stay, so that their runs are not lost so far
+    void record_loss(worker_state& worker, std::set<task_id> const& kept,
+                     time_point now);
     /// The worker's losses were no crashes, or it will not be known.
     void forget_losses(worker_state& worker);
     /// The worker's incarnation has ended: counts a crash for each task that
     /// may have caused it, unless the end was ordered or announced.
     /// @param can_be_proof the end was seen, and not only concluded
     /// @param survivors lists the runs that began on the next incarnation
+    /// @param kept as in `record_loss()`
     void count_crash(worker_state& worker, bool can_be_proof, time_point now,
-                     worker_report const& survivors = {});
+                     worker_report const& survivors = {},
+                     std::set<task_id> const& kept = {});
     /// The worker's runs that may have crashed it at that time, by task.
+    /// @param kept as in `record_loss()`
     std::map<task_id, std::uint32_t> suspects_of(worker_state const& worker,
+                                                 std::set<task_id> const& kept,
                                                  time_point lost_at);
     /// Adds the job's crash counts to the next batch.
     void store_crashes(job_state& job, task_id const& task);
--- a/source/kernel/cell/cell_crashes.cpp
+++ b/source/kernel/cell/cell_crashes.cpp
@@ -110,7 +110,8 @@
     }
 }
 
-void cell::record_loss(worker_state& worker, time_point now)
+void cell::record_loss(worker_state& worker, std::set<task_id> const& kept,
+                       time_point now)
 {
     if (worker.unanswered_renewals_ == 0 ||
         is_planned_end(worker, worker.silent_since_))
@@ -118,7 +119,7 @@
         return;
     }
     worker.lost_at_ = now;
-    for (auto const& run : suspects_of(worker, worker.silent_since_))
+    for (auto const& run : suspects_of(worker, kept, worker.silent_since_))
     {
         if (worker.lost_runs_.insert(run).second)
         {
@@ -133,15 +134,17 @@
     }
 }
 
-std::map<task_id, std::uint32_t> cell::suspects_of(worker_state const& worker,
-                                                   time_point lost_at)
+std::map<task_id, std::uint32_t>
+cell::suspects_of(worker_state const& worker, std::set<task_id> const& kept,
+                  time_point lost_at)
 {
     std::vector<std::pair<task_id, task_state*>> candidates;
     time_point youngest{};
     for (auto const& task : worker.tasks_)
     {
         auto const at = find(task);
-        if (at && !was_gone(worker, *at.task_, lost_at) &&
+        if (at && kept.count(task) == 0 &&
+            !was_gone(worker, *at.task_, lost_at) &&
             may_have_crashed(*at.task_, at.shape_->long_running_, lost_at))
         {
             candidates.emplace_back(task, at.task_);
@@ -229,13 +232,14 @@
 }
 
 void cell::count_crash(worker_state& worker, bool can_be_proof, time_point now,
-                       worker_report const& survivors)
+                       worker_report const& survivors,
+                       std::set<task_id> const& kept)
 {
     auto const crashed_at =
         worker.unanswered_renewals_ > 0 ? worker.silent_since_ : now;
     auto suspects = worker.lost_runs_;
     forget_losses(worker);
-    for (auto const& run : suspects_of(worker, crashed_at))
+    for (auto const& run : suspects_of(worker, kept, crashed_at))
     {
         suspects.insert(run);
     }
--- a/source/kernel/cell/cell_stops.cpp
+++ b/source/kernel/cell/cell_stops.cpp
@@ -113,11 +113,11 @@
     {
         // Known from an earlier owner's records alone: nothing will show how it
         // was lost.
-        count_crash(worker, false, now);
+        count_crash(worker, false, now, {}, kept);
     }
     else
     {
-        record_loss(worker, now);
+        record_loss(worker, kept, now);
     }
     for (auto const& run : count_lost_runs(worker, now, {}, kept))
     {
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -1,4 +1,5 @@
 #include "kernel/cell/cell_world.hpp"
+#include "kernel/cell/crash_counts.hpp"
 #include "kernel/cell/foreign_lease.hpp"
 
 #include <doctest/doctest.h>
@@ -752,6 +753,28 @@
     }
 }
 
+// Guards against a job that is given up early, since a crash counts again when
+// its task leaves the lost worker after others.
+TEST_CASE("a crash counts once for a task that stays while others leave")
+{
+    cell_world world(1, 1, cell_world::restart_ids::kept, platform_lease);
+    world.run_for(time_before);
+    world.submit("a", {cell_world::make_step(1, 1000, long_run)});
+    world.run_for(500ms);
+    world.submit("b", {cell_world::make_step(1, 1000, 1000ms)});
+    world.run_for(50ms);
+    REQUIRE(world.running_tasks("b") == 1);
+    world.cut(0, true);
+    world.are_cut_from_store_ = true;
+    world.has_entries_ = false;
+    world.take_over();
+    world.run_for(30'000ms);
+    auto const counts =
+        decode_crash_counts(world.stored_texts(record_kind::crashes).at("b"));
+    REQUIRE(counts.size() == 1);
+    CHECK(counts.begin()->second.all_ == 1);
+}
+
 // Guards against a job that is given up one lost run early, since a start of it
 // was refused just before a takeover: it is not covered so far.
 TEST_CASE("a start refused before a takeover is no lost run")
