cell: Release a task only by news that rules out an unseen run

Found by a review that had not seen the work: a list of VMs that is empty, or does not name the workers of VMs that are up, counted as a proof for every worker; an entry that was written before the start arrived did, too; and a start by the clock of an incarnation before the known one confirmed its run if the clock that answered was ahead.

A list counts if it names the worker of each VM that is up and has the worker's own VM, an entry or a list if it is later than the time in which a call is carried out that is not late, and an answer if its order had the present token.

Tests: "a task stays while no news rules out an unseen run", a case for each, and "a clock that is behind shows a restart".

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -17,6 +17,7 @@
 #include "kernel/cell/task_rows.hpp"
 #include "kernel/cell/ticket_cache.hpp"
 #include "kernel/cell/unplaced_demands.hpp"
+#include "kernel/cell/wave_order.hpp"
 #include "kernel/cell/worker_state.hpp"
 #include "kernel/cell/workspace_accounts.hpp"
 #include "kernel/time.hpp"
@@ -75,7 +76,8 @@
     duration max_late_call_ = std::chrono::seconds{12};
     /// Time in which a call is carried out that is not late.
     duration max_call_delay_ = std::chrono::milliseconds{500};
-    /// A worker's entry may be stored this long after the worker wrote it.
+    /// A worker's entry may be stored this long after the worker wrote it. The
+    /// platform states no bound.
     duration max_entry_delay_ = std::chrono::seconds{3};
     /// If the store takes longer than this for a batch, it counts as
     /// unreachable and no job is accepted.
@@ -191,9 +193,8 @@
                            calendar_time incarnation_start,
                            time_point stored_after);
     /// The platform has listed all VMs.
-    /// @param workers ids of the workers that are up
     /// @param asked when the list was requested
-    void on_workers_up(std::set<std::string> const& workers, time_point asked);
+    void on_vms_listed(std::map<vm_id, listed_vm> const& vms, time_point asked);
     /// The platform lists that worker as the present incarnation on a VM. Older
     /// incarnations on that VM are treated as ended.
     /// @param asked when the list was requested
--- a/source/kernel/cell/cell_incarnations.cpp
+++ b/source/kernel/cell/cell_incarnations.cpp
@@ -174,7 +174,8 @@
     auto const sent = task.start_sent_ != time_point{}
                           ? task.start_sent_
                           : takeover_time_ + options_.confirmation_limit_;
-    return worker.is_unconfirmed_ || worker.alone_until_ < sent;
+    return worker.is_unconfirmed_ ||
+           worker.alone_until_ < sent + options_.max_call_delay_;
 }
 
 std::set<task_id> cell::tasks_to_keep(worker_state const& worker,
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -152,15 +152,29 @@
     }
 }
 
-void cell::on_workers_up(std::set<std::string> const& workers, time_point asked)
+void cell::on_vms_listed(std::map<vm_id, listed_vm> const& vms,
+                         time_point asked)
 {
+    std::set<std::string> up;
+    for (auto const& vm : vms)
+    {
+        bool const is_up = vm.second.status_ == vm_status::up;
+        if (is_up && vm.second.worker_.empty())
+        {
+            // The list does not say which workers are up.
+            return;
+        }
+        up.insert(vm.second.worker_);
+    }
     for (auto& item : workers_)
     {
-        if (workers.count(item.first) == 0)
+        auto& worker = item.second;
+        // A list in pages may lack a VM.
+        bool const is_listed =
+            worker.entry_.vm_.empty() || vms.count(worker.entry_.vm_) != 0;
+        if (!vms.empty() && is_listed && up.count(item.first) == 0)
         {
-            auto& worker = item.second;
-            worker.alone_until_ =
-                std::max(worker.alone_until_, asked - options_.max_call_delay_);
+            worker.alone_until_ = std::max(worker.alone_until_, asked);
         }
     }
 }
@@ -493,7 +507,11 @@
         found != workers_.end() &&
         check_clock(found->second, "start", order.token_offset_, answer, sent,
                     now);
-    if (is_present_run && is_known_clock && outcome == call_outcome::accepted)
+    bool const is_known_token =
+        found != workers_.end() &&
+        order.token_offset_ == found->second.token_offset_;
+    if (is_present_run && is_known_clock && is_known_token &&
+        outcome == call_outcome::accepted)
     {
         confirm_run(task, at);
     }
--- a/source/kernel/cell/fleet_plan.cpp
+++ b/source/kernel/cell/fleet_plan.cpp
@@ -82,17 +82,15 @@
                  : busy ? now + options_.list_interval_
                         : now + options_.idle_list_interval_;
     vms_.clear();
-    std::set<std::string> workers;
     for (auto& vm : list.vms_)
     {
         auto const id = vm.vm_;
         cell_.on_vm_listed(id, vm.worker_, requested_at, now);
-        workers.insert(vm.worker_);
         vms_[id] = std::move(vm);
     }
     if (list.is_complete_)
     {
-        cell_.on_workers_up(workers, requested_at);
+        cell_.on_vms_listed(vms_, requested_at);
     }
     absences_.retain([this](vm_id const& vm) { return is_watched(vm); });
     absences_.listed(vms_, list.is_complete_, requested_at);
--- a/tests/kernel/cell/cell_world.cpp
+++ b/tests/kernel/cell/cell_world.cpp
@@ -436,14 +436,17 @@
 
 void cell_world::list_vms()
 {
-    std::set<std::string> up;
+    std::map<vm_id, listed_vm> vms;
     for (auto const& worker : workers_)
     {
-        auto const id = worker->is_down_ ? std::string() : worker->entry_.id_;
-        cell_->on_vm_listed(worker->entry_.vm_, id, now_, now_);
-        up.insert(id);
+        listed_vm vm;
+        vm.vm_ = worker->entry_.vm_;
+        vm.status_ = worker->is_down_ ? vm_status::down : vm_status::up;
+        vm.worker_ = worker->is_down_ ? "" : worker->entry_.id_;
+        cell_->on_vm_listed(vm.vm_, vm.worker_, now_, now_);
+        vms[vm.vm_] = vm;
     }
-    cell_->on_workers_up(up, now_);
+    cell_->on_vms_listed(vms, now_);
 }
 
 void cell_world::repeat_entries()
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -283,10 +283,9 @@
     {"two new owners",
      [](cell_world& world)
      {
-         restart_unseen(world, 1000ms, 0ms);
-         world.run_for(1500ms);
+         restart_unseen(world, 70ms, 0ms);
          world.take_over();
-         world.run_for(4000ms);
+         world.run_for(300ms);
          world.take_over();
      }},
 };
@@ -753,6 +752,108 @@
     }
 }
 
+// Guards against a restart that stays unseen although the answer to a start
+// states another clock than that of the incarnation before.
+TEST_CASE("a clock that is behind shows a restart")
+{
+    auto world = make_world(1);
+    world.registration_delay_ = 30'000ms;
+    world.run_for(time_before);
+    restart_all(world);
+    // The answer to a renewal shows the restart as well, but later.
+    world.renewal_delay_ = 190ms;
+    submit_long_job(world);
+    world.run_for(60ms);
+    world.renewal_delay_ = 0ms;
+    CHECK(world.logged_["worker_clock_behind"].size() == 1);
+    CHECK(world.logged_["worker_unconfirmed"].size() == 1);
+    world.run_for(20'000ms);
+    CHECK(world.violations() == "");
+    CHECK(world.status("a") == job_status::completed);
+}
+
+/// News that seems to rule out that an unseen incarnation has a run.
+struct news_case
+{
+    char const* name_;
+    void (*tell_)(cell_world&, std::string const& worker);
+};
+
+news_case const news_cases[] = {
+    {"an entry that was under way for long",
+     [](cell_world& world, std::string const& worker)
+     {
+         world.run_for(2000ms);
+         world.owner().on_entry_repeated(
+             worker, world.owner().workers().at(worker).incarnation_start_,
+             world.now());
+     }},
+    {"a list of VMs that was requested before the start arrived",
+     [](cell_world& world, std::string const& worker)
+     {
+         listed_vm vm;
+         vm.vm_ = world.owner().workers().at(worker).entry_.vm_;
+         world.owner().on_vms_listed({{vm.vm_, vm}}, world.now());
+     }},
+    {"an empty list of VMs",
+     [](cell_world& world, std::string const&)
+     {
+         world.run_for(1000ms);
+         world.owner().on_vms_listed({}, world.now());
+     }},
+    {"a list of VMs that does not name the worker of one",
+     [](cell_world& world, std::string const& worker)
+     {
+         world.run_for(1000ms);
+         listed_vm vm;
+         vm.vm_ = world.owner().workers().at(worker).entry_.vm_;
+         vm.status_ = vm_status::up;
+         world.owner().on_vms_listed({{vm.vm_, vm}}, world.now());
+     }},
+    {"a list of VMs without that of the worker",
+     [](cell_world& world, std::string const&)
+     {
+         world.run_for(1000ms);
+         listed_vm vm;
+         vm.vm_ = vm_id{"another"};
+         vm.status_ = vm_status::up;
+         vm.worker_ = "another";
+         world.owner().on_vms_listed({{vm.vm_, vm}}, world.now());
+     }},
+    {"an entry of another incarnation",
+     [](cell_world& world, std::string const& worker)
+     {
+         world.run_for(5000ms);
+         world.owner().on_entry_repeated(worker, calendar_time{2h},
+                                         world.now());
+     }},
+};
+
+// Guards against a task that is released by news that proves nothing.
+TEST_CASE("a task stays while no news rules out an unseen run")
+{
+    for (auto const& each : news_cases)
+    {
+        CAPTURE(std::string(each.name_));
+        auto world = make_world(1);
+        world.registration_delay_ = 30'000ms;
+        world.run_for(time_before);
+        world.are_cut_from_store_ = true;
+        restart_unseen(world, 70ms, 0ms);
+        std::string worker;
+        for (std::uint32_t i = 0; i < worker_count; ++i)
+        {
+            worker = world.worker(i).disconnected_ ? world.worker(i).entry_.id_
+                                                   : worker;
+        }
+        world.run_for(30ms);
+        each.tell_(world, worker);
+        world.run_for(9000ms);
+        CHECK(world.runs_of("a") == 1);
+        CHECK(world.violations() == "");
+    }
+}
+
 // Guards against a job that is given up early, since a crash counts again when
 // its task leaves the lost worker after others.
 TEST_CASE("a crash counts once for a task that stays while others leave")
