cell: Let a refusal speak of the incarnation that its order was for

A worker may return under its id at another address. The answer of another process at the former address to an order that was under way then ended the present incarnation, and its tasks were placed again beside their runs.

Such an answer to a start or a stop counts only if the order had the worker's present token, as for renewals. Found by review; the new test fails without the change.

--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -527,8 +527,9 @@
             found->second.next_renewal_ = now;
         }
     }
+    // An order for an earlier incarnation says nothing of the present one.
     bool const is_mismatch = outcome == call_outcome::incarnation_mismatch &&
-                             found != workers_.end() && found->second.fenced_;
+                             is_known_token && found->second.fenced_;
     if (is_mismatch)
     {
         end_incarnation(found->second, "another_life_answered", now);
@@ -621,7 +622,8 @@
     }
     if (outcome == call_outcome::incarnation_mismatch)
     {
-        if (found->second.fenced_)
+        if (found->second.fenced_ &&
+            order.token_offset_ == found->second.token_offset_)
         {
             end_incarnation(found->second, "another_life_answered", now);
         }
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -854,6 +854,39 @@
     }
 }
 
+// Guards against tasks that are placed again beside their runs, since another
+// process answers a call to the address of an earlier incarnation.
+TEST_CASE("an order for an earlier incarnation does not end the present one")
+{
+    auto world = make_world(1);
+    world.registration_delay_ = 20ms;
+    world.run_for(time_before);
+    submit_long_job(world);
+    world.run_for(500ms);
+    restart_all(world);
+    world.run_for(500ms);
+    REQUIRE(world.running_tasks("a") == 1);
+    for (auto const& item : world.owner().workers())
+    {
+        start_run start;
+        start.worker_ = item.first;
+        start.task_ = {job_id{"a"}, 0, 0, 0};
+        start.run_ = 1;
+        stop_run stop;
+        stop.worker_ = item.first;
+        stop.task_ = start.task_;
+        stop.run_ = 1;
+        order_answer const answer{call_outcome::incarnation_mismatch,
+                                  std::nullopt};
+        auto const now = world.now();
+        world.owner().on_start_response(start, answer, now, now);
+        world.owner().on_stop_response(stop, answer, now, now);
+    }
+    world.run_for(1000ms);
+    CHECK(world.logged_["worker_life_ended"].empty());
+    CHECK(world.violations() == "");
+}
+
 // Guards against a job that is given up early, since a crash counts again when
 // its task leaves the lost worker after others.
 TEST_CASE("a crash counts once for a task that stays while others leave")
