cell: Compute leases by the least that a worker's clock can show

What callers could see: TWICE under a new owner.

Cause: a lease was computed as if the worker's clock had kept up with the owner's since it was read. An idle worker is sent nothing, so that the reading may be minutes old, and its clock may be 2 % slow: after 100 s idle the first lease was 5 s long. The owner that requested it counted on that, the next one on 3 s.

The end is computed by the least that the clock can show, so that no lease is longer than 3 s. It is shorter after idle times, so the clock of an idle worker is read again after 20 s, and the answers to starts and stops renew the reading. An idle worker gets no lease by such a query.

--- a/source/kernel/cell/cell.hpp
+++ b/source/kernel/cell/cell.hpp
@@ -74,6 +74,9 @@
     duration stop_grace_ = std::chrono::milliseconds{600};
     /// A call without an answer may be carried out this long after it was sent.
     duration max_late_call_ = std::chrono::seconds{12};
+    /// An idle worker whose clock was read longer ago is queried: the longer
+    /// ago, the shorter is the first lease of its next task.
+    duration max_clock_age_ = std::chrono::seconds{20};
     /// Time in which a call is carried out that is not late.
     duration max_call_delay_ = std::chrono::milliseconds{500};
     /// A worker's entry may be stored this long after the worker wrote it. The
@@ -535,7 +538,9 @@
                      time_point sent, time_point now);
     /// How many of the worker's tasks were sent there and are not confirmed.
     std::size_t count_unconfirmed(worker_state const& worker);
-    void update_clock(worker_state& worker, worker_clock clock, time_point now);
+    /// Takes the clock of an answer over unless a later one is known.
+    static void read_clock(worker_state& worker, worker_clock clock,
+                           time_point now);
     /// Releases all tasks of a worker on which no run of this cell can exist
     /// any more.
     /// @param kept tasks that stay
@@ -665,7 +670,7 @@
     /// still in flight.
     void query_overdue_workers(time_point now);
     bool is_overdue(task_id const& task, time_point now);
-    bool needs_renewal(worker_state const& worker) const;
+    bool needs_renewal(worker_state const& worker, time_point now) const;
 
     // cell_stops.cpp
     void send_stop(worker_state& worker, task_id const& task, std::uint32_t run,
--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -48,13 +48,15 @@
 
 worker_clock cell::lease_for(worker_state& worker, time_point now)
 {
-    auto const ahead = std::chrono::duration_cast<duration>(
-        now - worker.clock_read_at_ + options_.lease_);
+    // By the least that the clock may show, so that no lease is longer than
+    // `lease_`, however old the reading is: a new owner counts on that.
     auto const until =
-        worker.clock_ + std::chrono::duration_cast<worker_clock>(ahead);
+        worker.clock_ +
+        std::chrono::duration_cast<worker_clock>(
+            (now - worker.clock_read_at_) * min_clock_rate + options_.lease_);
     auto const lapse =
-        worker.clock_read_at_ +
-        std::chrono::duration_cast<duration>(ahead / min_clock_rate) +
+        now +
+        std::chrono::duration_cast<duration>(options_.lease_ / min_clock_rate) +
         lapse_margin;
     worker.lease_expires_at_ = std::max(worker.lease_expires_at_, lapse);
     worker.leased_until_ = std::max(worker.leased_until_, until);
@@ -135,7 +137,7 @@
                                          until - worker.clock_));
 }
 
-bool cell::needs_renewal(worker_state const& worker) const
+bool cell::needs_renewal(worker_state const& worker, time_point now) const
 {
     if (worker.unlisted_ && worker.tasks_.empty())
     {
@@ -145,7 +147,9 @@
            !worker.orphaned_runs_.empty() ||
            worker.recorded_ > worker.acknowledged_ ||
            worker.ends_read_to_ < worker.end_due_ ||
-           worker.unanswered_renewals_ > 0;
+           worker.unanswered_renewals_ > 0 ||
+           (worker.clock_read_at_ != time_point{} &&
+            now - worker.clock_read_at_ > options_.max_clock_age_);
 }
 
 bool cell::is_overdue(task_id const& task, time_point now)
@@ -221,14 +225,16 @@
     {
         auto& worker = item.second;
         if (worker.renewal_in_flight_ || now < worker.next_renewal_ ||
-            worker.entry_.address_.empty() || !needs_renewal(worker))
+            worker.entry_.address_.empty() || !needs_renewal(worker, now))
         {
             continue;
         }
         auto order = make_query(worker);
+        bool const has_runs =
+            !worker.tasks_.empty() || !worker.orphaned_runs_.empty();
         // An unanswered renewal may still have extended the leases. A silent
         // worker is only queried, so that its leases expire.
-        if (worker.fenced_ && worker.unanswered_renewals_ == 0)
+        if (worker.fenced_ && worker.unanswered_renewals_ == 0 && has_runs)
         {
             order.lease_until_ = lease_for(worker, now);
             bool const can_wait =
@@ -311,7 +317,8 @@
         // The clock of a VM that was suspended is behind the known one.
         worker.clock_ = worker_clock{0};
     }
-    update_clock(worker, report.clock_, now);
+    read_clock(worker, report.clock_, now);
+    worker.answered_ = now;
     if (!extra)
     {
         worker.acknowledged_ =
--- a/source/kernel/cell/cell_workers.cpp
+++ b/source/kernel/cell/cell_workers.cpp
@@ -413,6 +413,10 @@
             query_incarnation(worker, "clock", now);
         }
     }
+    else if (token_offset == worker.token_offset_)
+    {
+        read_clock(worker, *answer.clock_, now);
+    }
     return lag == worker_clock{0};
 }
 
@@ -428,15 +432,13 @@
                       }));
 }
 
-void cell::update_clock(worker_state& worker, worker_clock clock,
-                        time_point now)
+void cell::read_clock(worker_state& worker, worker_clock clock, time_point now)
 {
     if (clock > worker.clock_)
     {
         worker.clock_ = clock;
         worker.clock_read_at_ = now;
     }
-    worker.answered_ = now;
 }
 
 void cell::release_all(worker_state& worker, time_point now,
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -752,6 +752,35 @@
     }
 }
 
+// Guards against a second run under a new owner, beside one on a worker whose
+// clock had not been read for long: its start asked for a longer lease.
+TEST_CASE("a lease by an old reading of a clock is no longer than others")
+{
+    for (auto const idle_time : {10'000ms, 100'000ms, 300'000ms})
+    {
+        for (bool const is_reached : {false, true})
+        {
+            CAPTURE(idle_time.count());
+            CAPTURE(is_reached);
+            auto world = make_world(1);
+            world.run_for(idle_time);
+            submit_long_job(world, longest_run);
+            world.run_for(60ms);
+            REQUIRE(world.running_tasks("a") == 1);
+            CHECK(longest_lease_left(world) <= owner_lease);
+            if (!is_reached)
+            {
+                cut_busy_workers(world);
+            }
+            world.take_over();
+            world.run_for(150ms);
+            cut_busy_workers(world);
+            world.run_for(12'000ms);
+            CHECK(world.violations() == "");
+        }
+    }
+}
+
 // Guards against a restart that stays unseen although the answer to a start
 // states another clock than that of the incarnation before.
 TEST_CASE("a clock that is behind shows a restart")
