cell: Query a worker whose renewal states a clock that is behind

What callers could see: TWICE after a worker's VM was suspended. Its clock stands still meanwhile, so that its lease lasts that much longer, and the owner ignored an answer's clock that was behind the known one.

Such an answer makes the worker be queried under a raised token, as one to a start does: the first answer after it sets the reading anew, and the leases are counted by it.

--- a/source/kernel/cell/cell_renewals.cpp
+++ b/source/kernel/cell/cell_renewals.cpp
@@ -293,6 +293,16 @@
         query_incarnation(worker, "renewal", now);
         return;
     }
+    if (worker.fenced_ && report.clock_ != worker_clock{0})
+    {
+        check_clock(worker, "renewal", order.token_offset_,
+                    {outcome, report.clock_}, sent, now);
+    }
+    if (worker.is_unconfirmed_ && order.token_offset_ != worker.token_offset_)
+    {
+        // Queried because of its clock.
+        return;
+    }
     if (is_restarted)
     {
         begin_incarnation(worker, report, now);
--- a/tests/kernel/cell/fake_worker.hpp
+++ b/tests/kernel/cell/fake_worker.hpp
@@ -35,6 +35,11 @@
 
     /// The worker's own clock at that time.
     worker_clock clock(time_point now) const;
+    /// The worker's VM was suspended, so that its clock stood still.
+    void suspend(duration time)
+    {
+        created_ += time;
+    }
     /// How long its lease lasts from that time on, if it is not extended.
     worker_clock lease_left(time_point now) const
     {
--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -801,6 +801,27 @@
     CHECK(world.status("a") == job_status::completed);
 }
 
+// Guards against a second run beside one whose lease lasts longer than the
+// owner counts on, since the worker's clock has stood still.
+TEST_CASE("a lease on a VM that was suspended is counted by its clock")
+{
+    constexpr auto suspended = 5000ms;
+    auto world = make_world(1);
+    world.run_for(time_before);
+    submit_long_job(world, longest_run);
+    world.run_for(500ms);
+    for (std::uint32_t i = 0; i < worker_count; ++i)
+    {
+        world.worker(i).suspend(suspended);
+    }
+    world.run_for(100ms);
+    CHECK(longest_lease_left(world) > owner_lease);
+    cut_busy_workers(world);
+    world.run_for(12'000ms);
+    CHECK(world.runs_of("a") == 2);
+    CHECK(world.violations() == "");
+}
+
 /// News that seems to rule out that an unseen incarnation has a run.
 struct news_case
 {
