tests: Show that a start's answer confirms its run

Without the confirmation by the answer no test failed. The new one guards against a task that is held back although its worker has accepted the start; it fails with that confirmation removed.

--- a/tests/kernel/cell/restart_lease_test.cpp
+++ b/tests/kernel/cell/restart_lease_test.cpp
@@ -584,6 +584,24 @@
     }
 }
 
+// Guards against a task that is held back although its worker has accepted its
+// start, and its clock shows that the incarnation is the known one.
+TEST_CASE("a run that its start's answer confirms is not held back")
+{
+    auto world = make_world(1);
+    world.run_for(time_before);
+    // No report lists the run before the cut.
+    world.renewal_delay_ = 190ms;
+    submit_long_job(world);
+    world.run_for(60ms);
+    REQUIRE(world.running_tasks("a") == 1);
+    cut_busy_workers(world);
+    world.are_cut_from_store_ = true;
+    world.run_for(prompt_time);
+    CHECK(world.runs_of("a") == 2);
+    CHECK(world.violations() == "");
+}
+
 // Guards against a second run beside an orphaned one whose lease was renewed
 // just before a network partition.
 TEST_CASE("a task waits for its orphaned run until the latest lease has ended")
